--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -83,6 +83,7 @@
     destination: DestinationId,
     body: Bytes,
     attempts: u32,
+    taken_at: Micros,
 }
 
 pub struct Driver {
@@ -164,13 +165,21 @@
             // The class is no longer served: nobody can say whether a repeat would be harmless.
             return self.conclude(id, taken.call_id, None);
         };
-        let time_left = taken.deadline - self.clock.now();
+        let taken_at = self.clock.now();
+        let time_left = taken.deadline - taken_at;
         self.events.push(message(id, class, taken.destination, time_left, (false, false)));
         let ran = past.first_run().map(|(at, zone)| (at, zone as usize));
         self.events.push(Event::Resumed { id, attempts: past.attempts, ran });
         self.by_call_id.insert(taken.call_id.clone(), id);
         let (destination, attempts) = (taken.destination, past.attempts);
-        let open = Open { call_id: taken.call_id, key: taken.key, destination, body: taken.body.0, attempts };
+        let open = Open {
+            call_id: taken.call_id,
+            key: taken.key,
+            destination,
+            body: taken.body.0,
+            attempts,
+            taken_at,
+        };
         self.open.insert(id, open);
     }
 
@@ -197,6 +206,7 @@
             self.turned = Some(Instant::now());
             self.turn();
             self.tally.tell();
+            self.tally.tell_traffic(self.open.len(), self.calls.len());
         }
         self.tally.tell();
     }
@@ -279,7 +289,7 @@
         self.events.push(message(id, handed.class, handed.destination, handed.time_left, again));
         self.by_call_id.insert(handed.call_id.clone(), id);
         let (call_id, key, destination, body) = (handed.call_id, handed.key, handed.destination, handed.body);
-        self.open.insert(id, Open { call_id, key, destination, body, attempts: 0 });
+        self.open.insert(id, Open { call_id, key, destination, body, attempts: 0, taken_at: now });
         self.waiting.push((id, true, reply));
     }
 
@@ -318,6 +328,7 @@
             self.timers.remove(&(at, token));
             self.events.push(Event::Timer { token });
         }
+        self.events.iter().for_each(|event| self.tally.note(event));
         let mut actions = Vec::new();
         self.controller.turn(now, &std::mem::take(&mut self.events), &mut actions);
         let refused = actions.iter().filter_map(|action| match action {
@@ -427,6 +438,9 @@
         };
         let written = self.journal.attempt(id, (now, place.zone as u64));
         written.inspect_err(|error| tracing::warn!(%error)).ok()?;
+        if open.attempts == 0 {
+            self.tally.first_call(now - open.taken_at);
+        }
         open.attempts += 1;
         Some((open.attempts - 1, call))
     }
--- a/sender/src/tally.rs
+++ b/sender/src/tally.rs
@@ -1,13 +1,16 @@
-//! What became of messages that were not delivered, for the log: who refused them, and for which destination.
+//! Counts for the log: what the sender took on and how its calls ended, and what became of messages that were
+//! not delivered: who refused them, and for which destination.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use roadshift::interface::DestinationId;
+use roadshift::interface::{DestinationId, Event, Micros, Outcome};
 use tokio::time::Instant;
 
 /// A line is logged so often at most: a sender in trouble refuses hundreds a second.
 const EVERY: Duration = Duration::from_secs(1);
+/// And the line of the traffic so often.
+const TRAFFIC_EVERY: Duration = Duration::from_secs(5);
 
 /// Why a message was not delivered, or not even taken on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,15 +31,75 @@
     Failed,
 }
 
+/// What went through the module since the last line.
+#[derive(Debug, Default)]
+struct Traffic {
+    taken: u32,
+    /// Of those, the ones that the module was told an order key of, and a tenant.
+    ordered: u32,
+    with_tenant: u32,
+    first_calls: u32,
+    /// From being taken on to the first call, added up and at most.
+    first_call_after: (Micros, Micros),
+    outcomes: BTreeMap<Outcome, u32>,
+}
+
 /// Counts since the last line.
 pub struct Tally {
     counts: BTreeMap<Cause, BTreeMap<Option<DestinationId>, u32>>,
     told: Instant,
+    traffic: Traffic,
+    traffic_told: Instant,
 }
 
 impl Tally {
     pub fn new() -> Self {
-        Self { counts: BTreeMap::new(), told: Instant::now() }
+        let (counts, traffic, now) = (BTreeMap::new(), Traffic::default(), Instant::now());
+        Self { counts, told: now, traffic, traffic_told: now }
+    }
+
+    /// Counts what the module is told.
+    pub fn note(&mut self, event: &Event) {
+        match event {
+            Event::Message { order_key, tenant, .. } => {
+                self.traffic.taken += 1;
+                self.traffic.ordered += u32::from(order_key.is_some());
+                self.traffic.with_tenant += u32::from(tenant.is_some());
+            }
+            Event::Ended { outcome, .. } => *self.traffic.outcomes.entry(*outcome).or_default() += 1,
+            _ => {}
+        }
+    }
+
+    /// Counts a message's first call.
+    pub fn first_call(&mut self, after: Micros) {
+        self.traffic.first_calls += 1;
+        let (sum, most) = self.traffic.first_call_after;
+        self.traffic.first_call_after = (sum.saturating_add(after), most.max(after));
+    }
+
+    /// Logs the traffic, if there was any and it is time.
+    pub fn tell_traffic(&mut self, held: usize, out: usize) {
+        let idle = self.traffic.taken == 0 && self.traffic.outcomes.is_empty();
+        if idle || self.traffic_told.elapsed() < TRAFFIC_EVERY {
+            return;
+        }
+        self.traffic_told = Instant::now();
+        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after: (sum, most), outcomes } =
+            std::mem::take(&mut self.traffic);
+        let (mean_ms, most_ms) = (sum / 1000 / Micros::from(first_calls.max(1)), most / 1000);
+        tracing::info!(
+            held,
+            out,
+            taken,
+            ordered,
+            with_tenant,
+            first_calls,
+            mean_ms,
+            most_ms,
+            ?outcomes,
+            "traffic"
+        );
     }
 
     pub fn count(&mut self, cause: Cause, destination: DestinationId) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,7 +280,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
     /// Delivered.
     Delivered,
