--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -300,6 +300,9 @@
 
     fn called(&mut self, id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, ending: Ending) {
         self.calls.remove(&(id, attempt));
+        if let Some(place) = self.places.get(endpoint) {
+            self.tally.held_slot(place.route.0, elapsed);
+        }
         let Ending { outcome, wait, last } = ending;
         if last {
             self.withdraw(id);
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! Calls to endpoints, and the pool of connections that they use.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +25,11 @@
 /// endpoint's close would end as a reset.
 const IDLE_SHARE: f64 = 0.7;
 
+/// Reasons for broken calls that are told apart in the log.
+const BREAKS: usize = 8;
+/// And how often they are logged at most.
+const BREAKS_EVERY: Duration = Duration::from_secs(5);
+
 /// A told wait holds for a destination, or for an endpoint that is a route apart.
 pub type Route = (DestinationId, Option<EndpointId>);
 
@@ -78,6 +83,8 @@
     idle_time: Duration,
     connect_timeout: Duration,
     waits: RefCell<HashMap<Route, Instant>>,
+    /// Calls that broke since the last line of the log: why, and whether on a reused connection.
+    breaks: RefCell<BTreeMap<(String, bool), u32>>,
 }
 
 impl Endpoints {
@@ -89,6 +96,7 @@
             idle_time: span(limits.connection_idle).mul_f64(IDLE_SHARE),
             connect_timeout: span(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
+            breaks: RefCell::default(),
         })
     }
 
@@ -182,11 +190,22 @@
                 // Where an endpoint had closed an idle connection before any byte was written, the call has not
                 // been made.
                 Err(SendError::Unsent) if is_reused => {}
-                Err(_) => return Err(Outcome::Reset),
+                Err(error) => {
+                    self.count_break(&error, is_reused);
+                    return Err(Outcome::Reset);
+                }
             }
         }
     }
 
+    fn count_break(&self, error: &SendError, is_reused: bool) {
+        let mut breaks = self.breaks.borrow_mut();
+        let why = (error.to_string(), is_reused);
+        if breaks.len() < BREAKS || breaks.contains_key(&why) {
+            *breaks.entry(why).or_default() += 1;
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Outcome> {
         match timeout(self.connect_timeout, Connection::open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
@@ -237,10 +256,15 @@
         self.kept.get() < self.idle_most
     }
 
-    /// Closes what has been idle for too long.
+    /// Closes what has been idle for too long, and logs why calls broke.
     pub async fn tend(self: Rc<Self>) {
+        let mut told = Instant::now();
         loop {
             sleep(Duration::from_secs(1)).await;
+            if told.elapsed() >= BREAKS_EVERY && !self.breaks.borrow().is_empty() {
+                told = Instant::now();
+                tracing::warn!(by_reason_and_reuse = ?self.breaks.take(), "calls broke");
+            }
             self.idle
                 .borrow_mut()
                 .retain(|idle| idle.since.elapsed() < self.idle_time && idle.connection.is_quiet());
--- a/sender/src/tally.rs
+++ b/sender/src/tally.rs
@@ -12,6 +12,9 @@
 /// And the line of the traffic so often.
 const TRAFFIC_EVERY: Duration = Duration::from_secs(5);
 
+/// Destinations named in it.
+const BUSIEST: usize = 4;
+
 /// Why a message was not delivered, or not even taken on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -42,6 +45,8 @@
     /// From being taken on to the first call, added up and at most.
     first_call_after: (Micros, Micros),
     outcomes: BTreeMap<Outcome, u32>,
+    /// For each destination, how long calls held slots, and how many calls ended.
+    slot_time: BTreeMap<DestinationId, (Micros, u32)>,
 }
 
 /// Counts since the last line.
@@ -78,6 +83,12 @@
         self.traffic.first_call_after = (sum.saturating_add(after), most.max(after));
     }
 
+    /// Counts the time for which a call held a slot.
+    pub fn held_slot(&mut self, destination: DestinationId, elapsed: Micros) {
+        let (sum, calls) = self.traffic.slot_time.entry(destination).or_default();
+        (*sum, *calls) = (sum.saturating_add(elapsed), *calls + 1);
+    }
+
     /// Logs the traffic, if there was any and it is time.
     pub fn tell_traffic(&mut self, held: usize, out: usize) {
         let idle = self.traffic.taken == 0 && self.traffic.outcomes.is_empty();
@@ -85,9 +96,15 @@
             return;
         }
         self.traffic_told = Instant::now();
-        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after: (sum, most), outcomes } =
+        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after, outcomes, slot_time } =
             std::mem::take(&mut self.traffic);
+        let (sum, most) = first_call_after;
         let (mean_ms, most_ms) = (sum / 1000 / Micros::from(first_calls.max(1)), most / 1000);
+        // What holds the slots: destination, milliseconds, calls.
+        let mut busiest: Vec<_> =
+            slot_time.into_iter().map(|(to, (sum, calls))| (to, sum / 1000, calls)).collect();
+        busiest.sort_by_key(|(_, held_ms, _)| std::cmp::Reverse(*held_ms));
+        busiest.truncate(BUSIEST);
         tracing::info!(
             held,
             out,
@@ -98,6 +115,7 @@
             mean_ms,
             most_ms,
             ?outcomes,
+            ?busiest,
             "traffic"
         );
     }
