--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -249,6 +249,11 @@
         self.classes.iter().position(|other| other == name)
     }
 
+    /// The index of a tenant, if the settings list it.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.iter().position(|other| other == name)
+    }
+
     /// The index of a kind; one past the end if the settings don't list it.
     pub fn kind(&self, name: Option<&String>) -> usize {
         index(&self.kinds, name)
@@ -475,7 +480,7 @@
             None | Some(Project::Number(0)) => None,
             Some(Project::Number(number)) => return Err(format!("unknown tenant {number}")),
             Some(Project::Name(name)) => {
-                let tenant = names.tenants.iter().position(|other| other == name);
+                let tenant = names.tenant(name);
                 Some(tenant.ok_or_else(|| format!("unknown tenant {name:?}"))?)
             }
         };
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -38,6 +38,7 @@
     pub class: usize,
     pub class_name: String,
     pub destination: DestinationId,
+    pub tenant: Option<usize>,
     /// What it is about, in a class that keeps its order.
     pub order_key: Option<String>,
     pub time_left: Micros,
@@ -169,8 +170,21 @@
         };
         let taken_at = self.clock.now();
         let time_left = taken.deadline - taken_at;
-        let (destination, order_key, again) = (taken.destination, taken.order_key, (false, false));
-        self.events.push(message(id, class, destination, order_key, time_left, again));
+        // No tenant: its share was counted when it was taken on, and the whole backlog comes in one turn here.
+        let (tenant, destination, order_key) = (None, taken.destination, taken.order_key);
+        let (work, returned, repeat, write) = (None, false, false, false);
+        self.events.push(Event::Message {
+            id,
+            class,
+            tenant,
+            destination,
+            time_left,
+            work,
+            order_key,
+            returned,
+            repeat,
+            write,
+        });
         let ran = past.first_run().map(|(at, zone)| (at, zone as usize));
         self.events.push(Event::Resumed { id, attempts: past.attempts, ran });
         self.by_call_id.insert(taken.call_id.clone(), id);
@@ -289,9 +303,19 @@
             return;
         }
         self.next_id += 1;
-        let again = (handed.returned, handed.repeat);
-        let (to, order_key) = (handed.destination, handed.order_key);
-        self.events.push(message(id, handed.class, to, order_key, handed.time_left, again));
+        self.events.push(Event::Message {
+            id,
+            class: handed.class,
+            tenant: handed.tenant,
+            destination: handed.destination,
+            time_left: handed.time_left,
+            // The protocol gives no guess of it, and no kind of effect.
+            work: None,
+            order_key: handed.order_key,
+            returned: handed.returned,
+            repeat: handed.repeat,
+            write: false,
+        });
         self.by_call_id.insert(handed.call_id.clone(), id);
         let (call_id, key, destination, body) = (handed.call_id, handed.key, handed.destination, handed.body);
         self.open.insert(id, Open { call_id, key, destination, body, attempts: 0, taken_at: now });
@@ -484,19 +508,6 @@
     }
 }
 
-/// The event of a message, which the protocol gives no guess of its work and no kind of effect.
-fn message(
-    id: MessageId,
-    class: usize,
-    destination: DestinationId,
-    order_key: Option<String>,
-    time_left: Micros,
-    (returned, repeat): (bool, bool),
-) -> Event {
-    let (tenant, work, write) = (None, None, false);
-    Event::Message { id, class, tenant, destination, time_left, work, order_key, returned, repeat, write }
-}
-
 /// What cannot be written of a message's end may be done again after a restart, which the key makes harmless.
 fn log_failure(written: Result<(), JournalError>) {
     if let Err(error) = written {
--- a/sender/src/request.rs
+++ b/sender/src/request.rs
@@ -48,6 +48,8 @@
     let budget_ms = text(headers, "x-budget-ms")?.and_then(number).ok_or(bad)?;
     let consignee = text(headers, "x-consignee")?.ok_or(bad)?;
     let destination = parameter(consignee, "dest").and_then(number).ok_or(bad)?;
+    // One that the settings do not list has no share to keep to.
+    let tenant = text(headers, "x-caller")?.and_then(|name| names.tenant(name));
     let order_key = order_key(uri).filter(|_| rules.ordered);
     if order_key.is_some_and(|key| key.len() > TEXT_MOST) {
         return Err(bad);
@@ -60,6 +62,7 @@
         class,
         class_name: name.to_owned(),
         destination,
+        tenant,
         order_key: order_key.map(str::to_owned),
         // No message is held for longer than its class allows, whatever its client would wait.
         time_left: budget.min(rules.deadline),
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -272,6 +272,7 @@
                     "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
                     "fifoByKey": terms.ordered}],
                 "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": 10},
+                "orgs": [{"name": "small", "allowancePerS": 0.001}], "overShareWorth": 0.2,
                 "membershipMode": "automatic", "weights": "none", "resolutionMs": 5.0,
                 "limits": {"mostHeld": terms.held, "sendCap": 12, "cancel": true, "retryAfter": true,
                     "maxRetryAfterMs": 3000.0, "connectTimeoutMs": 1000.0, "connIdleMs": 15000.0},
--- a/sender/tests/delivery.rs
+++ b/sender/tests/delivery.rs
@@ -273,3 +273,24 @@
     assert_eq!(endpoint.next().headers["x-call-id"], "m3");
     assert!(endpoint.is_quiet());
 }
+
+/// Guards against a department that floods the hold at the cost of the others: the client names its department,
+/// and what lies beyond its share goes first.
+#[test]
+fn a_full_hold_gives_up_what_is_beyond_its_tenants_share() {
+    let (folder, discovery, endpoint) =
+        stage(vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 9000\r\n"), OK]);
+    let state = folder.path().join("state");
+    std::fs::create_dir_all(&state).unwrap();
+    let known = vec![line("s-1", endpoint.address, 7, "up")];
+    let sender = Sender::start(&state, &discovery, known, &Terms { held: 4, ..Terms::default() });
+    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
+    endpoint.next();
+    // The share allows one message in a long time.
+    for id in ["within", "beyond"] {
+        let text = message(id, 20_000, "x").replace("X-Budget", "X-Caller: small\r\nX-Budget");
+        assert_eq!(sender.ask(text.as_bytes()).expect("an answer").line, TAKEN_ON);
+    }
+    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
+    assert_eq!(discovery.notice()["ref"], "beyond");
+}
