--- a/sender/src/connection.rs
+++ b/sender/src/connection.rs
@@ -163,6 +163,11 @@
         self.meter.written.get()
     }
 
+    /// An answer to it has begun.
+    pub fn is_answered(&self) -> bool {
+        self.meter.first_line.borrow().has_begun()
+    }
+
     /// The status that the first line of the answer tells, as far as that has come.
     pub fn first_line(&self) -> Option<u16> {
         self.meter.first_line.borrow().status()
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -24,7 +24,14 @@
 /// Connections are dropped after this share of the time that endpoints keep them: a call that crosses an
 /// endpoint's close would end as a reset.
 const IDLE_SHARE: f64 = 0.7;
-
+/// Spans of idle time that are told apart, each twice the one before, from a millisecond on.
+const IDLE_STEPS: usize = 16;
+/// Share of calls on idle connections that may end as a reset: a handshake costs less than a lost call does, but
+/// not nothing. So many calls that went well are taken for granted, lest one bad moment decide.
+const RESETS_BORNE: f64 = 0.15;
+const CALLS_GRANTED: f64 = 10.0;
+/// What is left after each second of what was seen, so that trust comes back.
+const SEEN_FADES: f64 = 0.98;
 /// Reasons for broken calls that are told apart in the log.
 const BREAKS: usize = 8;
 /// And how often they are logged at most.
@@ -74,6 +81,54 @@
     since: Instant,
 }
 
+/// How calls fared on connections that had been idle for a while. What lies between may forget these long before
+/// the endpoint would close them, and without a word: it shows only in the reset of the next call, which may have
+/// run. All endpoints count together, since with each apart there would be a lost call to learn from for each.
+#[derive(Default)]
+struct Survival {
+    /// Calls, and those that were reset, by the step of the idle time.
+    seen: [(f64, f64); IDLE_STEPS],
+}
+
+impl Survival {
+    fn step(idle_for: Duration) -> usize {
+        let ms = u32::try_from(idle_for.as_millis()).unwrap_or(u32::MAX);
+        (ms.max(1).ilog2() as usize).min(IDLE_STEPS - 1)
+    }
+
+    fn note(&mut self, idle_for: Duration, reset: bool) {
+        let (calls, resets) = &mut self.seen[Self::step(idle_for)];
+        (*calls, *resets) = (*calls + 1.0, *resets + f64::from(u8::from(reset)));
+    }
+
+    /// Steps up to the first at which too many were reset: a longer idle time is no safer.
+    fn trusted(&self) -> usize {
+        let bears = |(calls, resets): &(f64, f64)| *resets <= RESETS_BORNE * (calls + CALLS_GRANTED);
+        self.seen.iter().take_while(|seen| bears(seen)).count()
+    }
+
+    fn trusts(&self, idle_for: Duration) -> bool {
+        Self::step(idle_for) < self.trusted()
+    }
+
+    /// The idle time that is trusted, for the log.
+    fn trusted_ms(&self) -> u64 {
+        let steps = self.trusted();
+        if steps == 0 {
+            0
+        } else {
+            1 << steps
+        }
+    }
+
+    fn fade(&mut self) {
+        let fade = |(calls, resets): &mut (f64, f64)| {
+            (*calls, *resets) = (*calls * SEEN_FADES, *resets * SEEN_FADES)
+        };
+        self.seen.iter_mut().for_each(fade);
+    }
+}
+
 /// Connections to all endpoints, and the waits that they told.
 pub struct Endpoints {
     idle: RefCell<VecDeque<Idle>>,
@@ -81,6 +136,7 @@
     /// Answers that are still being read, of calls that are over.
     kept: Cell<usize>,
     idle_time: Duration,
+    survival: RefCell<Survival>,
     connect_timeout: Duration,
     waits: RefCell<HashMap<Route, Instant>>,
     /// Calls that broke since the last line of the log: why, and whether on a reused connection.
@@ -94,6 +150,7 @@
             idle_most,
             kept: Cell::new(0),
             idle_time: span(limits.connection_idle).mul_f64(IDLE_SHARE),
+            survival: RefCell::default(),
             connect_timeout: span(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
             breaks: RefCell::default(),
@@ -176,9 +233,9 @@
     ) -> Result<Response<Incoming>, Outcome> {
         loop {
             let reused = self.take_idle(call);
-            let is_reused = reused.is_some();
+            let idle_for = reused.as_ref().map(|(_, idle_for)| *idle_for);
             let open = match reused {
-                Some(open) => connection.insert(open),
+                Some((open, _)) => connection.insert(open),
                 None => connection.insert(self.connect(call.address).await?),
             };
             // A wait may have been told while the connection was made: nothing may go there now.
@@ -186,12 +243,18 @@
                 return Err(Outcome::NotSent);
             }
             match open.send(request.request()).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, false));
+                    return Ok(response);
+                }
                 // Where an endpoint had closed an idle connection before any byte was written, the call has not
                 // been made.
-                Err(SendError::Unsent) if is_reused => {}
+                Err(SendError::Unsent) if idle_for.is_some() => {}
                 Err(error) => {
-                    self.count_break(&error, is_reused);
+                    // An answer that has begun, however spoilt, shows that the connection was alive.
+                    let dead = !open.is_answered();
+                    idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, dead));
+                    self.count_break(&error, idle_for.is_some());
                     return Err(Outcome::Reset);
                 }
             }
@@ -213,15 +276,18 @@
         }
     }
 
-    /// The connection used last: the others may then become idle for good.
-    fn take_idle(&self, call: &Call) -> Option<Connection> {
+    /// The connection used last, and how long it was idle: the others may then become idle for good.
+    fn take_idle(&self, call: &Call) -> Option<(Connection, Duration)> {
         let mut idle = self.idle.borrow_mut();
         loop {
             let at = idle.iter().rposition(|idle| idle.endpoint == call.endpoint)?;
             let found = idle.remove(at)?;
-            let stands = found.address == call.address && found.since.elapsed() < self.idle_time;
+            let idle_for = found.since.elapsed();
+            let stands = found.address == call.address
+                && idle_for < self.idle_time
+                && self.survival.borrow().trusts(idle_for);
             if stands && found.connection.is_quiet() {
-                return Some(found.connection);
+                return Some((found.connection, idle_for));
             }
         }
     }
@@ -263,8 +329,10 @@
             sleep(Duration::from_secs(1)).await;
             if told.elapsed() >= BREAKS_EVERY && !self.breaks.borrow().is_empty() {
                 told = Instant::now();
-                tracing::warn!(by_reason_and_reuse = ?self.breaks.take(), "calls broke");
+                let idle_ms_trusted = self.survival.borrow().trusted_ms();
+                tracing::warn!(by_reason_and_reuse = ?self.breaks.take(), idle_ms_trusted, "calls broke");
             }
+            self.survival.borrow_mut().fade();
             self.idle
                 .borrow_mut()
                 .retain(|idle| idle.since.elapsed() < self.idle_time && idle.connection.is_quiet());
@@ -366,6 +434,68 @@
         }
     }
 
+    /// Answers one call on each connection, and resets it when another one comes.
+    async fn serve_once(listener: TcpListener) {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                // Closed with bytes that were not read, it is reset.
+                stream.readable().await.unwrap();
+            });
+        }
+    }
+
+    fn endpoints() -> Rc<Endpoints> {
+        let second = 1_000_000;
+        let limits = Limits { connect_timeout: second, connection_idle: 60 * second, ..Limits::default() };
+        Endpoints::new(&limits, 10)
+    }
+
+    fn call_to(address: SocketAddr) -> Call {
+        let (endpoint, route, timeout) = (1, (7, None), Duration::from_secs(30));
+        let (call_id, key) = (HeaderValue::from_static("m"), None);
+        Call { endpoint, address, route, call_id, key, body: Bytes::new(), timeout }
+    }
+
+    async fn outcome(endpoints: &Rc<Endpoints>, address: SocketAddr) -> Outcome {
+        let (_kept, cancel) = oneshot::channel();
+        endpoints.clone().call(call_to(address), cancel).await.outcome
+    }
+
+    /// Guards against call after call being lost to connections that do not live through an idle time.
+    #[tokio::test]
+    async fn connections_are_not_used_after_an_idle_time_that_others_did_not_live_through() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::task::spawn_local(serve_once(listener));
+            let endpoints = endpoints();
+            let mut lost = 0;
+            for _ in 0..20 {
+                lost += u32::from(outcome(&endpoints, address).await == Outcome::Reset);
+                sleep(Duration::from_millis(20)).await;
+            }
+            // Ten without: one is borne in each step, and a loaded machine may touch a few steps.
+            assert!(lost <= 6, "{lost} of 20");
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    /// Guards against handshakes for good after one bad moment, and against distrust of what is used at once.
+    #[test]
+    fn trust_in_idle_connections_is_lost_where_resets_are_and_comes_back() {
+        let (soon, late) = (Duration::from_millis(5), Duration::from_millis(150));
+        let mut survival = Survival::default();
+        for number in 0..40 {
+            survival.note(soon, number == 20);
+            survival.note(late, number % 3 == 0);
+        }
+        assert!(survival.trusts(soon) && !survival.trusts(late) && !survival.trusts(2 * late));
+        (0..200).for_each(|_| survival.fade());
+        assert!(survival.trusts(late));
+    }
+
     /// Guards against the answer to an earlier call being taken for that to one which was held back on the same
     /// connection: the message would be dropped as delivered.
     #[tokio::test]
@@ -375,26 +505,13 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             tokio::task::spawn_local(serve(listener));
-            let second = 1_000_000;
-            let limits =
-                Limits { connect_timeout: second, connection_idle: 60 * second, ..Limits::default() };
-            let endpoints = Endpoints::new(&limits, 10);
-            let call = || {
-                let (endpoint, route, timeout) = (1, (7, None), Duration::from_secs(30));
-                let (call_id, key) = (HeaderValue::from_static("m"), None);
-                let call = Call { endpoint, address, route, call_id, key, body: Bytes::new(), timeout };
-                let endpoints = endpoints.clone();
-                async move {
-                    let (_kept, cancel) = oneshot::channel();
-                    endpoints.call(call, cancel).await
-                }
-            };
-            assert_eq!(call().await.outcome, Outcome::Delivered);
+            let endpoints = endpoints();
+            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
             while endpoints.idle.borrow().is_empty() {
                 tokio::task::yield_now().await;
             }
-            endpoints.heed((7, None), 60 * second);
-            assert_eq!(call().await.outcome, Outcome::NotSent);
+            endpoints.heed((7, None), 60_000_000);
+            assert_eq!(outcome(&endpoints, address).await, Outcome::NotSent);
         };
         local.run_until(test).await;
     }
