--- a/src/control.rs
+++ b/src/control.rs
@@ -60,6 +60,8 @@
 const ASK_GAP: Micros = SECOND; // Pause before asking the directory again, doubled so many times at most
 const ASK_DOUBLINGS: u32 = 3;
 const ASK_PATIENCE: Micros = 10 * SECOND; // How long its answer may take
+const LOG_GAP: Micros = 5 * SECOND; // Lines on what waits come no more often than this
+const LOG_LINES: usize = 4; // For so many destinations at most
 
 #[derive(Default)]
 struct Message {
@@ -104,7 +106,7 @@
     refused_since: Micros,
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 enum Health {
     #[default]
     Up,
@@ -184,6 +186,7 @@
     timer_at: Micros,
     ask_at: Option<Micros>,
     ask_failures: u32,
+    logged_at: Micros,
 }
 
 impl Endpoint {
@@ -227,6 +230,7 @@
         self.judge_silence();
         self.end_overdue(actions);
         self.dispatch(actions);
+        self.log_lines(actions);
         let due = self.agenda.first().map(|due| due.0).into_iter().chain(self.ends.first().map(|due| due.0));
         self.wake = due.fold(self.wake, Micros::min);
         if self.wake < Micros::MAX && (self.timer_at <= self.now || self.wake < self.timer_at) {
@@ -805,6 +809,34 @@
         }
     }
 
+    /// Logs what holds back the longest lines in which a message is past its aim.
+    fn log_lines(&mut self, actions: &mut Vec<Action>) {
+        if self.now - self.logged_at < LOG_GAP {
+            return;
+        }
+        let late =
+            |to: &Destination| to.waiting.first().is_some_and(|id| self.messages[id].aim_at < self.now);
+        let mut lines: Vec<_> = self.destinations.iter().filter(|(_, to)| late(to)).collect();
+        lines.sort_by_key(|(_, to)| std::cmp::Reverse(to.waiting.len()));
+        for (destination, to) in lines.iter().take(LOG_LINES) {
+            let line = to.waiting.len();
+            for id in &to.endpoints {
+                let endpoint = &self.endpoints[id];
+                let (route, health) = (&self.routes[&endpoint.route], self.health_now(endpoint));
+                let out = self.calls.values().filter(|(at, ..)| at == id).count();
+                let (pace, listed, wait_us) =
+                    (route.pace, route.listed, (route.wait_until - self.now).max(0));
+                let sent = route.sent_within(self.now, SECOND);
+                let text = format!(
+                    "late: destination {destination}, {line} wait; endpoint {id}, {out} out, pace {pace:.1?}, \
+                     {sent} sent in 1 s, listed rate {listed:.1?}, told wait {wait_us} us, {health:?}"
+                );
+                actions.push(Action::Log { text });
+            }
+        }
+        self.logged_at = if lines.is_empty() { self.logged_at } else { self.now };
+    }
+
     /// Sends a message to the cheapest endpoint that is open to it, or notes when to look again.
     fn place(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let destination = self.messages[&id].destination;
