--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,7 @@
 const PACE_CREEP: f64 = 0.04; // Growth of the pace with each success
 const PACE_DOUBLES: f64 = 8.0; // Or twice in this time in seconds, where calls are rare
 const ASKED_SPAN: Micros = 5 * SECOND; // A clump must not pass for what is asked all the time
+const PACE_UNTRIED: f64 = 1.5; // No growth beyond so many times the calls of the last second
 const PACE_REGAINS: f64 = 3.0; // And in this time while it is below the own part of what is asked
 /// Span over which a route's calls are remembered; a pace that held nothing back for so long is forgotten.
 const SENT_SPAN: Micros = 8 * SECOND;
@@ -601,7 +602,7 @@
         let next_at = now + (self.warm_pause(endpoint, 0, waiting) as f64 * self.random.f64()) as Micros;
         let Some(endpoint) = self.endpoints.get_mut(&done.endpoint) else { return };
         let route = self.routes.entry(endpoint.route).or_default();
-        route.serve(part);
+        route.serve(now, part);
         endpoint.failures = 0;
         let cold = endpoint.quiet_for(now) >= COLD_AFTER;
         endpoint.delivered_at = Some(now);
@@ -828,8 +829,9 @@
                     (route.pace, route.listed, (route.wait_until - self.now).max(0));
                 let sent = route.sent_within(self.now, SECOND);
                 let text = format!(
-                    "late: destination {destination}, {line} wait; endpoint {id}, {out} out, pace {pace:.1?}, \
-                     {sent} sent in 1 s, listed rate {listed:.1?}, told wait {wait_us} us, {health:?}"
+                    "late: destination {destination}, {line} wait; endpoint {id}, {out} out, \
+                     pace {pace:.1?}, {sent} sent in 1 s, listed rate {listed:.1?}, told wait {wait_us} us, \
+                     {health:?}"
                 );
                 actions.push(Action::Log { text });
             }
@@ -982,12 +984,15 @@
         self.next_at = self.next_at.max(from) + pause as Micros;
     }
 
-    fn serve(&mut self, part: f64) {
+    fn serve(&mut self, now: Micros, part: f64) {
         self.refusals = 0;
         // Calls may be rare: each counts for the pause before it.
         let doubles = |pace| if pace < part { PACE_REGAINS } else { PACE_DOUBLES };
         let growth = |pace: f64| 2f64.powf(1.0 / (doubles(pace) * pace)).max(1.0 + PACE_CREEP);
-        self.pace = self.pace.map(|pace| pace.max(PACE_SHARE * part)).map(|pace| pace * growth(pace));
+        // A pace that held nothing back has not been tried: grown on, no halving would bring it down again.
+        let tried = (1.0 + self.sent_within(now, SECOND)) * PACE_UNTRIED;
+        let grown = |pace: f64| if pace > tried.max(part) { pace } else { pace * growth(pace) };
+        self.pace = self.pace.map(|pace| grown(pace.max(PACE_SHARE * part)));
     }
 
     /// Takes a refusal into the pace and the wait; says whether it looks like an outage. `part` is what the
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -317,6 +317,29 @@
     assert!(late > early, "creeps back: {early}, then {late}");
 }
 
+/// Guards against a pace that runs away while it holds nothing back: the next refusals halve a figure that no
+/// longer means anything, and all that waits goes at once.
+#[test]
+fn a_pace_that_holds_nothing_back_does_not_grow() {
+    let mut settings = settings();
+    settings.limits.held = 200;
+    let mut bench = Bench::new(settings, shared());
+    bench.turn(&[message(1, 0, 10)]);
+    bench.now += 50 * MS;
+    bench.turn(&[ended(1, 0, 1, Outcome::Full)]);
+    // Five a second for a minute, each delivered.
+    for id in 2..300 {
+        bench.turn(&[message(id, 0, 10)]);
+        let until = bench.now + 200 * MS;
+        answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until);
+    }
+    let burst: Vec<_> = (300..400).map(|id| message(id, 0, 10)).collect();
+    bench.turn(&burst);
+    let until = bench.now + SECOND;
+    let sent = answer(&mut bench, 1, Outcome::Delivered, 5 * MS, until).len();
+    assert!((5..=60).contains(&sent), "{sent} calls in a second after five a second");
+}
+
 #[test]
 fn a_listed_rate_bounds_how_far_single_refusals_cut() {
     let sent = |listed: bool| {
