Resume messages at the rate that a cold destination is listed to take

They went 0.6 to 0.9 s apart, whatever the rate: one call a second to a destination listed at 210 with 28 waiting.

--- a/src/control.rs
+++ b/src/control.rs
@@ -245,7 +245,8 @@
             Event::Listed { update, entries, .. } => self.list(*update, entries),
             Event::Message { .. } => self.accept(event, actions),
             Event::Resumed { id, attempts, ran } => {
-                let pause = self.jittered(TRIAL_GAP); // One by one: what was in trouble may be cold
+                let pause = self.resume_gap(*id);
+                let pause = self.jittered(pause);
                 if let Some(message) = self.messages.get_mut(id) {
                     let line = self.destinations[&message.destination].waiting.len() as Micros - 1;
                     message.ready_at = self.now + (pause * line).min((message.deadline - self.now) / 2);
@@ -263,6 +264,18 @@
         }
     }
 
+    /// Resumed messages of a destination go one by one, since what was in trouble may be cold. Where its rate is
+    /// listed, that is as fast as all senders may go at a cold start: any slower, a restart makes them late.
+    fn resume_gap(&self, id: MessageId) -> Micros {
+        let to = self.messages.get(&id).and_then(|message| self.destinations.get(&message.destination));
+        let ids = to.map_or(&[][..], |to| &to.endpoints);
+        let listed =
+            ids.iter().filter_map(|id| self.routes[&self.endpoints[id].route].listed).reduce(f64::min);
+        let rate =
+            listed.unwrap_or(0.0) * self.settings.rules.start_capacity / f64::from(self.settings.senders);
+        ((SECOND as f64 / rate) as Micros).min(TRIAL_GAP)
+    }
+
     fn jittered(&mut self, span: Micros) -> Micros {
         (span as f64 * (1.0 + JITTER * self.random.f64())) as Micros
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -454,6 +454,18 @@
     assert!(sent.windows(2).all(|pair| pair[1] - pair[0] >= 200 * MS), "{sent:?}");
 }
 
+/// Guards against a restart that makes what is held late, however fast its destination is.
+#[test]
+fn resumed_messages_go_at_the_rate_that_a_cold_destination_is_listed_to_take() {
+    let resumed = |id| [message(id, 1, 10), Event::Resumed { id, attempts: 0, ran: None }];
+    let events: Vec<_> = (1..=20).flat_map(resumed).collect();
+    // Two senders share a fifth of it: five a second for this one, less for the jitter.
+    let listed = vec![Entry { rate: 50.0, ..entry(1, 10, 0) }];
+    let sent = sent_after(&mut Bench::new(Settings { rates_listed: true, ..settings() }, listed), &events);
+    let in_4_s = sent.iter().filter(|at| **at < 4 * SECOND).count();
+    assert!((13..=21).contains(&in_4_s), "{sent:?}");
+}
+
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_key_window() {
     let mut bench = Bench::new(settings(), shared());
