--- a/src/control.rs
+++ b/src/control.rs
@@ -264,8 +264,8 @@
         }
     }
 
-    /// Resumed messages of a destination go one by one, since what was in trouble may be cold. Where its rate is
-    /// listed, that is as fast as all senders may go at a cold start: any slower, a restart makes them late.
+    /// Resumed messages of a destination go one by one, since what was in trouble may be cold: as fast as all
+    /// senders may go at a cold start, where its rate is listed. Any slower, a restart makes them late.
     fn resume_gap(&self, id: MessageId) -> Micros {
         let to = self.messages.get(&id).and_then(|message| self.destinations.get(&message.destination));
         let ids = to.map_or(&[][..], |to| &to.endpoints);
