--- a/src/control.rs
+++ b/src/control.rs
@@ -1003,7 +1003,8 @@
         let doubles = |pace| if pace < part { PACE_REGAINS } else { PACE_DOUBLES };
         let growth = |pace: f64| 2f64.powf(1.0 / (doubles(pace) * pace)).max(1.0 + PACE_CREEP);
         // A pace that held nothing back has not been tried: grown on, no halving would bring it down again.
-        let tried = (1.0 + self.sent_within(now, SECOND)) * PACE_UNTRIED;
+        // Half a call is added, since where calls are rare a second may have none.
+        let tried = (0.5 + self.sent_within(now, SECOND)) * PACE_UNTRIED;
         let grown = |pace: f64| if pace > tried.max(part) { pace } else { pace * growth(pace) };
         self.pace = self.pace.map(|pace| grown(pace.max(PACE_SHARE * part)));
     }
