--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -244,6 +244,11 @@
 }
 
 impl Names {
+    /// The classes in the order of their indices.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The index of a class, if the settings list it.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|other| other == name)
--- a/sender/src/admission.rs
+++ b/sender/src/admission.rs
@@ -3,9 +3,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
@@ -18,6 +20,8 @@
 /// clients that ask often then need no new one.
 const IDLE_PATIENCE: Duration = Duration::from_secs(5);
 const TEND_GAP: Duration = Duration::from_millis(200);
+/// Pause after a failed accept: the cause, such as no descriptor left, will not be gone at once.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -155,6 +159,33 @@
         Rc::new(Self { most, seats: RefCell::default(), counter: Cell::new(0), changed: Notify::new() })
     }
 
+    /// Accepts connections for good, and serves each in a task of its own until it or its seat ends that.
+    pub async fn serve<F>(self: Rc<Self>, listener: TcpListener, converse: impl Fn(TcpStream, Rc<Seat>) -> F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        loop {
+            self.vacancy().await;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // Before the next one is accepted, so that all that are open are counted.
+                    let taken = self.take();
+                    let conversation = converse(stream, taken.seat.clone());
+                    tokio::task::spawn_local(async move {
+                        tokio::select! {
+                            () = conversation => {}
+                            () = taken.seat.unwanted() => {}
+                        }
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "a connection was not accepted");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
     /// Waits until another connection can have a seat: always, unless requests are open on all.
     pub async fn vacancy(&self) {
         while self.seats.borrow().len() >= self.most && self.dispensable().is_none() {
--- a/sender/src/clients.rs
+++ b/sender/src/clients.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -16,16 +15,14 @@
 use roadshift_adapter::wire::Names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::sleep;
 
 use crate::admission::{Admission, Seat};
 use crate::driver::{Handed, Happening};
+use crate::management::Duty;
 use crate::observed::Observed;
 use crate::request::{body_length, decode, first_part, BODY_BYTES};
 
 const BUFFER_BYTES: usize = 32 * 1024;
-/// Pause after a failed accept: the cause, such as no descriptor left, will not be gone at once.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a client hears.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,34 +39,14 @@
     pub settings: Settings,
     pub names: Names,
     pub inbox: mpsc::Sender<Happening>,
-    pub draining: watch::Receiver<bool>,
+    pub duty: watch::Receiver<Duty>,
     pub admission: Rc<Admission>,
 }
 
 impl Clients {
     /// Accepts connections for good, also while draining: the front notices only after a while.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            self.admission.vacancy().await;
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::task::spawn_local(self.clone().connection(stream))),
-                Err(error) => {
-                    tracing::warn!(%error, "a connection was not accepted");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn connection(self: Rc<Self>, stream: TcpStream) -> impl std::future::Future<Output = ()> {
-        // Before the next one is accepted, so that all that are open are counted.
-        let taken = self.admission.take();
-        async move {
-            tokio::select! {
-                () = self.converse(stream, taken.seat.clone()) => {}
-                () = taken.seat.unwanted() => {}
-            }
-        }
+        self.admission.clone().serve(listener, |stream, seat| self.clone().converse(stream, seat)).await;
     }
 
     async fn converse(self: Rc<Self>, stream: TcpStream, seat: Rc<Seat>) {
@@ -87,12 +64,11 @@
         // The seat keeps the time, for head and body together.
         server.header_read_timeout(None).max_buf_size(BUFFER_BYTES);
         let mut connection = std::pin::pin!(server.serve_connection(io, service));
-        let mut draining = self.draining.clone();
-        // One that comes while draining must be let read its first request; the answer closes it.
-        let late = *draining.borrow_and_update();
+        let mut duty = self.duty.clone();
         let served = tokio::select! {
             served = &mut connection => served,
-            _ = draining.changed(), if !late => {
+            // One that comes while draining must be let read its first request; the answer closes it.
+            () = Duty::ends(&mut duty) => {
                 // Closes it between requests only: one that was read is answered first.
                 connection.as_mut().graceful_shutdown();
                 connection.await
@@ -112,13 +88,17 @@
         };
         let astray =
             response.status().is_client_error() || !length.is_ok_and(|length| seat.holds_one_request(length));
-        if astray || *self.draining.borrow() {
+        if astray || !self.is_serving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.admission.answered(seat);
         response
     }
 
+    fn is_serving(&self) -> bool {
+        *self.duty.borrow() == Duty::Serving
+    }
+
     async fn route(
         &self,
         request: Request<Incoming>,
@@ -127,7 +107,8 @@
     ) -> Result<Reply, StatusCode> {
         let length = (*length)?;
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/healthz") => Ok(Reply::Status(StatusCode::OK)),
+            (&Method::GET, "/healthz") if self.is_serving() => Ok(Reply::Status(StatusCode::OK)),
+            (&Method::GET, "/healthz") => Ok(Reply::Status(StatusCode::SERVICE_UNAVAILABLE)),
             (_, "/healthz") => Err(StatusCode::METHOD_NOT_ALLOWED),
             (&Method::POST, _) => self.hand_in(request, length, seat).await,
             (_, path) => match self.names.class(first_part(path)) {
--- a/sender/src/config.rs
+++ b/sender/src/config.rs
@@ -9,11 +9,14 @@
 use serde::Deserialize;
 
 use crate::discovery::List;
+use crate::management;
 
 /// A sender's configuration, with the settings in the module's terms.
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     pub seed: u64,
@@ -40,8 +43,9 @@
     pub idle: usize,
 }
 
-/// Descriptors of the runtime, the journal while it is compacted, discovery, the listener and the log.
-const OWN_SOCKETS: usize = 24;
+/// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners and the log, and those
+/// of operators' calls.
+const OWN_SOCKETS: usize = 25 + management::SEATS;
 /// What a client's connection holds: its buffers. Few have a body in hand at the same time.
 const CLIENT_BYTES: f64 = 24.0 * 1024.0;
 /// Share of the memory that clients' connections may take.
@@ -60,6 +64,7 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    management: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: Seed,
     limits: Limits,
@@ -91,10 +96,15 @@
 }
 
 impl Config {
-    /// Reads the file that `ROUTER_CONFIG` names; the lasting folder is named by `ROUTER_STATE` alone.
+    /// Reads the file that `ROUTER_CONFIG` names; the lasting folder is named by `ROUTER_STATE` alone, and
+    /// `ROUTER_MANAGEMENT` goes before the file's address: a new version under load has another one.
     pub fn from_environment() -> anyhow::Result<Self> {
         let state = std::env::var_os("ROUTER_STATE").context("ROUTER_STATE is not set")?;
-        Self::decode(&Self::text()?, PathBuf::from(state))
+        let mut config = Self::decode(&Self::text()?, PathBuf::from(state))?;
+        if let Some(address) = std::env::var("ROUTER_MANAGEMENT").ok().filter(|text| !text.is_empty()) {
+            config.management = Some(address.parse().context("ROUTER_MANAGEMENT is not an address")?);
+        }
+        Ok(config)
     }
 
     fn text() -> anyhow::Result<Vec<u8>> {
@@ -115,6 +125,7 @@
         Ok(Self {
             name: file.name,
             listen: file.listen,
+            management: file.management,
             discovery: file.discovery,
             state,
             seed: file.seed.value()?,
--- a/sender/src/connection.rs
+++ b/sender/src/connection.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::figures::count;
 use crate::first_line::FirstLine;
 use crate::observed::{Observed, Observer};
 
@@ -31,6 +32,8 @@
 #[derive(Default)]
 struct Meter {
     written: Cell<u64>,
+    /// At so many bytes the request is whole, which is counted here.
+    whole: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
     first_line: RefCell<FirstLine>,
     answer_begun: Notify,
 }
@@ -46,6 +49,8 @@
 
     fn written(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes as u64);
+        let whole = self.whole.borrow_mut().take_if(|(length, _)| self.written.get() >= *length);
+        whole.inspect(|(_, counter)| count(counter));
     }
 }
 
@@ -110,6 +115,11 @@
         Ok(Self { sender, task, stream, meter })
     }
 
+    /// Has the next request counted once its last byte is written.
+    pub fn count_whole(&self, length: u64, counter: &Rc<Cell<u64>>) {
+        self.meter.whole.replace(Some((length, counter.clone())));
+    }
+
     /// Sends one request, never again by itself.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.meter.reset();
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -17,7 +17,9 @@
 use crate::clients::Answer;
 use crate::discovery::{List, Notices};
 use crate::endpoints::{span, Call, Ending, Endpoints};
+use crate::figures::{Fate, Figures};
 use crate::journal::{Body, Journal, JournalError, Kept, Notice, Past, Taken};
+use crate::management::{Command, Order, Verdict};
 use crate::places::{Existence, Places, Told};
 use crate::tally::{Cause, Tally};
 
@@ -82,6 +84,7 @@
 /// A message that is held.
 struct Open {
     call_id: String,
+    class: usize,
     key: Option<String>,
     destination: DestinationId,
     body: Bytes,
@@ -109,6 +112,9 @@
     /// Calls that are out; dropping one cancels it.
     calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
     places: Places,
+    figures: Rc<Figures>,
+    /// Operators whose command stands once the module has been told of it.
+    promised: Vec<oneshot::Sender<Verdict>>,
     tally: Tally,
     turned: Option<Instant>,
     drains: Option<Instant>,
@@ -121,10 +127,13 @@
         journal: Journal,
         endpoints: Rc<Endpoints>,
         notices: Rc<Notices>,
+        figures: Rc<Figures>,
         outbox: mpsc::Sender<Happening>,
     ) -> Self {
         let next_id = journal.next_id();
-        let places = Places::new(names.clone(), settings.kinds.clone());
+        let mut places = Places::new(names.clone(), settings.kinds.clone());
+        let out = journal.out().iter().map(|name| places.take_out(name));
+        let events = out.map(|endpoint| Event::ByHand { endpoint, out: true }).collect();
         Self {
             controller,
             settings,
@@ -134,7 +143,7 @@
             endpoints,
             notices,
             outbox,
-            events: Vec::new(),
+            events,
             timers: BTreeSet::new(),
             next_id,
             open: BTreeMap::new(),
@@ -142,6 +151,8 @@
             waiting: Vec::new(),
             calls: HashMap::new(),
             places,
+            figures,
+            promised: Vec::new(),
             tally: Tally::new(),
             turned: None,
             drains: None,
@@ -191,6 +202,7 @@
         let attempts = past.attempts;
         let open = Open {
             call_id: taken.call_id,
+            class,
             key: taken.key,
             destination,
             body: taken.body.0,
@@ -201,10 +213,11 @@
     }
 
     /// Runs turns until the process is to end.
-    pub async fn run(&mut self, mut inbox: mpsc::Receiver<Happening>) {
+    pub async fn run(&mut self, mut inbox: mpsc::Receiver<Happening>, mut orders: mpsc::Receiver<Order>) {
         while !self.is_done() {
             if self.events.is_empty() && self.waiting.is_empty() {
                 tokio::select! {
+                    Some((command, reply)) = orders.recv() => self.command(command, reply),
                     Some(happening) = inbox.recv() => self.note(happening),
                     () = sleep_until(self.wake()) => {}
                 }
@@ -212,6 +225,9 @@
             if let Some(turned) = self.turned {
                 sleep_until(turned + span(self.settings.resolution)).await;
             }
+            while let Ok((command, reply)) = orders.try_recv() {
+                self.command(command, reply);
+            }
             // Once round the queue at most, lest a flood keep the turn from coming.
             for _ in 0..inbox.len() {
                 if let Ok(happening) = inbox.try_recv() {
@@ -222,6 +238,7 @@
             yield_now().await;
             self.turned = Some(Instant::now());
             self.turn();
+            self.keep_promises();
             self.tally.tell();
             self.tally.tell_traffic(self.open.len(), self.calls.len());
         }
@@ -265,6 +282,43 @@
         }
     }
 
+    fn command(&mut self, command: Command, reply: oneshot::Sender<Verdict>) {
+        if reply.is_closed() {
+            return;
+        }
+        let (name, out) = match &command {
+            Command::TakeOut(name) => (name, true),
+            Command::PutBack(name) => (name, false),
+        };
+        if !self.places.is_known(name) {
+            // If the caller is gone, nothing was promised; so below.
+            let _ = reply.send(Verdict::Unknown);
+            return;
+        }
+        let kept = if out { self.journal.take_out(name) } else { self.journal.put_back(name) };
+        if kept.inspect_err(|error| tracing::error!(%error, "an operator's command is not kept")).is_err() {
+            let _ = reply.send(Verdict::NotKept);
+            return;
+        }
+        tracing::info!(?command, "an operator commands");
+        let endpoint = if out { self.places.take_out(name) } else { self.places.put_back(name) };
+        if out {
+            self.endpoints.leave(endpoint);
+        }
+        self.events.push(Event::ByHand { endpoint, out });
+        self.promised.push(reply);
+    }
+
+    /// Brings the gauges up to date, and says yes to commands that the module has taken in.
+    fn keep_promises(&mut self) {
+        self.figures.in_progress.set(self.open.len() + self.notices.len());
+        self.figures.known_endpoints.set(self.places.listed());
+        self.figures.skipped_endpoints.set(self.controller.avoided());
+        for reply in self.promised.drain(..) {
+            let _ = reply.send(Verdict::Done);
+        }
+    }
+
     fn handed(&mut self, handed: Handed, reply: oneshot::Sender<Answer>) {
         if reply.is_closed() {
             return;
@@ -280,6 +334,9 @@
         };
         if let Some((cause, answer)) = unheard {
             self.tally.count(cause, handed.destination);
+            if matches!(answer, Answer::Refused(_)) {
+                self.figures.ended(handed.class, Fate::Dropped);
+            }
             // If the client is gone, all the better; so below.
             let _ = reply.send(answer);
             return;
@@ -299,6 +356,7 @@
         let full = self.open.len() + self.notices.len() >= self.settings.limits.held;
         if full || self.journal.take_on(id, taken).inspect_err(|error| tracing::warn!(%error)).is_err() {
             self.tally.count(if full { Cause::HoldFull } else { Cause::JournalFull }, handed.destination);
+            self.figures.ended(handed.class, Fate::Dropped);
             let _ = reply.send(Answer::Refused(NO_ROOM_WAIT));
             return;
         }
@@ -317,8 +375,8 @@
             write: false,
         });
         self.by_call_id.insert(handed.call_id.clone(), id);
-        let (call_id, key, destination, body) = (handed.call_id, handed.key, handed.destination, handed.body);
-        self.open.insert(id, Open { call_id, key, destination, body, attempts: 0, taken_at: now });
+        let Handed { call_id, class, key, destination, body, .. } = handed;
+        self.open.insert(id, Open { call_id, class, key, destination, body, attempts: 0, taken_at: now });
         self.waiting.push((id, true, reply));
     }
 
@@ -329,7 +387,9 @@
         }
         let Ending { outcome, wait, last } = ending;
         if last {
-            self.withdraw(id);
+            // What is over for the platform, though not delivered, is out of time or given up by its client.
+            let delivered = outcome == Outcome::Delivered;
+            self.withdraw(id, Some(if delivered { Fate::Passed } else { Fate::BadGateway }));
         } else if self.open.contains_key(&id) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
             if never_ran {
@@ -344,7 +404,7 @@
     }
 
     fn list(&mut self, version: u64, told: Told) {
-        told.left.into_iter().for_each(|endpoint| self.endpoints.close_idle(endpoint));
+        told.left.into_iter().for_each(|endpoint| self.endpoints.leave(endpoint));
         self.events.push(Event::Listed { update: told.update, version, entries: told.entries });
     }
 
@@ -384,18 +444,18 @@
             }
             if refused.contains_key(&id) {
                 self.count_given_up(id, true);
-                self.withdraw(id);
+                self.withdraw(id, Some(Fate::Dropped));
             }
         }
         for id in gone.difference(&heard) {
-            self.withdraw(*id);
+            self.withdraw(*id, None);
             self.events.push(Event::Withdrawn { id: *id });
         }
     }
 
-    /// Ends a message of which nothing is owed.
-    fn withdraw(&mut self, id: MessageId) {
-        if self.close(id).is_some() {
+    /// Ends a message of which nothing is owed; it has no fate where no client heard of it.
+    fn withdraw(&mut self, id: MessageId, fate: Option<Fate>) {
+        if self.close(id, fate).is_some() {
             log_failure(self.journal.end(id, None));
         }
     }
@@ -467,6 +527,7 @@
             key: open.key.as_ref().and_then(|key| HeaderValue::from_str(key).ok()),
             body: open.body.clone(),
             timeout: span(timeout),
+            made: Instant::now(),
         };
         let written = self.journal.attempt(id, (now, place.zone as u64));
         written.inspect_err(|error| tracing::warn!(%error)).ok()?;
@@ -480,7 +541,8 @@
     /// Ends a message by a notice, unless its client has heard of the refusal already.
     fn give_up(&mut self, id: MessageId, bounced: Option<Micros>) {
         self.count_given_up(id, bounced.is_some());
-        if let Some(open) = self.close(id) {
+        let fate = if bounced.is_some() { Fate::Dropped } else { Fate::BadGateway };
+        if let Some(open) = self.close(id, Some(fate)) {
             self.conclude(id, open.call_id, bounced);
         }
     }
@@ -501,8 +563,9 @@
         self.notices.push(id, notice);
     }
 
-    fn close(&mut self, id: MessageId) -> Option<Open> {
+    fn close(&mut self, id: MessageId, fate: Option<Fate>) -> Option<Open> {
         let open = self.open.remove(&id)?;
+        fate.into_iter().for_each(|fate| self.figures.ended(open.class, fate));
         self.by_call_id.remove(&open.call_id);
         Some(open)
     }
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -49,6 +49,8 @@
     pub key: Option<HeaderValue>,
     pub body: Bytes,
     pub timeout: Duration,
+    /// When it was decided on.
+    pub made: Instant,
 }
 
 impl Call {
@@ -139,12 +141,16 @@
     survival: RefCell<Survival>,
     connect_timeout: Duration,
     waits: RefCell<HashMap<Route, Instant>>,
+    /// Endpoints to which nothing new may go, since when.
+    left: RefCell<HashMap<EndpointId, Instant>>,
+    /// Messages written whole.
+    tries: Rc<Cell<u64>>,
     /// Calls that broke since the last line of the log: why, and whether on a reused connection.
     breaks: RefCell<BTreeMap<(String, bool), u32>>,
 }
 
 impl Endpoints {
-    pub fn new(limits: &Limits, idle_most: usize) -> Rc<Self> {
+    pub fn new(limits: &Limits, idle_most: usize, tries: Rc<Cell<u64>>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
             idle_most,
@@ -153,6 +159,8 @@
             survival: RefCell::default(),
             connect_timeout: span(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
+            left: RefCell::default(),
+            tries,
             breaks: RefCell::default(),
         })
     }
@@ -238,10 +246,13 @@
                 Some((open, _)) => connection.insert(open),
                 None => connection.insert(self.connect(call.address).await?),
             };
-            // A wait may have been told while the connection was made: nothing may go there now.
-            if self.must_wait(call.route) {
+            // While the connection was made, a wait may have been told, or the endpoint may have begun to drain:
+            // nothing may go there now.
+            let left = self.left.borrow().get(&call.endpoint).is_some_and(|since| *since >= call.made);
+            if left || self.must_wait(call.route) {
                 return Err(Outcome::NotSent);
             }
+            open.count_whole(request.length, &self.tries);
             match open.send(request.request()).await {
                 Ok(response) => {
                     idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, false));
@@ -337,9 +348,17 @@
                 .borrow_mut()
                 .retain(|idle| idle.since.elapsed() < self.idle_time && idle.connection.is_quiet());
             self.waits.borrow_mut().retain(|_, until| *until > Instant::now());
+            // No call takes longer than that to connect.
+            self.left.borrow_mut().retain(|_, since| since.elapsed() < 2 * self.connect_timeout);
         }
     }
 
+    /// Calls that were decided on before now do not go to the endpoint any more, unless they have begun to.
+    pub fn leave(&self, endpoint: EndpointId) {
+        self.left.borrow_mut().insert(endpoint, Instant::now());
+        self.close_idle(endpoint);
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().retain(|idle| idle.endpoint != endpoint);
@@ -449,13 +468,13 @@
     fn endpoints() -> Rc<Endpoints> {
         let second = 1_000_000;
         let limits = Limits { connect_timeout: second, connection_idle: 60 * second, ..Limits::default() };
-        Endpoints::new(&limits, 10)
+        Endpoints::new(&limits, 10, Rc::default())
     }
 
     fn call_to(address: SocketAddr) -> Call {
         let (endpoint, route, timeout) = (1, (7, None), Duration::from_secs(30));
         let (call_id, key) = (HeaderValue::from_static("m"), None);
-        Call { endpoint, address, route, call_id, key, body: Bytes::new(), timeout }
+        Call { endpoint, address, route, call_id, key, body: Bytes::new(), timeout, made: Instant::now() }
     }
 
     async fn outcome(endpoints: &Rc<Endpoints>, address: SocketAddr) -> Outcome {
--- /dev/null
+++ b/sender/src/figures.rs
@@ -0,0 +1,78 @@
+//! The figures that operators fetch, in the form of statsd. Each is counted where the thing happens; all start at
+//! 0 with the process.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use std::rc::Rc;
+
+use roadshift_adapter::wire::Names;
+
+/// How a message ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// Delivered.
+    Passed,
+    /// Refused, or handed back: handing it in again is harmless.
+    Dropped,
+    /// Failed.
+    BadGateway,
+}
+
+#[derive(Default)]
+struct Class {
+    name: String,
+    passed: Cell<u64>,
+    dropped: Cell<u64>,
+    bad_gateway: Cell<u64>,
+}
+
+/// Counts and gauges of this process.
+#[derive(Default)]
+pub struct Figures {
+    classes: Vec<Class>,
+    /// Messages written whole to endpoints.
+    pub tries: Rc<Cell<u64>>,
+    pub in_progress: Cell<usize>,
+    pub known_endpoints: Cell<usize>,
+    pub skipped_endpoints: Cell<usize>,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl Figures {
+    pub fn new(names: &Names) -> Self {
+        let class = |name: &String| Class { name: name.clone(), ..Class::default() };
+        Self { classes: names.classes().iter().map(class).collect(), ..Self::default() }
+    }
+
+    /// Counts a message's end.
+    pub fn ended(&self, class: usize, fate: Fate) {
+        let Some(class) = self.classes.get(class) else { return };
+        count(match fate {
+            Fate::Passed => &class.passed,
+            Fate::Dropped => &class.dropped,
+            Fate::BadGateway => &class.bad_gateway,
+        });
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64, kind: &str| {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "router.{name}:{value}|{kind}");
+        };
+        for class in &self.classes {
+            line(&format!("passed.{}", class.name), class.passed.get(), "c");
+            line(&format!("dropped.{}", class.name), class.dropped.get(), "c");
+            line(&format!("bad_gateway.{}", class.name), class.bad_gateway.get(), "c");
+        }
+        line("upstream_tries", self.tries.get(), "c");
+        line("in_progress", self.in_progress.get() as u64, "g");
+        line("known_endpoints", self.known_endpoints.get() as u64, "g");
+        line("skipped_endpoints", self.skipped_endpoints.get() as u64, "g");
+        text
+    }
+}
--- a/sender/src/journal.rs
+++ b/sender/src/journal.rs
@@ -3,7 +3,7 @@
 //! Each record is its length, a checksum and the record itself. A record is written before what it tells of
 //! can be seen from outside. The kernel keeps what was written when the process dies, so nothing is synced.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -25,6 +25,8 @@
 const UTMOST_SHARE: f64 = 0.54;
 /// Room counted for a message beside its own record: its attempts and its end.
 const MESSAGE_ROOM: u64 = 256;
+/// Endpoints that may be out by hand at once.
+const OUT_MOST: usize = 256;
 
 /// Why a record was not written.
 #[derive(Debug, thiserror::Error)]
@@ -111,6 +113,9 @@
     /// The platform has the notice.
     Noticed(MessageId),
     Taken(MessageId, Taken),
+    /// An operator has taken the endpoint of this name out, or put it back.
+    Out(String),
+    Back(String),
 }
 
 /// The attempts of a message so far.
@@ -146,6 +151,7 @@
     live: BTreeMap<MessageId, Kept>,
     open_bytes: u64,
     used: MessageId,
+    out: BTreeSet<String>,
 }
 
 impl Journal {
@@ -160,8 +166,8 @@
         let file = OpenOptions::new().append(true).create(true).open(&path)?;
         let bytes = fs::read(&path)?;
         let folder = folder.to_owned();
-        let live = BTreeMap::new();
-        let mut journal = Self { folder, file, length: 0, disk, live, open_bytes: 0, used: 0 };
+        let (live, out) = (BTreeMap::new(), BTreeSet::new());
+        let mut journal = Self { folder, file, length: 0, disk, live, open_bytes: 0, used: 0, out };
         let whole = journal.replay(&bytes);
         if whole < bytes.len() {
             tracing::warn!(cut = bytes.len() - whole, "the journal's tail is torn");
@@ -191,6 +197,31 @@
         self.live.iter().map(|(id, kept)| (*id, kept))
     }
 
+    /// Names of the endpoints that operators have taken out.
+    pub fn out(&self) -> &BTreeSet<String> {
+        &self.out
+    }
+
+    /// Writes that an operator takes an endpoint out. Such names stay until it is put back, so their number has
+    /// a bound.
+    pub fn take_out(&mut self, name: &str) -> Result<(), JournalError> {
+        if self.out.contains(name) {
+            return Ok(());
+        }
+        if self.out.len() >= OUT_MOST {
+            return Err(JournalError::Full);
+        }
+        self.append(Record::Out(name.to_owned()), UTMOST_SHARE)
+    }
+
+    /// Writes that an operator puts an endpoint back.
+    pub fn put_back(&mut self, name: &str) -> Result<(), JournalError> {
+        if !self.out.contains(name) {
+            return Ok(());
+        }
+        self.append(Record::Back(name.to_owned()), UTMOST_SHARE)
+    }
+
     /// An id that no message of this journal has had.
     pub fn next_id(&self) -> MessageId {
         self.used + 1
@@ -249,6 +280,9 @@
     /// Writes what is live to a new file and puts it in the old one's place.
     fn compact(&mut self) -> Result<(), JournalError> {
         let mut text = encode(&Record::Used(self.used))?;
+        for name in &self.out {
+            text.extend(encode(&Record::Out(name.clone()))?);
+        }
         for (id, kept) in &self.live {
             match kept {
                 Kept::Open(taken, past) => {
@@ -307,6 +341,8 @@
                 }
             }
             Record::Noticed(id) => self.drop_open(id),
+            Record::Out(name) => drop(self.out.insert(name)),
+            Record::Back(name) => drop(self.out.remove(&name)),
         }
     }
 
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -1,6 +1,7 @@
 //! corkthread: takes messages on from clients and delivers each by a call to an endpoint of its destination.
 #![forbid(unsafe_code)]
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -18,8 +19,10 @@
 mod discovery;
 mod driver;
 mod endpoints;
+mod figures;
 mod first_line;
 mod journal;
+mod management;
 mod observed;
 mod places;
 mod request;
@@ -31,7 +34,9 @@
 use discovery::Notices;
 use driver::{Driver, Happening};
 use endpoints::Endpoints;
+use figures::Figures;
 use journal::Journal;
+use management::{Duty, Management};
 
 /// Happenings that wait for the driver; who brings more waits too.
 const INBOX: usize = 1024;
@@ -42,12 +47,23 @@
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
     let (inbox, happenings) = mpsc::channel(INBOX);
-    let (drain, draining) = watch::channel(false);
+    let (orders, ordered) = mpsc::channel(management::ORDERS);
+    let duty = Rc::new(watch::Sender::new(Duty::Serving));
+    let (ready, figures) = (Rc::new(Cell::new(false)), Rc::new(Figures::new(&config.names)));
+    if let Some(address) = config.management {
+        let listener = TcpListener::bind(address).await.context("the management address is not free")?;
+        tracing::info!(management = %listener.local_addr()?, "listens for operators");
+        let admission = Admission::new(management::SEATS);
+        let (duty, ready, figures) = (duty.clone(), ready.clone(), figures.clone());
+        let management = Rc::new(Management { duty, ready, figures, orders });
+        tokio::task::spawn_local(admission.clone().tend());
+        tokio::task::spawn_local(management.serve(listener, admission));
+    }
     let (moved, discovery) = watch::channel(config.discovery);
     let shares = config.limits.shares(config.settings.limits.slots);
     let controller = Controller::new(config.settings.clone(), config.seed)?;
     let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?;
-    let endpoints = Endpoints::new(&config.settings.limits, shares.idle);
+    let endpoints = Endpoints::new(&config.settings.limits, shares.idle, figures.tries.clone());
     let notices = Rc::new(Notices::default());
     let names = config.names;
     let admission = Admission::new(shares.clients);
@@ -55,16 +71,17 @@
         settings: config.settings.clone(),
         names: names.clone(),
         inbox: inbox.clone(),
-        draining,
+        duty: duty.subscribe(),
         admission: admission.clone(),
     };
     let terms = (config.settings, names);
     let mut driver =
-        Driver::new(controller, terms, journal, endpoints.clone(), notices.clone(), inbox.clone());
+        Driver::new(controller, terms, journal, endpoints.clone(), notices.clone(), figures, inbox.clone());
     // Before the first connection is accepted: to answer at all means to be ready.
     driver.resume(config.known);
     let listener = TcpListener::bind(config.listen).await.context("the listening address is not free")?;
     let listen = listener.local_addr()?;
+    ready.set(true);
     tracing::info!(name = config.name, %listen, "ready");
     tokio::task::spawn_local(endpoints.tend());
     tokio::task::spawn_local(admission.tend());
@@ -72,8 +89,8 @@
     tokio::task::spawn_local(notices.send(discovery, inbox.clone()));
     tokio::task::spawn_local(Rc::new(clients).serve(listener));
     tokio::task::spawn_local(reload(hangup, moved));
-    tokio::task::spawn_local(end(terminate, interrupt, drain, inbox));
-    driver.run(happenings).await;
+    tokio::task::spawn_local(end(terminate, interrupt, duty, inbox));
+    driver.run(happenings, ordered).await;
     tracing::info!("ends");
     Ok(())
 }
@@ -92,11 +109,11 @@
     }
 }
 
-/// Makes the sender drain once it is told to end. Keeps `drain`, which handlers take for a sign of life.
+/// Makes the sender drain once it is told to end.
 async fn end(
     mut terminate: Signal,
     mut interrupt: Signal,
-    drain: watch::Sender<bool>,
+    duty: Rc<watch::Sender<Duty>>,
     inbox: mpsc::Sender<Happening>,
 ) {
     tokio::select! {
@@ -104,8 +121,8 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!("draining");
-    // Both have ended only when the process ends.
-    let _ = drain.send(true);
+    duty.send_replace(Duty::Leaving);
+    // Its receiver ends only with the process.
     let _ = inbox.send(Happening::Drain).await;
     std::future::pending::<()>().await;
 }
--- /dev/null
+++ b/sender/src/management.rs
@@ -0,0 +1,172 @@
+//! The listener that operators call: one call a connection. It has seats and a way to the driver of its own, so
+//! that no call waits behind traffic, and callers that say nothing hold up no other.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use crate::admission::{Admission, Seat};
+use crate::figures::Figures;
+use crate::observed::Observed;
+
+/// Callers at once; a silent one makes room for the next.
+pub const SEATS: usize = 16;
+/// Orders that wait for the driver.
+pub const ORDERS: usize = SEATS;
+const HEAD_BYTES: usize = 8 * 1024;
+const ID_BYTES: usize = 256;
+/// A caller waits 1 s: later, a yes would not be heard.
+const PATIENCE: Duration = Duration::from_millis(900);
+
+/// What the process does for clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    Serving,
+    /// Drained by an operator, who may call it back.
+    Standby,
+    /// About to end: there is no way back.
+    Leaving,
+}
+
+impl Duty {
+    /// Waits until clients are to be sent away.
+    pub async fn ends(duty: &mut watch::Receiver<Duty>) {
+        // Without a sender the process ends, and so does whoever waits.
+        let _ = duty.wait_for(|duty| *duty == Self::Serving).await;
+        let _ = duty.wait_for(|duty| *duty != Self::Serving).await;
+    }
+}
+
+/// What an operator tells the driver.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    TakeOut(String),
+    PutBack(String),
+}
+
+/// What the driver says to that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It stands.
+    Done,
+    /// Nobody has that name.
+    Unknown,
+    /// It could not be kept.
+    NotKept,
+}
+
+pub type Order = (Command, oneshot::Sender<Verdict>);
+
+/// What all callers' connections share.
+pub struct Management {
+    pub duty: Rc<watch::Sender<Duty>>,
+    /// Messages can be taken on.
+    pub ready: Rc<Cell<bool>>,
+    pub figures: Rc<Figures>,
+    pub orders: mpsc::Sender<Order>,
+}
+
+impl Management {
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, admission: Rc<Admission>) {
+        admission
+            .clone()
+            .serve(listener, |stream, seat| self.clone().converse(stream, admission.clone(), seat))
+            .await;
+    }
+
+    async fn converse(self: Rc<Self>, stream: TcpStream, admission: Rc<Admission>, seat: Rc<Seat>) {
+        let io = TokioIo::new(Observed { stream: Rc::new(stream), observer: seat.clone() });
+        let service = service_fn(move |request| {
+            let (this, admission, seat) = (self.clone(), admission.clone(), seat.clone());
+            async move {
+                let mut response = Response::new(Full::<Bytes>::default());
+                match this.answer(request, &seat).await {
+                    Ok(text) => *response.body_mut() = text.into(),
+                    Err(status) => *response.status_mut() = status,
+                }
+                admission.answered(&seat);
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let mut server = http1::Builder::new();
+        // The seat keeps the time, for head and body together.
+        server.header_read_timeout(None).max_buf_size(HEAD_BYTES).keep_alive(false);
+        if let Err(error) = server.serve_connection(io, service).await {
+            tracing::debug!(%error, "an operator's call broke");
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>, seat: &Seat) -> Result<String, StatusCode> {
+        let (head, body) = request.into_parts();
+        let (wanted, path) = match head.uri.path() {
+            path @ ("/status" | "/status/metrics") => (Method::GET, path),
+            path @ ("/maintenance/enter" | "/maintenance/exit" | "/standby" | "/active") => {
+                (Method::POST, path)
+            }
+            _ => return Err(StatusCode::NOT_FOUND),
+        };
+        if head.method != wanted {
+            return Err(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let body = Limited::new(body, ID_BYTES).collect().await.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+        seat.open();
+        match path {
+            "/status/metrics" => Ok(self.figures.text()),
+            "/status" if self.is_serving() => Ok("serving\n".to_owned()),
+            "/status" => Err(StatusCode::SERVICE_UNAVAILABLE),
+            "/standby" => self.change_duty(Duty::Standby),
+            "/active" => self.change_duty(Duty::Serving),
+            "/maintenance/enter" => self.tell(Command::TakeOut(id(&body.to_bytes())?)).await,
+            _ => self.tell(Command::PutBack(id(&body.to_bytes())?)).await,
+        }
+    }
+
+    fn is_serving(&self) -> bool {
+        self.ready.get() && *self.duty.borrow() == Duty::Serving
+    }
+
+    /// Clients' connections and `/healthz` follow it at once.
+    fn change_duty(&self, to: Duty) -> Result<String, StatusCode> {
+        if !self.ready.get() || *self.duty.borrow() == Duty::Leaving {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if self.duty.send_replace(to) != to {
+            tracing::info!(?to, "an operator changed the duty");
+        }
+        Ok(format!("{to:?}\n").to_lowercase())
+    }
+
+    async fn tell(&self, command: Command) -> Result<String, StatusCode> {
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        let asked = async {
+            let (reply, verdict) = oneshot::channel();
+            self.orders.send((command, reply)).await.map_err(|_| unavailable)?;
+            verdict.await.map_err(|_| unavailable)
+        };
+        // Whoever gives up here drops `verdict`: the driver then leaves undone what it has not begun.
+        match timeout(PATIENCE, asked).await.map_err(|_| unavailable)?? {
+            Verdict::Done => Ok("done\n".to_owned()),
+            Verdict::Unknown => Err(StatusCode::NOT_FOUND),
+            Verdict::NotKept => Err(StatusCode::INSUFFICIENT_STORAGE),
+        }
+    }
+}
+
+/// The endpoint that a body names.
+fn id(body: &Bytes) -> Result<String, StatusCode> {
+    let text = std::str::from_utf8(body).map_err(|_| StatusCode::BAD_REQUEST)?.trim();
+    let plain = !text.is_empty() && !text.contains(char::is_control);
+    plain.then(|| text.to_owned()).ok_or(StatusCode::BAD_REQUEST)
+}
--- a/sender/src/places.rs
+++ b/sender/src/places.rs
@@ -43,6 +43,8 @@
     next_id: EndpointId,
     destinations: HashMap<DestinationId, Instant>,
     settled: bool,
+    /// Names of endpoints that operators have taken out; they keep their ids.
+    out: HashSet<String>,
 }
 
 /// What a list means to the module, and the endpoints whose idle connections are of no more use.
@@ -62,9 +64,43 @@
             next_id: 0,
             destinations: HashMap::new(),
             settled: false,
+            out: HashSet::new(),
         }
     }
 
+    /// Endpoints that the list names.
+    pub fn listed(&self) -> usize {
+        self.places.values().filter(|place| place.gone.is_none()).count()
+    }
+
+    /// Whether an operator can mean an endpoint: it is listed, or was taken out before it went.
+    pub fn is_known(&self, name: &str) -> bool {
+        let listed = self.ids.get(name).and_then(|id| self.places.get(id));
+        self.out.contains(name) || listed.is_some_and(|place| place.gone.is_none())
+    }
+
+    /// Marks an endpoint as taken out by hand, listed or not.
+    pub fn take_out(&mut self, name: &str) -> EndpointId {
+        self.out.insert(name.to_owned());
+        self.id(name)
+    }
+
+    pub fn put_back(&mut self, name: &str) -> EndpointId {
+        self.out.remove(name);
+        let id = self.id(name);
+        if !self.places.contains_key(&id) {
+            self.ids.remove(name);
+        }
+        id
+    }
+
+    fn id(&mut self, name: &str) -> EndpointId {
+        *self.ids.entry(name.to_owned()).or_insert_with(|| {
+            self.next_id += 1;
+            self.next_id
+        })
+    }
+
     pub fn get(&self, endpoint: EndpointId) -> Option<&Place> {
         self.places.get(&endpoint)
     }
@@ -105,10 +141,7 @@
     }
 
     fn entry(&mut self, line: &Line, now: Instant, left: &mut Vec<EndpointId>) -> Entry {
-        let endpoint = *self.ids.entry(line.name.clone()).or_insert_with(|| {
-            self.next_id += 1;
-            self.next_id
-        });
+        let endpoint = self.id(&line.name);
         let kind = self.names.kind(line.kind.as_ref());
         let zone = self.names.zone(line.zone.as_ref());
         let apart = self.kinds.get(kind).is_some_and(|kind| kind.own_limits);
@@ -139,9 +172,9 @@
     /// Forgets what has been gone for long: under steady replacement both would grow for good. A call that is
     /// still out carries its own address.
     fn forget(&mut self, now: Instant) {
-        let (ids, destinations) = (&mut self.ids, &mut self.destinations);
+        let (ids, destinations, out) = (&mut self.ids, &mut self.destinations, &self.out);
         self.places.retain(|_, place| {
-            let kept = place.gone.is_none_or(|at| now - at < GONE_KEPT);
+            let kept = place.gone.is_none_or(|at| now - at < GONE_KEPT) || out.contains(&place.name);
             if !kept {
                 ids.remove(&place.name);
             } else if place.gone.is_none() {
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -255,6 +255,8 @@
 pub struct Sender {
     child: Child,
     pub address: SocketAddr,
+    /// Where operators call.
+    pub management: SocketAddr,
     pub config: PathBuf,
     /// The lines of its log.
     pub log: Receiver<String>,
@@ -285,17 +287,19 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_corkthread"))
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_STATE", state)
+            .env("ROUTER_MANAGEMENT", "127.0.0.1:0")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the sender starts");
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let address = loop {
+        let mut named = |word| loop {
             let mut text = String::new();
             assert!(log.read_line(&mut text).unwrap() > 0, "the sender ended before it was ready");
-            if let Some((_, address)) = text.trim().split_once("listen=") {
+            if let Some((_, address)) = text.trim().split_once(word) {
                 break address.parse().expect("an address");
             }
         };
+        let (management, address) = (named("management="), named("listen="));
         // Read on, lest the sender block on a full pipe.
         let (post, lines) = channel();
         thread::spawn(move || {
@@ -304,7 +308,7 @@
                 drop(post.send(line));
             }
         });
-        Self { child, address, config: path, log: lines }
+        Self { child, address, management, config: path, log: lines }
     }
 
     /// Puts a configuration that names another discovery in the file's place, and says so.
@@ -361,6 +365,38 @@
         read_message(&mut BufReader::new(stream))
     }
 
+    /// Calls as an operator does; gives the status and the body.
+    pub fn operate(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.management).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let length = body.len();
+        let text = format!("{method} {path} HTTP/1.1\r\nHost: m\r\nContent-Length: {length}\r\n\r\n{body}");
+        // The sender may answer and close before it has read all.
+        let _ = stream.write_all(text.as_bytes());
+        let mut stream = BufReader::new(stream);
+        let seen = read_message(&mut stream).expect("an answer");
+        assert!(read_message(&mut stream).is_none(), "one call a connection");
+        let status = seen.line.split(' ').nth(1).unwrap().parse().unwrap();
+        (status, String::from_utf8(seen.body).unwrap())
+    }
+
+    /// A figure as it stands.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (_, text) = self.operate("GET", "/status/metrics", "");
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("router.{name}:")));
+        let value = line.and_then(|line| line.split('|').next()).expect("the figure is told");
+        value.parse().unwrap()
+    }
+
+    /// Waits until a figure has this value.
+    pub fn await_figure(&self, name: &str, value: u64) {
+        let since = Instant::now();
+        while self.figure(name) != value {
+            assert!(since.elapsed() < LONG, "{name} is {}, not {value}", self.figure(name));
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Hands in a message for destination 7; returns the status line.
     pub fn hand_in(&self, id: &str, budget_ms: u64, body: &str) -> String {
         self.ask(message(id, budget_ms, body).as_bytes()).expect("an answer").line
--- a/src/control.rs
+++ b/src/control.rs
@@ -130,6 +130,8 @@
     route: RouteKey,
     zone: usize,
     bundle: usize,
+    listing: Listing,
+    /// Listed as live, and not taken out by hand.
     live: bool,
     latency: f64,
     failures: u32,
@@ -168,6 +170,8 @@
     bundles: BTreeMap<EndpointId, (u64, usize)>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     destinations: BTreeMap<DestinationId, Destination>,
+    /// Taken out by hand, since when.
+    by_hand: BTreeMap<EndpointId, Micros>,
     /// Gone, since when; kept until nothing of theirs must be remembered.
     retired: BTreeMap<EndpointId, Micros>,
     /// Destinations to look at: in this turn, at a time, and when a slot is free.
@@ -243,6 +247,7 @@
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Listed { update, entries, .. } => self.list(*update, entries),
+            Event::ByHand { endpoint, out } => self.move_by_hand(*endpoint, *out),
             Event::Message { .. } => self.accept(event, actions),
             Event::Resumed { id, attempts, ran } => {
                 let pause = self.resume_gap(*id);
@@ -293,7 +298,8 @@
             (self.ask_at, self.ask_failures) = (None, 0);
         }
         if update != Update::Changes {
-            self.endpoints.values_mut().for_each(|endpoint| endpoint.live = false);
+            let all = self.endpoints.values_mut();
+            all.for_each(|endpoint| (endpoint.listing, endpoint.live) = (Listing::Gone, false));
             let gone = self.endpoints.keys().filter(|id| !self.retired.contains_key(id));
             let gone: Vec<_> = gone.map(|id| (*id, self.now)).collect();
             self.retired.extend(gone);
@@ -311,7 +317,7 @@
         let endpoint = self.endpoints.entry(id).or_insert(fresh);
         let before = std::mem::replace(&mut endpoint.route, route);
         (endpoint.zone, endpoint.bundle) = (entry.zone, kind.map_or(1, |kind| kind.bundle_max.max(1)));
-        endpoint.live = entry.listing == Listing::Live;
+        endpoint.listing = entry.listing;
         // A told wait binds the endpoint under whatever destination or kind it is listed again.
         let wait_until = self.routes.get(&before).map_or(0, |route| route.wait_until);
         let route = self.routes.entry(route).or_default();
@@ -321,16 +327,50 @@
             self.destinations.entry(of).or_default().endpoints.retain(|other| *other != id);
             self.touched.insert(of);
         }
-        if entry.listing == Listing::Live {
+        self.enlist(id);
+    }
+
+    /// Puts an endpoint among those that calls may go to, or takes it away from them.
+    fn enlist(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.live = endpoint.listing == Listing::Live && !self.by_hand.contains_key(&id);
+        let to = self.destinations.entry(endpoint.route.0).or_default();
+        to.endpoints.retain(|other| *other != id);
+        self.touched.insert(endpoint.route.0);
+        if endpoint.live {
             self.retired.remove(&id);
-            self.destinations.entry(entry.destination).or_default().endpoints.push(id);
+            to.endpoints.push(id);
         } else {
             self.retired.entry(id).or_insert(self.now);
         }
     }
 
-    /// Forgets endpoints that are gone, once nothing is out there and no wait or outage must be remembered.
-    /// Nothing ends the outage of what gets no calls: that one is remembered for a while only.
+    /// Taken out, an endpoint drains whatever is listed. It was restarted meanwhile: back, it starts slowly.
+    fn move_by_hand(&mut self, id: EndpointId, out: bool) {
+        let now = self.now;
+        if out {
+            self.by_hand.entry(id).or_insert(now);
+        } else if let Some(since) = self.by_hand.remove(&id) {
+            if let Some(endpoint) = self.endpoints.get(&id) {
+                let waiting = self.contenders(endpoint, now - since);
+                let pause = self.warm_pause(endpoint, 0, waiting) as f64;
+                let next_at = now + (pause * self.random.f64()) as Micros;
+                let health = Health::Warming { since: now, waiting, next_at };
+                self.endpoints.entry(id).and_modify(|to| (to.health, to.failures) = (health, 0));
+            }
+        }
+        self.enlist(id);
+    }
+
+    /// How many of the listed endpoints nothing goes to: out by hand, draining, or held back as ill.
+    pub fn avoided(&self) -> usize {
+        let shunned = |to: &&Endpoint| !to.live || matches!(to.health, Health::Out { .. });
+        self.endpoints.values().filter(|to| to.listing != Listing::Gone).filter(shunned).count()
+    }
+
+    /// Forgets endpoints that are gone, once nothing is out there and no wait or outage must be remembered,
+    /// nor that an operator took them out. Nothing ends the outage of what gets no calls: that one is remembered
+    /// for a while only.
     fn forget_retired(&mut self) {
         for (id, since) in std::mem::take(&mut self.retired) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
@@ -338,7 +378,8 @@
             let waits = self.routes.get(&route).is_some_and(|route| route.wait_until > self.now);
             let busy = self.attempts.values().any(|attempt| attempt.endpoint == id);
             let ill = self.health_now(endpoint) != Health::Up && self.now - since < ILL_KEPT;
-            if waits || busy || ill {
+            let listed = endpoint.listing != Listing::Gone;
+            if waits || busy || ill || listed || self.by_hand.contains_key(&id) {
                 self.retired.insert(id, since);
             } else {
                 self.endpoints.remove(&id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,13 +301,14 @@
 }
 
 /// Listing state of an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Listing {
     /// Listed; says nothing of health.
     Live,
     /// Send nothing new.
     Draining,
     /// Removed.
+    #[default]
     Gone,
 }
 
@@ -376,6 +377,13 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// An operator takes an endpoint out, or puts it back.
+    ByHand {
+        /// The endpoint, listed or not.
+        endpoint: EndpointId,
+        /// It is draining from now on, whatever is listed; else it is back, and cold.
+        out: bool,
+    },
     /// A message was handed in.
     Message {
         /// Its id.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -539,3 +539,58 @@
     };
     assert_eq!((calls_after(30 * SECOND), calls_after(61 * SECOND)), (1, 3), "first one trial, then all");
 }
+
+/// Guards against an endpoint that an operator works on getting calls, whatever discovery lists, and against one
+/// call out too many to undo.
+#[test]
+fn an_endpoint_out_by_hand_drains_until_it_is_put_back_once() {
+    let mut bench = Bench::new(settings(), shared());
+    assert_eq!(bench.controller.avoided(), 0);
+    let by_hand = |out| Event::ByHand { endpoint: 1, out };
+    bench.turn(&[by_hand(true), by_hand(true)]);
+    assert!(sends(&bench.turn(&[message(1, 1, 10)])).is_empty());
+    for list in [shared(), vec![entry(2, 20, 0)], shared()] {
+        assert!(sends(&bench.turn(&[listed(list)])).is_empty());
+        bench.pass(bench.now + SECOND);
+    }
+    assert_eq!(bench.controller.avoided(), 1);
+    let mut actions = bench.turn(&[by_hand(false)]);
+    let until = bench.now + 12 * SECOND;
+    actions.extend(bench.pass(until).into_iter().map(|(_, action)| action));
+    assert_eq!(sends(&actions), [(1, 1)]);
+    assert_eq!(bench.controller.avoided(), 0);
+}
+
+/// Guards against an endpoint that was put back while discovery did not list it being lost for good, and against
+/// what drains being counted out of the list.
+#[test]
+fn an_endpoint_put_back_while_not_listed_is_used_once_it_is() {
+    let mut bench = Bench::new(settings(), shared());
+    bench.turn(&[Event::ByHand { endpoint: 1, out: true }, listed(vec![entry(2, 20, 0)])]);
+    bench.turn(&[Event::ByHand { endpoint: 1, out: false }, message(1, 1, 10)]);
+    assert!(sends(&bench.turn(&[])).is_empty());
+    let draining = Entry { listing: Listing::Draining, ..entry(2, 20, 0) };
+    bench.turn(&[listed(vec![entry(1, 10, 0), draining])]);
+    assert_eq!(bench.controller.avoided(), 1);
+    bench.pass(bench.now + 12 * SECOND);
+    assert_eq!(bench.attempts.get(&1), Some(&0));
+}
+
+/// Guards against a restarted endpoint being pushed over: what an operator puts back is cold.
+#[test]
+fn an_endpoint_put_back_by_hand_starts_slowly() {
+    let rate = |to, rate| Entry { rate, ..entry(to, 10 * to, 0) };
+    let settings = Settings { rates_listed: true, ..settings() };
+    let mut bench = Bench::new(settings, vec![rate(1, 40.0), rate(2, 40.0)]);
+    let mut sent_of = |first: MessageId, events: &[Event]| {
+        bench.turn(events);
+        let messages: Vec<_> = (first..first + 50).map(|id| message(id, 1, 10)).collect();
+        let at_once = sends(&bench.turn(&messages)).len();
+        let until = bench.now + SECOND;
+        at_once + answer(&mut bench, 1, Outcome::Delivered, 5 * MS, until).len()
+    };
+    assert_eq!(sent_of(1, &[]), 50);
+    let by_hand = |out| Event::ByHand { endpoint: 1, out };
+    let cold = sent_of(101, &[by_hand(true), by_hand(false)]);
+    assert!(cold > 0 && cold < 30, "{cold} in the first second");
+}
