--- a/src/control.rs
+++ b/src/control.rs
@@ -369,8 +369,8 @@
     }
 
     /// Forgets endpoints that are gone, once nothing is out there and no wait or outage must be remembered,
-    /// nor that an operator took them out. Nothing ends the outage of what gets no calls: that one is remembered
-    /// for a while only.
+    /// nor that an operator took them out. Nothing ends the outage of what gets no calls: that one is
+    /// remembered for a while only.
     fn forget_retired(&mut self) {
         for (id, since) in std::mem::take(&mut self.retired) {
             let Some(endpoint) = self.endpoints.get(&id) else { continue };
