--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -226,7 +226,7 @@
 }
 
 /// The names that events use, by their index in the settings.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub struct Names {
     classes: Vec<String>,
     kinds: Vec<String>,
--- a/sender/src/admission.rs
+++ b/sender/src/admission.rs
@@ -135,6 +135,8 @@
 /// The seats of all connections from clients.
 pub struct Admission {
     most: usize,
+    /// Of these, those that another process of this sender still holds.
+    elsewhere: Cell<usize>,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     counter: Cell<u64>,
     changed: Notify,
@@ -156,7 +158,8 @@
 
 impl Admission {
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { most, seats: RefCell::default(), counter: Cell::new(0), changed: Notify::new() })
+        let (elsewhere, counter) = (Cell::new(0), Cell::new(0));
+        Rc::new(Self { most, elsewhere, seats: RefCell::default(), counter, changed: Notify::new() })
     }
 
     /// Accepts connections for good, and serves each in a task of its own until it or its seat ends that.
@@ -186,9 +189,24 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        self.taken() >= self.most.saturating_sub(self.elsewhere.get()).max(1)
+    }
+
+    /// Connections that have a seat.
+    pub fn taken(&self) -> usize {
+        self.seats.borrow().len()
+    }
+
+    /// So many seats are taken by connections of another process.
+    pub fn leave_free(&self, elsewhere: usize) {
+        self.elsewhere.set(elsewhere);
+        self.changed.notify_one();
+    }
+
     /// Waits until another connection can have a seat: always, unless requests are open on all.
     pub async fn vacancy(&self) {
-        while self.seats.borrow().len() >= self.most && self.dispensable().is_none() {
+        while self.is_full() && self.dispensable().is_none() {
             self.changed.notified().await;
         }
     }
@@ -196,7 +214,7 @@
     /// Gives a new connection its seat. Where none is free, the connection that has been without a request for
     /// longest is closed.
     pub fn take(self: &Rc<Self>) -> Taken {
-        if self.seats.borrow().len() >= self.most {
+        if self.is_full() {
             if let Some(seat) = self.dispensable() {
                 // It may not be chosen again until it has gone.
                 seat.open();
--- a/sender/src/clients.rs
+++ b/sender/src/clients.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use roadshift::interface::{Micros, Settings};
 use roadshift_adapter::wire::Names;
+use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -25,7 +26,7 @@
 const BUFFER_BYTES: usize = 32 * 1024;
 
 /// What a client hears.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     TakenOn,
     /// Not taken on; for how long to stay away, 0 for no advice.
--- a/sender/src/config.rs
+++ b/sender/src/config.rs
@@ -43,9 +43,11 @@
     pub idle: usize,
 }
 
-/// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners and the log, and those
-/// of operators' calls.
-const OWN_SOCKETS: usize = 25 + management::SEATS;
+/// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners, a handover and the log,
+/// and those of operators' calls.
+const OWN_SOCKETS: usize = 28 + management::SEATS;
+/// While an upgrade goes on, so many processes have them; the rest is the sender's as a whole.
+const PROCESSES: usize = 2;
 /// What a client's connection holds: its buffers. Few have a body in hand at the same time.
 const CLIENT_BYTES: f64 = 24.0 * 1024.0;
 /// Share of the memory that clients' connections may take.
@@ -54,7 +56,7 @@
 impl Limits {
     /// Deals out the descriptors that `slots` calls and the process itself leave.
     pub fn shares(&self, slots: usize) -> Shares {
-        let free = self.sockets.saturating_sub(OWN_SOCKETS + slots).max(2);
+        let free = self.sockets.saturating_sub(PROCESSES * OWN_SOCKETS + slots).max(2);
         let by_memory = (self.memory_mb * 1e6 * CLIENT_SHARE / CLIENT_BYTES) as usize;
         Shares { clients: (free * 2 / 3).min(by_memory).max(1), idle: free / 3 }
     }
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -7,9 +7,13 @@
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
-use roadshift::interface::{Action, DestinationId, EndpointId, Event, MessageId, Micros, Outcome, Settings};
+use roadshift::interface::{
+    Action, DestinationId, EndpointId, Event, MessageId, Micros, Outcome, Settings, SettingsError,
+};
 use roadshift::Controller;
 use roadshift_adapter::wire::Names;
+use serde::{Deserialize, Serialize};
+use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
@@ -18,22 +22,26 @@
 use crate::discovery::{List, Notices};
 use crate::endpoints::{span, Call, Ending, Endpoints};
 use crate::figures::{Fate, Figures};
+use crate::handover::{self, Lock, State, Successor};
 use crate::journal::{Body, Journal, JournalError, Kept, Notice, Past, Taken};
 use crate::management::{Command, Order, Verdict};
 use crate::places::{Existence, Places, Told};
+use crate::relay::Old;
 use crate::tally::{Cause, Tally};
 
 /// After SIGTERM, calls go out for so long, then those that are out are waited for, then the process ends:
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest.
 const DRAIN_SENDS: Duration = Duration::from_millis(2400);
-const DRAIN_ENDS: Duration = Duration::from_millis(3300);
+pub const DRAIN_ENDS: Duration = Duration::from_millis(3300);
 /// With nothing left to do, it stays so long for connections that still come.
 const DRAIN_LINGERS: Duration = Duration::from_millis(1000);
+/// Two processes' clocks differ by no more, unless somebody has set the time in between.
+const CLOCKS_DIFFER: Micros = 2_000_000;
 /// Told with a refusal of what cannot be held or kept.
 const NO_ROOM_WAIT: Micros = 1_000_000;
 
 /// A message that a client hands in.
-#[derive(Debug)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Handed {
     pub call_id: String,
     pub key: Option<String>,
@@ -72,6 +80,14 @@
         Self { started: Instant::now(), unix: Micros::try_from(unix).unwrap_or(0) }
     }
 
+    /// Goes on where another process's clock stood a moment ago, unless this one's agrees with it.
+    fn go_on(&mut self, other: Micros) {
+        let ahead = self.now() - other;
+        if !(0..CLOCKS_DIFFER).contains(&ahead) {
+            self.unix -= ahead;
+        }
+    }
+
     fn now(&self) -> Micros {
         self.unix + Micros::try_from(self.started.elapsed().as_micros()).unwrap_or(0)
     }
@@ -92,7 +108,19 @@
     taken_at: Micros,
 }
 
+/// How a driver ends.
+pub enum End {
+    /// The process is to end.
+    Over,
+    /// Another process is the sender; this one still has calls out, and clients.
+    HandedOver(Old),
+}
+
+/// A call of another process, which is called off when the driver drops its end.
+pub type Remote = ((MessageId, u32), oneshot::Receiver<()>);
+
 pub struct Driver {
+    lock: Lock,
     controller: Controller,
     settings: Settings,
     names: Names,
@@ -124,7 +152,7 @@
     pub fn new(
         controller: Controller,
         (settings, names): (Settings, Names),
-        journal: Journal,
+        (lock, journal): (Lock, Journal),
         endpoints: Rc<Endpoints>,
         notices: Rc<Notices>,
         figures: Rc<Figures>,
@@ -135,6 +163,7 @@
         let out = journal.out().iter().map(|name| places.take_out(name));
         let events = out.map(|endpoint| Event::ByHand { endpoint, out: true }).collect();
         Self {
+            lock,
             controller,
             settings,
             names,
@@ -174,6 +203,49 @@
         }
     }
 
+    /// Goes on from what another process left. Gives its calls that are out, each with the way to call it off.
+    pub fn go_on(&mut self, state: State, seed: u64) -> Result<Vec<Remote>, SettingsError> {
+        self.controller = state.controller.go_on(self.settings.clone(), seed)?;
+        self.places.go_on(state.places);
+        self.clock.go_on(state.now);
+        self.timers = state.timers.into_iter().collect();
+        let kept: Vec<_> = self.journal.kept().map(|(id, kept)| (id, kept.clone())).collect();
+        for (id, kept) in kept {
+            match kept {
+                Kept::Owed(notice) => self.notices.push(id, notice),
+                Kept::Open(taken, past) if self.controller.holds(id) => self.hold(id, taken, past),
+                // Its end was not written; what is not known to have ended goes on.
+                Kept::Open(taken, past) => self.resume_message(id, taken, past),
+            }
+        }
+        let remote = |call| {
+            let (cancel, cancelled) = oneshot::channel();
+            self.calls.insert(call, cancel);
+            (call, cancelled)
+        };
+        Ok(state.out.into_iter().map(remote).collect())
+    }
+
+    /// What the next process is to know, if this one can still tell it.
+    fn state(&self) -> Option<State> {
+        (!self.rests()).then(|| State {
+            now: self.clock.now(),
+            names: self.names.clone(),
+            controller: self.controller.clone(),
+            places: self.places.save(),
+            timers: self.timers.iter().copied().collect(),
+            out: self.calls.keys().copied().collect(),
+        })
+    }
+
+    fn hold(&mut self, id: MessageId, taken: Taken, past: Past) {
+        let Some(class) = self.names.class(&taken.class) else { return };
+        let Taken { call_id, key, destination, body: Body(body), .. } = taken;
+        self.by_call_id.insert(call_id.clone(), id);
+        let (attempts, taken_at) = (past.attempts, self.clock.now());
+        self.open.insert(id, Open { call_id, class, key, destination, body, attempts, taken_at });
+    }
+
     fn resume_message(&mut self, id: MessageId, taken: Taken, past: Past) {
         let Some(class) = self.names.class(&taken.class) else {
             // The class is no longer served: nobody can say whether a repeat would be harmless.
@@ -182,7 +254,7 @@
         let taken_at = self.clock.now();
         let time_left = taken.deadline - taken_at;
         // No tenant: its share was counted when it was taken on, and the whole backlog comes in one turn here.
-        let (tenant, destination, order_key) = (None, taken.destination, taken.order_key);
+        let (tenant, destination, order_key) = (None, taken.destination, taken.order_key.clone());
         let (work, returned, repeat, write) = (None, false, false, false);
         self.events.push(Event::Message {
             id,
@@ -198,27 +270,38 @@
         });
         let ran = past.first_run().map(|(at, zone)| (at, zone as usize));
         self.events.push(Event::Resumed { id, attempts: past.attempts, ran });
-        self.by_call_id.insert(taken.call_id.clone(), id);
-        let attempts = past.attempts;
-        let open = Open {
-            call_id: taken.call_id,
-            class,
-            key: taken.key,
-            destination,
-            body: taken.body.0,
-            attempts,
-            taken_at,
-        };
-        self.open.insert(id, open);
+        self.hold(id, taken, past);
+    }
+
+    /// Takes in what this process was told while another one was the sender. Of its calls the journal knows that
+    /// they were out; what they have ended is over.
+    pub fn recall(&mut self, unheard: Vec<Happening>) {
+        for happening in unheard {
+            match happening {
+                Happening::Called { id, ending, .. } if ending.last => {
+                    self.withdraw(id, Some(fate(&ending)));
+                    self.events.push(Event::Withdrawn { id });
+                }
+                Happening::Called { .. } => {}
+                other => self.note(other),
+            }
+        }
     }
 
-    /// Runs turns until the process is to end.
-    pub async fn run(&mut self, mut inbox: mpsc::Receiver<Happening>, mut orders: mpsc::Receiver<Order>) {
+    /// Runs turns until the process is to end, or another one is the sender.
+    pub async fn run(
+        mut self,
+        inbox: &mut mpsc::Receiver<Happening>,
+        orders: &mut mpsc::Receiver<Order>,
+        successors: &mut mpsc::Receiver<Successor>,
+    ) -> End {
+        let mut successor = None;
         while !self.is_done() {
-            if self.events.is_empty() && self.waiting.is_empty() {
+            if self.events.is_empty() && self.waiting.is_empty() && successor.is_none() {
                 tokio::select! {
                     Some((command, reply)) = orders.recv() => self.command(command, reply),
                     Some(happening) = inbox.recv() => self.note(happening),
+                    Some(came) = successors.recv() => successor = Some(came),
                     () = sleep_until(self.wake()) => {}
                 }
             }
@@ -241,8 +324,48 @@
             self.keep_promises();
             self.tally.tell();
             self.tally.tell_traffic(self.open.len(), self.calls.len());
+            successor = successor.or_else(|| successors.try_recv().ok());
+            // Between two turns, with nothing left to tell the module.
+            if self.events.is_empty() || self.rests() {
+                if let Some(successor) = successor.take() {
+                    match self.offer(successor).await {
+                        Some(stream) => return self.hand_over(stream).await,
+                        None => continue,
+                    }
+                }
+            }
         }
         self.tally.tell();
+        End::Over
+    }
+
+    /// Offers all to a new process. Nothing has changed for this one unless it gives the way to the new one.
+    async fn offer(&mut self, successor: Successor) -> Option<UnixStream> {
+        let state = if successor.reads_state() { self.state() } else { None };
+        let whole = state.is_some();
+        match successor.offer(state).await {
+            Ok(stream) if whole => Some(stream),
+            Ok(_) => {
+                tracing::info!("drains for a new process that reads the journal alone");
+                self.drains = self.drains.or(Some(Instant::now()));
+                None
+            }
+            Err(error) => {
+                tracing::warn!(%error, "no handover: goes on");
+                None
+            }
+        }
+    }
+
+    /// From here on the other process is the sender. The journal is closed before it can be opened there.
+    async fn hand_over(self, mut stream: UnixStream) -> End {
+        let Self { lock, journal, endpoints, calls, drains, .. } = self;
+        drop(journal);
+        // Calls that have not begun to go out never will.
+        endpoints.retire(true);
+        handover::commit(&mut stream, lock).await;
+        tracing::info!(out = calls.len(), "handed over");
+        End::HandedOver(Old::new(stream, calls, drains))
     }
 
     fn wake(&self) -> Instant {
@@ -387,9 +510,7 @@
         }
         let Ending { outcome, wait, last } = ending;
         if last {
-            // What is over for the platform, though not delivered, is out of time or given up by its client.
-            let delivered = outcome == Outcome::Delivered;
-            self.withdraw(id, Some(if delivered { Fate::Passed } else { Fate::BadGateway }));
+            self.withdraw(id, Some(fate(&ending)));
         } else if self.open.contains_key(&id) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
             if never_ran {
@@ -571,6 +692,15 @@
     }
 }
 
+/// What became of a message that is over by a call. What is not delivered is out of time, or given up by its client.
+fn fate(ending: &Ending) -> Fate {
+    if ending.outcome == Outcome::Delivered {
+        Fate::Passed
+    } else {
+        Fate::BadGateway
+    }
+}
+
 /// What cannot be written of a message's end may be done again after a restart, which the key makes harmless.
 fn log_failure(written: Result<(), JournalError>) {
     if let Err(error) = written {
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -12,6 +12,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Method, Request, Response, StatusCode};
 use roadshift::interface::{DestinationId, EndpointId, Limits, Micros, Outcome};
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -60,7 +61,7 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ending {
     pub outcome: Outcome,
     /// A wait that was told, from now on.
@@ -143,6 +144,8 @@
     waits: RefCell<HashMap<Route, Instant>>,
     /// Endpoints to which nothing new may go, since when.
     left: RefCell<HashMap<EndpointId, Instant>>,
+    /// Another process is the sender: no call begins, and no connection is kept.
+    retired: Cell<bool>,
     /// Messages written whole.
     tries: Rc<Cell<u64>>,
     /// Calls that broke since the last line of the log: why, and whether on a reused connection.
@@ -160,6 +163,7 @@
             connect_timeout: span(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
             left: RefCell::default(),
+            retired: Cell::new(false),
             tries,
             breaks: RefCell::default(),
         })
@@ -249,7 +253,7 @@
             // While the connection was made, a wait may have been told, or the endpoint may have begun to drain:
             // nothing may go there now.
             let left = self.left.borrow().get(&call.endpoint).is_some_and(|since| *since >= call.made);
-            if left || self.must_wait(call.route) {
+            if left || self.retired.get() || self.must_wait(call.route) {
                 return Err(Outcome::NotSent);
             }
             open.count_whole(request.length, &self.tries);
@@ -319,6 +323,9 @@
     }
 
     fn put_idle(&self, (endpoint, address): (EndpointId, SocketAddr), connection: Connection) {
+        if self.retired.get() {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         idle.push_back(Idle { connection, endpoint, address, since: Instant::now() });
         while idle.len() > self.idle_most {
@@ -330,7 +337,7 @@
     fn has_room(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         while self.kept.get() + idle.len() >= self.idle_most && idle.pop_front().is_some() {}
-        self.kept.get() < self.idle_most
+        !self.retired.get() && self.kept.get() < self.idle_most
     }
 
     /// Closes what has been idle for too long, and logs why calls broke.
@@ -353,6 +360,12 @@
         }
     }
 
+    /// Leaves all to another process, or, if that died, takes it back.
+    pub fn retire(&self, retired: bool) {
+        self.retired.set(retired);
+        self.idle.borrow_mut().clear();
+    }
+
     /// Calls that were decided on before now do not go to the endpoint any more, unless they have begun to.
     pub fn leave(&self, endpoint: EndpointId) {
         self.left.borrow_mut().insert(endpoint, Instant::now());
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet};
 
 mod admission;
 mod clients;
@@ -21,10 +21,12 @@
 mod endpoints;
 mod figures;
 mod first_line;
+mod handover;
 mod journal;
 mod management;
 mod observed;
 mod places;
+mod relay;
 mod request;
 mod tally;
 
@@ -35,6 +37,7 @@
 use driver::{Driver, Happening};
 use endpoints::Endpoints;
 use figures::Figures;
+use handover::{Claim, Heirs};
 use journal::Journal;
 use management::{Duty, Management};
 
@@ -46,10 +49,13 @@
     let hangup = signal(SignalKind::hangup())?;
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
-    let (inbox, happenings) = mpsc::channel(INBOX);
-    let (orders, ordered) = mpsc::channel(management::ORDERS);
+    let (inbox, mut happenings) = mpsc::channel(INBOX);
+    let (orders, mut ordered) = mpsc::channel(management::ORDERS);
+    let (post, mut successors) = mpsc::channel(1);
+    let (moved, discovery) = watch::channel(config.discovery);
     let duty = Rc::new(watch::Sender::new(Duty::Serving));
     let (ready, figures) = (Rc::new(Cell::new(false)), Rc::new(Figures::new(&config.names)));
+    let shares = config.limits.shares(config.settings.limits.slots);
     if let Some(address) = config.management {
         let listener = TcpListener::bind(address).await.context("the management address is not free")?;
         tracing::info!(management = %listener.local_addr()?, "listens for operators");
@@ -59,38 +65,84 @@
         tokio::task::spawn_local(admission.clone().tend());
         tokio::task::spawn_local(management.serve(listener, admission));
     }
-    let (moved, discovery) = watch::channel(config.discovery);
-    let shares = config.limits.shares(config.settings.limits.slots);
-    let controller = Controller::new(config.settings.clone(), config.seed)?;
-    let journal = Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?;
+    tokio::task::spawn_local(reload(hangup, moved));
+    tokio::task::spawn_local(end(terminate, interrupt, duty.clone(), inbox.clone()));
+
     let endpoints = Endpoints::new(&config.settings.limits, shares.idle, figures.tries.clone());
-    let notices = Rc::new(Notices::default());
-    let names = config.names;
     let admission = Admission::new(shares.clients);
-    let clients = Clients {
+    let clients = Rc::new(Clients {
         settings: config.settings.clone(),
-        names: names.clone(),
+        names: config.names.clone(),
         inbox: inbox.clone(),
         duty: duty.subscribe(),
         admission: admission.clone(),
-    };
-    let terms = (config.settings, names);
-    let mut driver =
-        Driver::new(controller, terms, journal, endpoints.clone(), notices.clone(), figures, inbox.clone());
-    // Before the first connection is accepted: to answer at all means to be ready.
-    driver.resume(config.known);
-    let listener = TcpListener::bind(config.listen).await.context("the listening address is not free")?;
-    let listen = listener.local_addr()?;
-    ready.set(true);
-    tracing::info!(name = config.name, %listen, "ready");
-    tokio::task::spawn_local(endpoints.tend());
-    tokio::task::spawn_local(admission.tend());
-    tokio::task::spawn_local(discovery::watch(discovery.clone(), inbox.clone()));
-    tokio::task::spawn_local(notices.send(discovery, inbox.clone()));
-    tokio::task::spawn_local(Rc::new(clients).serve(listener));
-    tokio::task::spawn_local(reload(hangup, moved));
-    tokio::task::spawn_local(end(terminate, interrupt, duty, inbox));
-    driver.run(happenings, ordered).await;
+    });
+    tokio::task::spawn_local(endpoints.clone().tend());
+    tokio::task::spawn_local(admission.clone().tend());
+
+    let (mut socket, mut unheard) = (None, Vec::new());
+    loop {
+        let mut told = duty.subscribe();
+        let Claim { lock, listener, inherited } = tokio::select! {
+            claim = handover::claim(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
+            // Told to end before it was the sender.
+            _ = told.wait_for(|duty| *duty == Duty::Leaving) => return Ok(()),
+        };
+        // The address first: an older version that knows no lock would hold it, and write the journal.
+        let listener = match socket.take().or(listener) {
+            Some(listener) => listener,
+            None => TcpListener::bind(config.listen)
+                .await
+                .context("the listening address is not free")?
+                .into_std()?,
+        };
+        let controller = Controller::new(config.settings.clone(), config.seed)?;
+        let kept = (lock, Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?);
+        let notices = Rc::new(Notices::default());
+        let terms = (config.settings.clone(), config.names.clone());
+        let (ends, counts) = (endpoints.clone(), figures.clone());
+        let mut driver = Driver::new(controller, terms, kept, ends, notices.clone(), counts, inbox.clone());
+        // Before the first connection is accepted: to answer at all means to be ready.
+        match inherited {
+            Some((state, stream)) => {
+                let out = driver.go_on(*state, config.seed)?;
+                relay::serve_old(stream, out, inbox.clone(), admission.clone());
+            }
+            None => driver.resume(config.known.clone()),
+        }
+        driver.recall(std::mem::take(&mut unheard));
+
+        // All that only the sender may do; dropped when it is no more.
+        let mut work = JoinSet::new();
+        let accepting = TcpListener::from_std(listener.try_clone()?)?;
+        let listen = accepting.local_addr()?;
+        let listener = Rc::new(listener);
+        match Heirs::open(&config.state) {
+            Ok(heirs) => drop(work.spawn_local(heirs.serve(listener.clone(), post.clone()))),
+            // It serves all the same; an upgrade is a restart then.
+            Err(error) => tracing::error!(%error, "no new process can take over"),
+        }
+        work.spawn_local(discovery::watch(discovery.clone(), inbox.clone()));
+        work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
+        work.spawn_local(clients.clone().serve(accepting));
+        ready.set(true);
+        tracing::info!(name = config.name, %listen, "ready");
+
+        let driven = driver.run(&mut happenings, &mut ordered, &mut successors).await;
+        let driver::End::HandedOver(old) = driven else { break };
+        // Clients go to the new process.
+        duty.send_replace(Duty::Leaving);
+        work.shutdown().await;
+        match old.run(&mut happenings, &admission).await {
+            relay::End::Over => break,
+            relay::End::Orphaned(left) => unheard = left,
+        }
+        tracing::warn!("the new process has died: takes its work back");
+        ready.set(false);
+        endpoints.retire(false);
+        duty.send_replace(Duty::Serving);
+        socket = Rc::into_inner(listener);
+    }
     tracing::info!("ends");
     Ok(())
 }
--- a/sender/src/places.rs
+++ b/sender/src/places.rs
@@ -6,6 +6,7 @@
 
 use roadshift::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros, Update};
 use roadshift_adapter::wire::Names;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::discovery::{Line, List, Status};
@@ -47,6 +48,17 @@
     out: HashSet<String>,
 }
 
+/// What one process leaves to the next, so that ids stay what they are.
+#[derive(Serialize, Deserialize)]
+pub struct Saved {
+    /// Each with its name, and whether it has gone.
+    places: Vec<(EndpointId, SocketAddr, Route, usize, String, bool)>,
+    ids: HashMap<String, EndpointId>,
+    next_id: EndpointId,
+    destinations: Vec<DestinationId>,
+    settled: bool,
+}
+
 /// What a list means to the module, and the endpoints whose idle connections are of no more use.
 pub struct Told {
     pub update: Update,
@@ -68,6 +80,31 @@
         }
     }
 
+    /// What the next process is to know. What an operator took out, the journal tells.
+    pub fn save(&self) -> Saved {
+        let place = |(id, place): (&EndpointId, &Place)| {
+            (*id, place.address, place.route, place.zone, place.name.clone(), place.gone.is_some())
+        };
+        Saved {
+            places: self.places.iter().map(place).collect(),
+            ids: self.ids.clone(),
+            next_id: self.next_id,
+            destinations: self.destinations.keys().copied().collect(),
+            settled: self.settled,
+        }
+    }
+
+    /// Goes on from what another process knew. What had gone is kept as if it went now.
+    pub fn go_on(&mut self, saved: Saved) {
+        let now = Instant::now();
+        let place = |(id, address, route, zone, name, gone): (_, _, _, _, _, bool)| {
+            (id, Place { address, route, zone, name, gone: gone.then_some(now) })
+        };
+        self.places = saved.places.into_iter().map(place).collect();
+        self.destinations = saved.destinations.into_iter().map(|destination| (destination, now)).collect();
+        (self.ids, self.next_id, self.settled) = (saved.ids, saved.next_id, saved.settled);
+    }
+
     /// Endpoints that the list names.
     pub fn listed(&self) -> usize {
         self.places.values().filter(|place| place.gone.is_none()).count()
--- /dev/null
+++ b/sender/src/relay.rs
@@ -0,0 +1,249 @@
+//! Between two processes after a handover: the old one hands on what it still reads from its clients, and how its
+//! calls end; the new one, the sender now, decides and answers.
+
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use roadshift::interface::{MessageId, Micros, Outcome};
+use serde::{Deserialize, Serialize};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::UnixStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{interval, Instant};
+
+use crate::admission::Admission;
+use crate::clients::Answer;
+use crate::driver::{Handed, Happening, Remote, DRAIN_ENDS};
+use crate::endpoints::Ending;
+use crate::handover::{read, write, HandoverError};
+
+/// Frames that wait to be written, or to be looked at.
+const FRAMES: usize = 256;
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// What the old process tells.
+#[derive(Serialize, Deserialize)]
+enum Told {
+    /// A message that a client hands in.
+    Handed(u64, Box<Handed>),
+    Called {
+        id: MessageId,
+        attempt: u32,
+        endpoint: u64,
+        elapsed: Micros,
+        ending: Ending,
+    },
+    /// So many of the clients' connections are still its own.
+    Clients(usize),
+}
+
+/// What the new process tells.
+#[derive(Serialize, Deserialize)]
+enum Decided {
+    Answered(u64, Answer),
+    Cancel { id: MessageId, attempt: u32 },
+}
+
+/// How the old process's part ends.
+pub enum End {
+    /// Nothing is left to do.
+    Over,
+    /// The new process has died. This is what it may not have heard of.
+    Orphaned(Vec<Happening>),
+}
+
+/// The old process's side.
+pub struct Old {
+    to: OwnedWriteHalf,
+    decided: mpsc::Receiver<Decided>,
+    calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
+    /// Clients that wait for an answer, with what they handed in.
+    waiting: HashMap<u64, (Box<Handed>, oneshot::Sender<Answer>)>,
+    handed: u64,
+    told_to_end: Option<Instant>,
+    cut_off: bool,
+}
+
+impl Old {
+    pub fn new(
+        stream: UnixStream,
+        calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
+        told_to_end: Option<Instant>,
+    ) -> Self {
+        let (mut from, to) = stream.into_split();
+        let (post, decided) = mpsc::channel(FRAMES);
+        tokio::task::spawn_local(async move {
+            // Its end, however it comes, is that of the new process.
+            while let Ok(frame) = read(&mut from).await {
+                if post.send(frame).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let (waiting, handed, cut_off) = (HashMap::new(), 0, false);
+        Self { to, decided, calls, waiting, handed, told_to_end, cut_off }
+    }
+
+    /// Runs until clients and calls are gone, or the time after SIGTERM is up, or the new process has died.
+    pub async fn run(mut self, inbox: &mut mpsc::Receiver<Happening>, admission: &Admission) -> End {
+        let (mut look, mut clients) = (interval(LOOK_EVERY), usize::MAX);
+        loop {
+            let told = tokio::select! {
+                Some(happening) = inbox.recv() => self.tell(happening).await,
+                decided = self.decided.recv() => match decided {
+                    Some(decided) => {
+                        self.heed(decided);
+                        Ok(())
+                    }
+                    None => return self.orphaned(inbox).await,
+                },
+                _ = look.tick() => {
+                    if self.is_over(admission) {
+                        return End::Over;
+                    }
+                    let before = std::mem::replace(&mut clients, admission.taken());
+                    if before == clients { Ok(()) } else { write(&mut self.to, &Told::Clients(clients)).await }
+                }
+            };
+            if let Err(error) = told {
+                tracing::warn!(%error, "the new process is gone");
+                return self.orphaned(inbox).await;
+            }
+        }
+    }
+
+    async fn tell(&mut self, happening: Happening) -> Result<(), HandoverError> {
+        let told = match happening {
+            Happening::Handed(handed, reply) => {
+                self.handed += 1;
+                self.waiting.insert(self.handed, (handed.clone(), reply));
+                Told::Handed(self.handed, handed)
+            }
+            Happening::Called { id, attempt, endpoint, elapsed, ending } => {
+                self.calls.remove(&(id, attempt));
+                Told::Called { id, attempt, endpoint, elapsed, ending }
+            }
+            Happening::Drain => {
+                self.told_to_end = self.told_to_end.or(Some(Instant::now()));
+                return Ok(());
+            }
+            // The new process watches for itself, and sends again what nobody has told it to be known.
+            Happening::Listed(_) | Happening::Noticed(_) => return Ok(()),
+        };
+        write(&mut self.to, &told).await
+    }
+
+    fn heed(&mut self, decided: Decided) {
+        match decided {
+            Decided::Answered(number, answer) => {
+                if let Some((_, reply)) = self.waiting.remove(&number) {
+                    // A client that is gone by now hands its message in again, under another id.
+                    let _ = reply.send(answer);
+                }
+            }
+            Decided::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
+        }
+    }
+
+    /// Late after SIGTERM cuts off the calls that are out, and stays until the new process has heard so.
+    fn is_over(&mut self, admission: &Admission) -> bool {
+        if self.told_to_end.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
+            if std::mem::replace(&mut self.cut_off, true) {
+                return true;
+            }
+            self.calls.clear();
+        }
+        self.calls.is_empty() && self.waiting.is_empty() && admission.taken() == 0
+    }
+
+    /// Ends the calls that are out, lest a message go twice at a time once the journal is read again.
+    async fn orphaned(mut self, inbox: &mut mpsc::Receiver<Happening>) -> End {
+        if self.told_to_end.is_some() {
+            return End::Over;
+        }
+        let mut unheard: Vec<_> =
+            self.waiting.into_values().map(|(handed, reply)| Happening::Handed(handed, reply)).collect();
+        let mut out: BTreeSet<_> = self.calls.drain().map(|(call, _)| call).collect();
+        while !out.is_empty() {
+            let Some(happening) = inbox.recv().await else { return End::Over };
+            if let Happening::Called { id, attempt, .. } = &happening {
+                out.remove(&(*id, *attempt));
+            }
+            unheard.push(happening);
+        }
+        End::Orphaned(unheard)
+    }
+}
+
+/// The new process's side: brings what the old one tells to the driver. `out` are the old one's calls, each with
+/// the driver's way to call it off.
+pub fn serve_old(
+    stream: UnixStream,
+    out: Vec<Remote>,
+    inbox: mpsc::Sender<Happening>,
+    admission: Rc<Admission>,
+) {
+    let (from, to) = stream.into_split();
+    let (post, decided) = mpsc::channel(FRAMES);
+    let calls = out.iter().map(|(call, _)| *call).collect();
+    for ((id, attempt), cancelled) in out {
+        let post = post.clone();
+        tokio::task::spawn_local(async move {
+            // The driver drops its end; also when the call has ended, which the old process then passes over.
+            let _ = cancelled.await;
+            let _ = post.send(Decided::Cancel { id, attempt }).await;
+        });
+    }
+    tokio::task::spawn_local(tell_old(to, decided));
+    tokio::task::spawn_local(hear_old(from, calls, post, inbox, admission));
+}
+
+async fn tell_old(mut to: OwnedWriteHalf, mut decided: mpsc::Receiver<Decided>) {
+    while let Some(decided) = decided.recv().await {
+        if write(&mut to, &decided).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn hear_old(
+    mut from: OwnedReadHalf,
+    mut out: BTreeSet<(MessageId, u32)>,
+    post: mpsc::Sender<Decided>,
+    inbox: mpsc::Sender<Happening>,
+    admission: Rc<Admission>,
+) {
+    while let Ok(told) = read(&mut from).await {
+        let happening = match told {
+            Told::Handed(number, handed) => {
+                let (reply, answer) = oneshot::channel();
+                let post = post.clone();
+                tokio::task::spawn_local(async move {
+                    if let Ok(answer) = answer.await {
+                        let _ = post.send(Decided::Answered(number, answer)).await;
+                    }
+                });
+                Happening::Handed(handed, reply)
+            }
+            Told::Called { id, attempt, endpoint, elapsed, ending } => {
+                out.remove(&(id, attempt));
+                Happening::Called { id, attempt, endpoint, elapsed, ending }
+            }
+            Told::Clients(clients) => {
+                admission.leave_free(clients);
+                continue;
+            }
+        };
+        if inbox.send(happening).await.is_err() {
+            return;
+        }
+    }
+    tracing::info!(cut_off = out.len(), "the old process has ended");
+    admission.leave_free(0);
+    // Its connections ended with it.
+    for (id, attempt) in out {
+        let (endpoint, elapsed, ending) = (0, 0, Outcome::Reset.into());
+        drop(inbox.send(Happening::Called { id, attempt, endpoint, elapsed, ending }).await);
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::*;
 
 const SECOND: Micros = 1_000_000;
@@ -64,7 +66,7 @@
 const LOG_GAP: Micros = 5 * SECOND; // Lines on what waits come no more often than this
 const LOG_LINES: usize = 4; // For so many destinations at most
 
-#[derive(Default)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 struct Message {
     class: usize,
     destination: DestinationId,
@@ -83,6 +85,7 @@
 }
 
 /// Without outcome yet; outlives its message.
+#[derive(Clone, Serialize, Deserialize)]
 struct Attempt {
     endpoint: EndpointId,
     call: u64,
@@ -95,7 +98,7 @@
 type RouteKey = (DestinationId, Option<EndpointId>);
 
 /// The unit of limits: pace, waits, runs of refusals.
-#[derive(Default)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 struct Route {
     wait_until: Micros,
     pace: Option<f64>,
@@ -107,7 +110,7 @@
     refused_since: Micros,
 }
 
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 enum Health {
     #[default]
     Up,
@@ -118,14 +121,14 @@
 }
 
 /// What is listed for a destination, what waits for it, and how many messages came for it.
-#[derive(Default)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 struct Destination {
     endpoints: Vec<EndpointId>,
     waiting: BTreeSet<MessageId>,
     arrivals: f64,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 struct Endpoint {
     route: RouteKey,
     zone: usize,
@@ -142,7 +145,7 @@
 }
 
 /// Messages of one order key in their turn, and the rest after an attempt that may still run.
-#[derive(Default)]
+#[derive(Default, Clone, Serialize, Deserialize)]
 struct Turns {
     queue: VecDeque<MessageId>,
     rest_until: Micros,
@@ -157,10 +160,12 @@
     NoSlot,
 }
 
-/// Decides for one sender.
-#[derive(Default)]
+/// Decides for one sender. Serialized, it is what one process leaves to the next.
+#[derive(Default, Clone, Serialize, Deserialize)]
 pub struct Controller {
+    #[serde(skip)]
     settings: Settings,
+    #[serde(skip)]
     random: fastrand::Rng,
     now: Micros,
     messages: BTreeMap<MessageId, Message>,
@@ -220,6 +225,17 @@
         Ok(Self { settings, random, shares, ask_at, first_pace: FIRST_PACE, ..Self::default() })
     }
 
+    /// Goes on from what another process left, whose settings named the same classes, kinds and so on.
+    pub fn go_on(self, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let Self { settings, random, .. } = Self::new(settings, seed)?;
+        Ok(Self { settings, random, ..self })
+    }
+
+    /// Whether it has this message in hand.
+    pub fn holds(&self, id: MessageId) -> bool {
+        self.messages.contains_key(&id)
+    }
+
     /// Takes in what happened at `now` and adds what to do to `actions`. One turn is one batch.
     pub fn turn(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,8 @@
 
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
+
 /// A time or a span in microseconds.
 pub type Micros = i64;
 /// Identifies a message; never used twice while a controller lives.
@@ -280,7 +282,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Delivered,
@@ -301,7 +303,7 @@
 }
 
 /// Listing state of an endpoint.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     /// Listed; says nothing of health.
     Live,
