--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -296,6 +296,7 @@
         successors: &mut mpsc::Receiver<Successor>,
     ) -> End {
         let mut successor = None;
+        self.gauge();
         while !self.is_done() {
             if self.events.is_empty() && self.waiting.is_empty() && successor.is_none() {
                 tokio::select! {
@@ -321,6 +322,7 @@
             yield_now().await;
             self.turned = Some(Instant::now());
             self.turn();
+            self.gauge();
             self.keep_promises();
             self.tally.tell();
             self.tally.tell_traffic(self.open.len(), self.calls.len());
@@ -432,11 +434,15 @@
         self.promised.push(reply);
     }
 
-    /// Brings the gauges up to date, and says yes to commands that the module has taken in.
-    fn keep_promises(&mut self) {
+    /// Brings the gauges up to date.
+    fn gauge(&self) {
         self.figures.in_progress.set(self.open.len() + self.notices.len());
         self.figures.known_endpoints.set(self.places.listed());
         self.figures.skipped_endpoints.set(self.controller.avoided());
+    }
+
+    /// Says yes to commands that the module has taken in.
+    fn keep_promises(&mut self) {
         for reply in self.promised.drain(..) {
             let _ = reply.send(Verdict::Done);
         }
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -58,6 +58,8 @@
     Break,
     /// Answers nothing and keeps the connection open.
     Hang,
+    /// Answers with 200 after so many milliseconds.
+    Slow(u64),
 }
 
 pub const OK: Reply = Reply::Answer("200 OK\r\n");
@@ -99,7 +101,16 @@
                     script[0].clone()
                 }
             };
+            if let Reply::Slow(ms) = reply {
+                drop(post.send(seen));
+                thread::sleep(Duration::from_millis(ms));
+                if stream.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+                    break;
+                }
+                continue;
+            }
             let text = match reply {
+                Reply::Slow(_) => unreachable!("answered above"),
                 Reply::Break => {
                     drop(post.send(seen));
                     return last;
@@ -243,11 +254,12 @@
     pub sockets: usize,
     pub held: usize,
     pub ordered: bool,
+    pub tenant: &'static str,
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { disk_mb: 3.0, effect: "token", sockets: 256, held: 50, ordered: false }
+        Self { disk_mb: 3.0, effect: "token", sockets: 256, held: 50, ordered: false, tenant: "small" }
     }
 }
 
@@ -264,6 +276,13 @@
 
 impl Sender {
     pub fn start(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
+        let mut sender = Self::launch(state, discovery, known, terms);
+        sender.await_ready();
+        sender
+    }
+
+    /// Starts a process that need not become the sender at once; until then it has no address for clients.
+    pub fn launch(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(), "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": terms.sockets, "disk_mb": terms.disk_mb},
@@ -274,7 +293,7 @@
                     "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
                     "fifoByKey": terms.ordered}],
                 "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": 10},
-                "orgs": [{"name": "small", "allowancePerS": 0.001}], "overShareWorth": 0.2,
+                "orgs": [{"name": terms.tenant, "allowancePerS": 0.001}], "overShareWorth": 0.2,
                 "membershipMode": "automatic", "weights": "none", "resolutionMs": 5.0,
                 "limits": {"mostHeld": terms.held, "sendCap": 12, "cancel": true, "retryAfter": true,
                     "maxRetryAfterMs": 3000.0, "connectTimeoutMs": 1000.0, "connIdleMs": 15000.0},
@@ -291,15 +310,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the sender starts");
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut named = |word| loop {
-            let mut text = String::new();
-            assert!(log.read_line(&mut text).unwrap() > 0, "the sender ended before it was ready");
-            if let Some((_, address)) = text.trim().split_once(word) {
-                break address.parse().expect("an address");
-            }
-        };
-        let (management, address) = (named("management="), named("listen="));
+        let log = BufReader::new(child.stderr.take().unwrap());
         // Read on, lest the sender block on a full pipe.
         let (post, lines) = channel();
         thread::spawn(move || {
@@ -308,7 +319,24 @@
                 drop(post.send(line));
             }
         });
-        Self { child, address, management, config: path, log: lines }
+        let nowhere = "127.0.0.1:0".parse().unwrap();
+        let mut sender = Self { child, address: nowhere, management: nowhere, config: path, log: lines };
+        sender.management = sender.named("management=");
+        sender
+    }
+
+    /// The address that the log gives behind a word.
+    fn named(&self, word: &str) -> SocketAddr {
+        loop {
+            let text = self.log.recv_timeout(LONG).expect("the sender goes on");
+            if let Some((_, address)) = text.trim().split_once(word) {
+                break address.parse().expect("an address");
+            }
+        }
+    }
+
+    pub fn await_ready(&mut self) {
+        self.address = self.named("listen=");
     }
 
     /// Puts a configuration that names another discovery in the file's place, and says so.
