--- a/sender/src/connection.rs
+++ b/sender/src/connection.rs
@@ -99,6 +99,8 @@
     task: JoinHandle<hyper::Result<()>>,
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
+    /// It has carried a call before.
+    pub is_reused: bool,
 }
 
 impl Connection {
@@ -112,7 +114,7 @@
         let (sender, connection) = client.handshake(io).await.map_err(io::Error::other)?;
         // A broken connection shows in the request's own result; an idle one is found closed when next wanted.
         let task = tokio::task::spawn_local(connection);
-        Ok(Self { sender, task, stream, meter })
+        Ok(Self { sender, task, stream, meter, is_reused: false })
     }
 
     /// Has the next request counted once its last byte is written.
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -187,6 +187,9 @@
             Err(outcome) => outcome,
         };
         let whole = connection.as_ref().is_some_and(|open| open.written() >= request.length);
+        if let Some(open) = connection.as_ref().filter(|open| whole && !open.is_answered()) {
+            self.count_break("no answer".to_owned(), open.is_reused);
+        }
         let delivered = whole && connection.as_ref().and_then(Connection::first_line) == Some(DELIVERED);
         if let Some(connection) = connection {
             connection.close().await;
@@ -269,16 +272,16 @@
                     // An answer that has begun, however spoilt, shows that the connection was alive.
                     let dead = !open.is_answered();
                     idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, dead));
-                    self.count_break(&error, idle_for.is_some());
+                    self.count_break(error.to_string(), idle_for.is_some());
                     return Err(Outcome::Reset);
                 }
             }
         }
     }
 
-    fn count_break(&self, error: &SendError, is_reused: bool) {
+    fn count_break(&self, why: String, is_reused: bool) {
         let mut breaks = self.breaks.borrow_mut();
-        let why = (error.to_string(), is_reused);
+        let why = (why, is_reused);
         if breaks.len() < BREAKS || breaks.contains_key(&why) {
             *breaks.entry(why).or_default() += 1;
         }
@@ -322,10 +325,11 @@
         }
     }
 
-    fn put_idle(&self, (endpoint, address): (EndpointId, SocketAddr), connection: Connection) {
+    fn put_idle(&self, (endpoint, address): (EndpointId, SocketAddr), mut connection: Connection) {
         if self.retired.get() {
             return;
         }
+        connection.is_reused = true;
         let mut idle = self.idle.borrow_mut();
         idle.push_back(Idle { connection, endpoint, address, since: Instant::now() });
         while idle.len() > self.idle_most {
--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 const SILENCE_LATENCIES: f64 = 6.0;
 const SILENCE_FLOOR: Micros = 1_500_000;
 const LATE_LATENCIES: f64 = 10.0; // An overtaken call is late after so many usual answer times
-const LATE_FLOOR: Micros = 500_000; // And this time at least
+const LATE_FLOOR: Micros = 200_000; // And this time at least
 const UNKNOWN_LATENCY: f64 = 400_000.0; // Answer time assumed of an endpoint that has not answered yet
 const LATENCY_GAIN: f64 = 0.2; // Weight of a new answer time
 const OUTAGE_FAILURES: u32 = 3; // Failures in a row that make an outage; one, with no delivery of late
@@ -1024,11 +1024,10 @@
         let message = self.messages.get(&id);
         let unsure = message.is_some_and(|m| self.settings.classes[m.class].effect == Effect::Unsafe);
         let overtaken = endpoint.answered_at > Some(attempt.sent);
-        let patience = match overtaken {
-            _ if unsure => 2 * endpoint.silence(),
-            true => LATE_FLOOR.max((endpoint.latency * LATE_LATENCIES) as Micros).min(endpoint.silence()),
-            false => endpoint.silence(),
-        };
+        let late = LATE_FLOOR.max((endpoint.latency * LATE_LATENCIES) as Micros);
+        let patience = if overtaken { late.min(endpoint.silence()) } else { endpoint.silence() };
+        // What may not be repeated is lost with its answer.
+        let patience = if unsure { 2 * patience } else { patience };
         let stuck = overtaken || matches!(endpoint.health, Health::Out { .. });
         let free = attempt.cancelled || message.is_some_and(|message| message.streaming);
         (stuck && !free).then_some(attempt.sent + patience)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -240,9 +240,8 @@
     assert!(actions.contains(&Action::Cancel { id: 1, attempt: 0 }), "{actions:?}");
 }
 
-/// Answers that get lost one by one must not take slots for as long as a silent endpoint's do.
-#[test]
-fn an_overtaken_call_is_called_off_sooner_than_a_silent_endpoints() {
+/// When the call of a message of this class is called off, which later ones overtake while slots are wanted.
+fn overtaken_until_called_off(class: usize) -> Micros {
     let mut bench = Bench::new(settings(), vec![entry(1, 10, 0), entry(2, 20, 0)]);
     for id in 1..=20 {
         bench.turn(&[message(id, 1, 10), message(100 + id, 1, 20)]);
@@ -251,7 +250,7 @@
     }
     let start = bench.now;
     bench.turn(&[message(201, 1, 20), message(202, 1, 20), message(203, 1, 20)]);
-    bench.turn(&[message(21, 1, 10), message(22, 1, 10)]);
+    bench.turn(&[message(21, class, 10), message(22, 1, 10)]);
     bench.now += 20 * MS;
     bench.turn(&[ended(22, 0, 1, Outcome::Delivered), message(23, 1, 10), message(24, 1, 10)]);
     bench.turn(&[message(25, 1, 10)]);
@@ -259,7 +258,16 @@
     let cancel =
         later.iter().find(|(_, action)| matches!(action, Action::Cancel { .. })).expect("called off");
     assert_eq!(cancel.1, Action::Cancel { id: 21, attempt: 0 });
-    assert!(cancel.0 - start < SECOND, "{}", cancel.0 - start);
+    cancel.0 - start
+}
+
+/// Answers that get lost one by one must not take slots for as long as a silent endpoint's do, nor for a fixed
+/// time however fast the others come; but what is lost with its answer is waited for twice as long.
+#[test]
+fn an_overtaken_call_is_called_off_after_some_usual_answer_times() {
+    let (keyed, unsure) = (overtaken_until_called_off(1), overtaken_until_called_off(2));
+    assert!((200 * MS..350 * MS).contains(&keyed), "{keyed}");
+    assert!((400 * MS..700 * MS).contains(&unsure), "{unsure}");
 }
 
 #[test]
