--- a/sender/src/clients.rs
+++ b/sender/src/clients.rs
@@ -108,8 +108,11 @@
     ) -> Result<Reply, StatusCode> {
         let length = (*length)?;
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/healthz") if self.is_serving() => Ok(Reply::Status(StatusCode::OK)),
-            (&Method::GET, "/healthz") => Ok(Reply::Status(StatusCode::SERVICE_UNAVAILABLE)),
+            (&Method::GET, "/healthz") => Ok(Reply::Status(match *self.duty.borrow() {
+                // One sender to its clients, whichever process answers.
+                Duty::Serving | Duty::Succeeded => StatusCode::OK,
+                Duty::Standby | Duty::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+            })),
             (_, "/healthz") => Err(StatusCode::METHOD_NOT_ALLOWED),
             (&Method::POST, _) => self.hand_in(request, length, seat).await,
             (_, path) => match self.names.class(first_part(path)) {
--- a/sender/src/handover.rs
+++ b/sender/src/handover.rs
@@ -25,7 +25,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::places::Saved;
 
@@ -41,6 +41,10 @@
 const PAUSE: Duration = Duration::from_millis(20);
 /// No frame is longer: what is known of some hundred messages, or one message with its body.
 const FRAME_MOST: usize = 16 * 1024 * 1024;
+/// Changes with what two processes say to each other after the commit.
+pub const RELAY: u32 = 1;
+/// How long a process whose successor has died tries for the lock: the kernel frees it a moment later.
+const RECLAIM_PATIENCE: Duration = Duration::from_secs(1);
 /// Goes with the listening socket.
 const MARK: u8 = b'L';
 
@@ -100,7 +104,8 @@
 
 #[derive(Serialize, Deserialize)]
 struct Hello {
-    reads_state: bool,
+    /// The relay that it understands; `None` where the journal alone is of use to it.
+    relay: Option<u32>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -216,12 +221,25 @@
     }
 }
 
+/// Becomes the sender again after the successor's death. `None` if somebody else is: two old versions must not
+/// pass the work to and fro.
+pub async fn reclaim(folder: &Path) -> io::Result<Option<Claim>> {
+    let since = Instant::now();
+    while since.elapsed() < RECLAIM_PATIENCE {
+        if let Some(lock) = Lock::try_take(folder)? {
+            return Ok(Some(Claim { lock, listener: None, inherited: None }));
+        }
+        sleep(PAUSE).await;
+    }
+    Ok(None)
+}
+
 type Passed = (net::TcpListener, Option<(Box<State>, UnixStream)>);
 
 async fn ask(folder: &Path, names: &Names, reads_state: bool) -> Result<Passed, HandoverError> {
     let (path, _folder) = socket(folder)?;
     let mut stream = UnixStream::connect(path).await?;
-    write(&mut stream, &Hello { reads_state }).await?;
+    write(&mut stream, &Hello { relay: reads_state.then_some(RELAY) }).await?;
     let listener = receive_listener(&stream).await?;
     let offer: Offer = read_within(&mut stream, ASK_PATIENCE).await?;
     let Some(state) = offer.state.map(Box::new) else { return Ok((listener, None)) };
@@ -288,7 +306,8 @@
         loop {
             let came = async {
                 let (mut stream, _) = self.0.accept().await?;
-                let Hello { reads_state } = read_within(&mut stream, PATIENCE).await?;
+                let Hello { relay } = read_within(&mut stream, PATIENCE).await?;
+                let reads_state = relay == Some(RELAY);
                 Ok::<_, HandoverError>(Successor { stream, reads_state, listener: listener.clone() })
             };
             match came.await {
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -80,16 +80,17 @@
     tokio::task::spawn_local(endpoints.clone().tend());
     tokio::task::spawn_local(admission.clone().tend());
 
-    let (mut socket, mut unheard) = (None, Vec::new());
+    let mut told = duty.subscribe();
+    let mut claim = tokio::select! {
+        claim = handover::claim(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
+        // Told to end before it was the sender.
+        _ = told.wait_for(|duty| *duty == Duty::Leaving) => return Ok(()),
+    };
+    let mut unheard = Vec::new();
     loop {
-        let mut told = duty.subscribe();
-        let Claim { lock, listener, inherited } = tokio::select! {
-            claim = handover::claim(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
-            // Told to end before it was the sender.
-            _ = told.wait_for(|duty| *duty == Duty::Leaving) => return Ok(()),
-        };
+        let Claim { lock, listener, inherited } = claim;
         // The address first: an older version that knows no lock would hold it, and write the journal.
-        let listener = match socket.take().or(listener) {
+        let listener = match listener {
             Some(listener) => listener,
             None => TcpListener::bind(config.listen)
                 .await
@@ -131,17 +132,22 @@
         let driven = driver.run(&mut happenings, &mut ordered, &mut successors).await;
         let driver::End::HandedOver(old) = driven else { break };
         // Clients go to the new process.
-        duty.send_replace(Duty::Leaving);
+        ready.set(false);
+        duty.send_replace(Duty::Succeeded);
         work.shutdown().await;
         match old.run(&mut happenings, &admission).await {
             relay::End::Over => break,
             relay::End::Orphaned(left) => unheard = left,
         }
+        let Some(again) =
+            handover::reclaim(&config.state).await.context("the lasting folder is of no use")?
+        else {
+            break;
+        };
         tracing::warn!("the new process has died: takes its work back");
-        ready.set(false);
+        claim = Claim { listener: Rc::into_inner(listener), ..again };
         endpoints.retire(false);
         duty.send_replace(Duty::Serving);
-        socket = Rc::into_inner(listener);
     }
     tracing::info!("ends");
     Ok(())
@@ -173,7 +179,11 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!("draining");
-    duty.send_replace(Duty::Leaving);
+    duty.send_modify(|duty| {
+        if *duty != Duty::Succeeded {
+            *duty = Duty::Leaving;
+        }
+    });
     // Its receiver ends only with the process.
     let _ = inbox.send(Happening::Drain).await;
     std::future::pending::<()>().await;
--- a/sender/src/management.rs
+++ b/sender/src/management.rs
@@ -36,6 +36,8 @@
     Serving,
     /// Drained by an operator, who may call it back.
     Standby,
+    /// Another process is the sender, and serves the clients from now on.
+    Succeeded,
     /// About to end: there is no way back.
     Leaving,
 }
@@ -150,6 +152,9 @@
 
     async fn tell(&self, command: Command) -> Result<String, StatusCode> {
         let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        if !self.ready.get() {
+            return Err(unavailable);
+        }
         let asked = async {
             let (reply, verdict) = oneshot::channel();
             self.orders.send((command, reply)).await.map_err(|_| unavailable)?;
--- a/sender/tests/upgrade.rs
+++ b/sender/tests/upgrade.rs
@@ -43,11 +43,11 @@
         sender
     }
 
-    /// What a new process says first, with a word on whether it reads more than the journal.
+    /// What a new process says first, with the number of the relay that it understands.
     fn hello(&self) -> UnixStream {
         let mut stream = UnixStream::connect(self.state.join("handover")).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        say(&mut stream, &BTreeMap::from([("reads_state", true)]));
+        say(&mut stream, &BTreeMap::from([("relay", Some(1))]));
         stream
     }
 }
