--- a/sender/src/admission.rs
+++ b/sender/src/admission.rs
@@ -283,4 +283,20 @@
         reading.seat.open();
         assert!(admission.dispensable().is_none());
     }
+
+    /// Guards against two processes that together hold more connections than one may.
+    #[test]
+    fn seats_that_another_process_holds_are_left_free() {
+        let admission = Admission::new(3);
+        let _first = admission.take();
+        assert!(!admission.is_full());
+        admission.leave_free(2);
+        assert!(admission.is_full());
+        admission.leave_free(9);
+        drop(_first);
+        assert!(!admission.is_full(), "one at least gets in");
+        admission.leave_free(0);
+        let (_first, _second) = (admission.take(), admission.take());
+        assert!(!admission.is_full());
+    }
 }
--- a/sender/src/journal.rs
+++ b/sender/src/journal.rs
@@ -505,6 +505,28 @@
     }
 
     /// A folder that takes no new file must not lose what the old one holds, nor what is still added to it.
+    /// Guards against endpoints that come back because the journal was compacted or the process restarted, and
+    /// against names without bound.
+    #[test]
+    fn endpoints_out_by_hand_are_kept_up_to_a_bound() {
+        let folder = tempfile::tempdir().unwrap();
+        let mut journal = Journal::open(folder.path(), DISK).unwrap();
+        for number in 0..OUT_MOST {
+            journal.take_out(&format!("s-{number}")).unwrap();
+        }
+        journal.take_out("s-0").unwrap();
+        assert!(matches!(journal.take_out("one too many"), Err(JournalError::Full)));
+        for name in ["s-1", "s-1", "nobody"] {
+            journal.put_back(name).unwrap();
+        }
+        journal.compact().unwrap();
+        journal.put_back("s-2").unwrap();
+        let again = Journal::open(folder.path(), DISK).unwrap();
+        assert_eq!(again.out(), journal.out());
+        assert_eq!(again.out().len(), OUT_MOST - 2);
+        assert!(again.out().contains("s-0") && !again.out().contains("s-1"));
+    }
+
     #[test]
     fn a_failed_compaction_leaves_the_old_file_in_use() {
         let folder = tempfile::tempdir().unwrap();
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -47,6 +47,17 @@
     Some(Seen { line: line.trim().to_owned(), headers, body, at: Instant::now(), from })
 }
 
+/// Writes a byte at a time, each in a segment of its own, over some 0.2 s.
+pub fn write_in_pieces(stream: &mut TcpStream, text: &[u8]) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let pause = Duration::from_millis(200) / text.len() as u32;
+    for byte in text {
+        stream.write_all(&[*byte])?;
+        thread::sleep(pause);
+    }
+    Ok(())
+}
+
 /// What an endpoint does with a call.
 #[derive(Clone)]
 pub enum Reply {
@@ -60,6 +71,8 @@
     Hang,
     /// Answers with 200 after so many milliseconds.
     Slow(u64),
+    /// Answers with 200, a byte at a time.
+    Pieces,
 }
 
 pub const OK: Reply = Reply::Answer("200 OK\r\n");
@@ -109,8 +122,17 @@
                 }
                 continue;
             }
+            if let Reply::Pieces = reply {
+                drop(post.send(seen));
+                if write_in_pieces(stream.get_mut(), b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                    .is_err()
+                {
+                    break;
+                }
+                continue;
+            }
             let text = match reply {
-                Reply::Slow(_) => unreachable!("answered above"),
+                Reply::Slow(_) | Reply::Pieces => unreachable!("answered above"),
                 Reply::Break => {
                     drop(post.send(seen));
                     return last;
@@ -370,6 +392,11 @@
         }
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
--- a/sender/tests/rude.rs
+++ b/sender/tests/rude.rs
@@ -6,7 +6,9 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use common::{line, message, read_message, Discovery, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON};
+use common::{
+    line, message, read_message, write_in_pieces, Discovery, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON,
+};
 
 struct Stage {
     _folder: tempfile::TempDir,
@@ -126,3 +128,42 @@
     }
     assert!(stage.endpoint.is_quiet());
 }
+
+/// Guards against a request that is lost, or taken for two, because it comes a byte at a time.
+#[test]
+fn a_request_in_pieces_is_taken_on() {
+    let stage = Stage::new();
+    let mut stream = BufReader::new(stage.sender.connect());
+    for id in ["m1", "m2"] {
+        write_in_pieces(stream.get_mut(), message(id, 10_000, "in pieces").as_bytes()).unwrap();
+        assert_eq!(read_message(&mut stream).expect("an answer").line, TAKEN_ON);
+        let call = stage.endpoint.next();
+        assert_eq!((call.headers["x-call-id"].as_str(), call.body.as_slice()), (id, b"in pieces".as_slice()));
+    }
+}
+
+/// Guards against seats, descriptors or messages that clients leave behind, at whatever point they go.
+#[test]
+fn clients_that_leave_leave_nothing_behind() {
+    let stage = Stage::new();
+    assert_eq!(stage.sender.hand_in("m", 10_000, "x"), TAKEN_ON);
+    stage.endpoint.next();
+    let before = stage.sender.descriptors();
+    for number in 0..300 {
+        let text = message(&format!("m{number}"), 10_000, "x");
+        // Nothing, part of the head, all but the last byte, all but the patience to hear the answer.
+        let sent = [0, 20, text.len() - 1, text.len()][number % 4];
+        stage.sender.connect().write_all(&text.as_bytes()[..sent]).unwrap();
+    }
+    let since = Instant::now();
+    while stage.sender.descriptors() > before + 3 || stage.sender.figure("in_progress") > 0 {
+        assert!(since.elapsed() < LONG, "{} descriptors, {before} before", stage.sender.descriptors());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // What came whole went out or was withdrawn; nothing else did.
+    let calls: Vec<_> = stage.endpoint.calls.try_iter().collect();
+    let whole = |id: &str| id.trim_start_matches('m').parse::<usize>().is_ok_and(|number| number % 4 == 3);
+    assert!(calls.iter().all(|call| whole(&call.headers["x-call-id"])));
+    assert_eq!(stage.sender.hand_in("n", 10_000, "x"), TAKEN_ON);
+    assert_eq!(stage.endpoint.next().headers["x-call-id"], "n");
+}
--- a/sender/tests/spoilt.rs
+++ b/sender/tests/spoilt.rs
@@ -107,3 +107,19 @@
     // The call that broke was not answered by what was left over.
     assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
 }
+
+/// Guards against an answer in pieces being taken for a break, and against a connection that is lost over it.
+#[test]
+fn an_answer_in_pieces_is_an_answer() {
+    let stage = Stage::new(vec![Reply::Pieces, OK], "side_effect");
+    let sender = stage.sender();
+    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
+    let first = stage.endpoint.next();
+    sender.await_figure("passed.notice", 1);
+    // The answer counts from its first line; its connection is free once all of it has come.
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
+    assert_eq!(stage.endpoint.next().from, first.from);
+    sender.await_figure("passed.notice", 2);
+    assert!(stage.discovery.notices.try_recv().is_err());
+}
