--- a/src/control.rs
+++ b/src/control.rs
@@ -361,26 +361,24 @@
         }
     }
 
-    /// Taken out, an endpoint drains whatever is listed. It was restarted meanwhile: back, it starts slowly.
+    /// Taken out, an endpoint drains whatever is listed. It was restarted meanwhile, which is an outage:
+    /// back, it is tried by one call, and then starts slowly.
     fn move_by_hand(&mut self, id: EndpointId, out: bool) {
         let now = self.now;
         if out {
             self.by_hand.entry(id).or_insert(now);
         } else if let Some(since) = self.by_hand.remove(&id) {
-            if let Some(endpoint) = self.endpoints.get(&id) {
-                let waiting = self.contenders(endpoint, now - since);
-                let pause = self.warm_pause(endpoint, 0, waiting) as f64;
-                let next_at = now + (pause * self.random.f64()) as Micros;
-                let health = Health::Warming { since: now, waiting, next_at };
-                self.endpoints.entry(id).and_modify(|to| (to.health, to.failures) = (health, 0));
-            }
+            let health = Health::Out { since, seen: true, gap: 0, trial_at: now, trial: None };
+            let endpoint = self.endpoints.entry(id);
+            endpoint.and_modify(|to| (to.health, to.failures, to.delivered_at) = (health, 0, None));
         }
         self.enlist(id);
     }
 
     /// How many of the listed endpoints nothing goes to: out by hand, draining, or held back as ill.
     pub fn avoided(&self) -> usize {
-        let shunned = |to: &&Endpoint| !to.live || matches!(to.health, Health::Out { .. });
+        let ill = |health| matches!(health, Health::Out { trial_at, .. } if trial_at > self.now);
+        let shunned = |to: &&Endpoint| !to.live || ill(to.health);
         self.endpoints.values().filter(|to| to.listing != Listing::Gone).filter(shunned).count()
     }
 
@@ -806,12 +804,26 @@
             Health::Warming { next_at, .. } if next_at > now => Gate::After(next_at),
             Health::Out { trial_at, .. } if trial_at > now => Gate::After(trial_at),
             Health::Out { .. } if self.on_route(endpoint.route).iter().any(tried) => Gate::Shut,
+            Health::Out { .. } if class.effect == Effect::Unsafe && self.has_repeatable(message) => {
+                Gate::Shut
+            }
             _ if self.calls.len() >= self.settings.limits.slots => Gate::NoSlot,
             _ if held >= (self.settings.limits.slots as f64 * SLOT_SHARE).max(1.0) => Gate::Shut,
             _ => Gate::Open,
         }
     }
 
+    /// Whether a message that may be repeated waits for the same destination: a trial that fails costs it
+    /// little, but ends one that may not.
+    fn has_repeatable(&self, message: &Message) -> bool {
+        let waiting = self.destinations.get(&message.destination).map(|to| &to.waiting);
+        waiting.into_iter().flatten().any(|id| {
+            let other = &self.messages[id];
+            let effect = self.settings.classes[other.class].effect;
+            effect != Effect::Unsafe && other.order_key.is_none() && other.ready_at <= self.now
+        })
+    }
+
     /// When a route's pace lets the next call go. What is asked may have become known since the pause began.
     fn paced_until(&self, route: &Route, endpoint: &Endpoint) -> Micros {
         if route.pace.is_none() || route.next_at <= self.now {
