--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -602,3 +602,35 @@
     let cold = sent_of(101, &[by_hand(true), by_hand(false)]);
     assert!(cold > 0 && cold < 30, "{cold} in the first second");
 }
+
+/// Guards against a burst at an endpoint that an operator put back before it serves: one call shows that it does.
+#[test]
+fn an_endpoint_put_back_by_hand_is_tried_by_one_call() {
+    let mut bench = Bench::new(settings(), shared());
+    let by_hand = |out| Event::ByHand { endpoint: 1, out };
+    bench.turn(&[by_hand(true), by_hand(false)]);
+    assert_eq!(bench.controller.avoided(), 0, "nothing keeps the next message from it");
+    let burst: Vec<_> = (1..=10).map(|id| message(id, 1, 10)).collect();
+    assert_eq!(sends(&bench.turn(&burst)).len(), 1);
+    bench.turn(&[ended(1, 0, 1, Outcome::ConnectFailed)]);
+    assert_eq!(bench.controller.avoided(), 1);
+}
+
+/// Guards against payments spent on finding out whether a partner is back, while a message waits that may be
+/// repeated; but where none does, a payment must do.
+#[test]
+fn an_ill_destination_is_tried_by_what_may_be_repeated() {
+    for (others, tried_by) in [(vec![message(2, 1, 10)], 2), (Vec::new(), 1)] {
+        let mut bench = Bench::new(settings(), shared());
+        bench.turn(&[message(9, 1, 10)]);
+        bench.turn(&[ended(9, 0, 1, Outcome::Error)]);
+        bench.turn(&[Event::Withdrawn { id: 9 }]);
+        assert_eq!(bench.controller.avoided(), 1);
+        // Older, and so first in its line.
+        assert!(sends(&bench.turn(&[message(1, 2, 10)])).is_empty());
+        assert!(sends(&bench.turn(&others)).is_empty());
+        let until = bench.now + 10 * SECOND;
+        let trials = sends_in_time(&bench.pass(until));
+        assert_eq!(trials.iter().map(|(_, id, _)| *id).collect::<Vec<_>>(), [tried_by]);
+    }
+}
