--- a/sender/src/handover.rs
+++ b/sender/src/handover.rs
@@ -195,7 +195,7 @@
 /// Becomes the sender: at once where there is none, else by a handover, or by the end of whoever is.
 pub async fn claim(folder: &Path, names: &Names) -> io::Result<Claim> {
     std::fs::create_dir_all(folder)?;
-    let (mut reads_state, mut passed) = (true, None);
+    let (mut reads_state, mut passed, mut said) = (true, None, String::new());
     loop {
         if let Some(lock) = Lock::try_take(folder)? {
             return Ok(Claim { lock, listener: passed, inherited: None });
@@ -212,7 +212,11 @@
                     }
                 }
                 Err(error) => {
-                    tracing::info!(%error, "no handover yet");
+                    let why = error.to_string();
+                    if said != why {
+                        tracing::info!(%error, "no handover yet");
+                        said = why;
+                    }
                     reads_state &= !error.is_about_state();
                 }
             }
