--- a/sender/src/handover.rs
+++ b/sender/src/handover.rs
@@ -24,9 +24,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
 
+use crate::management::Duty;
 use crate::places::Saved;
 
 const LOCK: &str = "lock";
@@ -261,6 +262,7 @@
     stream: UnixStream,
     reads_state: bool,
     listener: Rc<net::TcpListener>,
+    duty: Rc<watch::Sender<Duty>>,
 }
 
 impl Successor {
@@ -270,7 +272,7 @@
     }
 
     /// Offers it the state, and the listening socket. It has read both once this returns; until the commit nothing
-    /// has changed.
+    /// has changed. Without a state it waits for this process's end, and clients are sent away.
     pub async fn offer(mut self, state: Option<State>) -> Result<UnixStream, HandoverError> {
         let offered = async {
             send_listener(&self.stream, &self.listener).await?;
@@ -278,6 +280,8 @@
             write(&mut self.stream, &Offer { state }).await?;
             if whole {
                 let Prepared = read(&mut self.stream).await?;
+            } else {
+                self.duty.send_replace(Duty::Leaving);
             }
             Ok(self.stream)
         };
@@ -306,13 +310,19 @@
         Ok(Self(UnixListener::bind(path)?))
     }
 
-    pub async fn serve(self, listener: Rc<net::TcpListener>, successors: mpsc::Sender<Successor>) {
+    pub async fn serve(
+        self,
+        listener: Rc<net::TcpListener>,
+        duty: Rc<watch::Sender<Duty>>,
+        successors: mpsc::Sender<Successor>,
+    ) {
         loop {
             let came = async {
                 let (mut stream, _) = self.0.accept().await?;
                 let Hello { relay } = read_within(&mut stream, PATIENCE).await?;
                 let reads_state = relay == Some(RELAY);
-                Ok::<_, HandoverError>(Successor { stream, reads_state, listener: listener.clone() })
+                let (listener, duty) = (listener.clone(), duty.clone());
+                Ok::<_, HandoverError>(Successor { stream, reads_state, listener, duty })
             };
             match came.await {
                 Ok(successor) => {
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -119,7 +119,7 @@
         let listen = accepting.local_addr()?;
         let listener = Rc::new(listener);
         match Heirs::open(&config.state) {
-            Ok(heirs) => drop(work.spawn_local(heirs.serve(listener.clone(), post.clone()))),
+            Ok(heirs) => drop(work.spawn_local(heirs.serve(listener.clone(), duty.clone(), post.clone()))),
             // It serves all the same; an upgrade is a restart then.
             Err(error) => tracing::error!(%error, "no new process can take over"),
         }
@@ -145,7 +145,7 @@
             break;
         };
         tracing::warn!("the new process has died: takes its work back");
-        claim = Claim { listener: Rc::into_inner(listener), ..again };
+        claim = Claim { listener: Some(listener.try_clone()?), ..again };
         endpoints.retire(false);
         duty.send_replace(Duty::Serving);
     }
--- a/sender/tests/upgrade.rs
+++ b/sender/tests/upgrade.rs
@@ -312,7 +312,13 @@
     let mut old = stage.sender();
     assert_eq!(old.hand_in("m1", 20_000, "x"), TAKEN_ON);
     stage.endpoint.next();
+    let mut idle = BufReader::new(old.connect());
+    idle.get_mut().write_all(b"GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").unwrap();
+    assert!(read_message(&mut idle).unwrap().line.contains(" 200 "));
     let mut new = stage.launch(&Terms { tenant: "other", ..Terms::default() });
+    old.await_log(&["drains for a new process"]);
+    assert_eq!(old.operate("GET", "/status", "").0, 503);
+    assert!(read_message(&mut idle).is_none(), "clients are sent away between requests");
     assert!(old.wait().success());
     new.await_ready();
     assert_eq!(new.address, old.address);
