--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -551,4 +551,29 @@
         };
         local.run_until(test).await;
     }
+
+    /// Guards against a call that was decided on before its endpoint began to drain, or before another process
+    /// became the sender, and whose connection comes up only then.
+    #[tokio::test]
+    async fn a_call_that_has_not_begun_goes_no_more_to_what_was_left() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::task::spawn_local(serve(listener));
+            let endpoints = endpoints();
+            let (_kept, cancel) = oneshot::channel();
+            let before = call_to(address);
+            endpoints.leave(before.endpoint);
+            assert_eq!(endpoints.clone().call(before, cancel).await.outcome, Outcome::NotSent);
+            sleep(Duration::from_millis(1)).await;
+            // What the module sends later, it sends knowing better.
+            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            endpoints.retire(true);
+            assert_eq!(outcome(&endpoints, address).await, Outcome::NotSent);
+            assert!(endpoints.idle.borrow().is_empty());
+            endpoints.retire(false);
+            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
 }
