Back off failed list calls with full jitter, by the number of senders

Ruled out: a longer backoff for each sender alone (up to 0.2 s doubled to 6.4 or 51 s: 17 and 13 lists); the size of the list; connections.

--- a/sender/src/discovery.rs
+++ b/sender/src/discovery.rs
@@ -14,7 +14,7 @@
 use roadshift::interface::MessageId;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch, Notify};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::connection::Connection;
 use crate::driver::Happening;
@@ -22,11 +22,20 @@
 
 /// Short, so that a watch that was lost in silence is soon made anew.
 const WATCH_MS: u64 = 10_000;
-/// How long an answer may take beyond the wait that was asked for.
+/// How long an answer to notices may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 const LIST_BYTES: usize = 8 * 1024 * 1024;
-/// Pause after a failure; it is stretched by chance, so that senders do not come in step.
+/// Pause after a notice was not taken; it is stretched by chance, so that senders do not come in step.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Each sender's part of the pause between failed calls for the list: all of them together then ask some twenty
+/// times a second, however many they are. Doubled with each further failure, so many times at most.
+const ASK_GAP: Duration = Duration::from_millis(100);
+const ASK_DOUBLINGS: u32 = 2;
+/// How long an answer with the list may take beyond the wait that was asked for: longer than discovery lets a call
+/// wait in its queue (2 s), lest its work on an answer be for nothing.
+const LIST_PATIENCE: Duration = Duration::from_secs(3);
+/// Least time between log lines on failed calls.
+const TELL_EVERY: Duration = Duration::from_secs(1);
 /// Notices sent in one request.
 const NOTICES: usize = 64;
 
@@ -95,18 +104,60 @@
     sleep(PAUSE.mul_f64(1.0 + 2.0 * fastrand::f64())).await;
 }
 
+/// Pauses between calls for the list: exponential backoff with full jitter. All senders share discovery, and
+/// what refuses more calls than it can answer answers none: a refusal costs it as much.
+struct Backoff {
+    random: fastrand::Rng,
+    gap: Duration,
+    failures: u32,
+    /// Failures since the last line of the log, and when that was.
+    untold: u32,
+    told: Option<Instant>,
+}
+
+impl Backoff {
+    fn new(senders: u32, random: fastrand::Rng) -> Self {
+        Self { random, gap: ASK_GAP * senders, failures: 0, untold: 0, told: None }
+    }
+
+    /// Before a first call that can wait: senders that are started together must not ask together.
+    fn first(&mut self) -> Duration {
+        (self.gap / 2).mul_f64(self.random.f64())
+    }
+
+    fn next(&mut self) -> Duration {
+        let longest = self.gap * 2u32.pow(self.failures.min(ASK_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        longest.mul_f64(self.random.f64())
+    }
+
+    /// Logs a failure, at most one line a second.
+    fn tell(&mut self, error: &anyhow::Error) {
+        self.untold += 1;
+        if self.told.is_none_or(|told| told.elapsed() >= TELL_EVERY) {
+            tracing::info!(%error, failures = self.untold, "discovery does not answer");
+            (self.untold, self.told) = (0, Some(Instant::now()));
+        }
+    }
+}
+
 /// Where discovery's agent is; the configuration may name another one while the process runs.
 pub type Addresses = watch::Receiver<SocketAddr>;
 
 /// Watches the list for good. A new address ends the watch at the old one with its connection, so that no list
 /// of the old agent can follow one of the new agent.
-pub async fn watch(mut addresses: Addresses, inbox: mpsc::Sender<Happening>) {
+pub async fn watch(mut addresses: Addresses, inbox: mpsc::Sender<Happening>, senders: u32, known: bool) {
+    let mut backoff = Backoff::new(senders, fastrand::Rng::new());
+    // Who knows a list can serve on it meanwhile. A new address is asked at once: it may know better.
+    if known {
+        sleep(backoff.first()).await;
+    }
     loop {
         let address = *addresses.borrow_and_update();
         tokio::select! {
             biased;
             Ok(()) = addresses.changed() => {}
-            () = watch_at(address, &inbox) => return,
+            () = watch_at(address, &inbox, &mut backoff) => return,
         }
     }
 }
@@ -114,21 +165,22 @@
 /// Watches the list of one agent, from a whole list on: versions of another agent mean nothing here. The next
 /// call goes out at once after each answer: a later one would begin a new watch, and changes in between would
 /// count as told though they were not.
-async fn watch_at(address: SocketAddr, inbox: &mpsc::Sender<Happening>) {
+async fn watch_at(address: SocketAddr, inbox: &mpsc::Sender<Happening>, backoff: &mut Backoff) {
     let mut agent = Agent::new(address);
     let mut after = None;
     loop {
         match next_list(&mut agent, after).await {
             Ok(list) => {
-                after = Some(list.index);
+                let (index, whole, lines) = (list.index, list.snapshot, list.endpoints.len());
+                tracing::info!(index, whole, lines, failures = backoff.failures, "discovery answers");
+                (after, backoff.failures) = (Some(list.index), 0);
                 if inbox.send(Happening::Listed(list)).await.is_err() {
                     return;
                 }
             }
             Err(error) => {
-                tracing::info!(%error, "discovery does not answer");
-                agent.connection = None;
-                pause().await;
+                backoff.tell(&error);
+                sleep(backoff.next()).await;
             }
         }
     }
@@ -136,10 +188,10 @@
 
 async fn next_list(agent: &mut Agent, after: Option<u64>) -> anyhow::Result<List> {
     let (path, patience) = match after {
-        None => ("/v1/servers".to_owned(), PATIENCE),
+        None => ("/v1/servers".to_owned(), LIST_PATIENCE),
         Some(after) => {
             let path = format!("/v1/servers?after={after}&wait_ms={WATCH_MS}");
-            (path, PATIENCE + Duration::from_millis(WATCH_MS))
+            (path, LIST_PATIENCE + Duration::from_millis(WATCH_MS))
         }
     };
     let (status, body) = timeout(patience, agent.ask(Method::GET, &path, Bytes::new())).await??;
@@ -221,3 +273,59 @@
     }
     text.into()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// Calls by the second of so many senders that discovery refuses from their common start on.
+    fn refused_calls(senders: u32) -> [u32; 20] {
+        let mut asked = [0; 20];
+        for seed in 0..senders {
+            let mut backoff = Backoff::new(senders, fastrand::Rng::with_seed(seed.into()));
+            let mut at = backoff.first();
+            while at < Duration::from_secs(20) {
+                asked[at.as_secs() as usize] += 1;
+                at += backoff.next();
+            }
+        }
+        asked
+    }
+
+    /// Guards against a fleet that keeps discovery overbooked by asking again and again: at 820 calls a second of
+    /// a hundred senders, and still at thirty, it refused nearly all.
+    #[test]
+    fn a_fleet_whose_calls_for_the_list_fail_asks_seldom_and_out_of_step() {
+        let fleet = refused_calls(100);
+        assert!(fleet.iter().all(|calls| *calls <= 40), "calls by second: {fleet:?}");
+        assert!(fleet[10..].iter().sum::<u32>() <= 100, "calls by second: {fleet:?}");
+        // A small fleet goes on asking several times a second.
+        let few = refused_calls(2);
+        assert!(few[1..].iter().all(|calls| (2..40).contains(calls)), "calls by second: {few:?}");
+    }
+
+    /// Guards against a handshake with each answer of 503, which costs an overbooked discovery still more.
+    #[tokio::test]
+    async fn a_refused_call_for_the_list_keeps_its_connection() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut agent = Agent::new(listener.local_addr().unwrap());
+            tokio::task::spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                drop(listener);
+                while stream.read(&mut [0; 4096]).await.is_ok_and(|bytes| bytes > 0) {
+                    let answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(answer).await.unwrap();
+                }
+            });
+            for _ in 0..3 {
+                let refused = next_list(&mut agent, None).await.unwrap_err();
+                assert!(refused.to_string().contains("503"), "{refused:#}");
+                assert!(agent.connection.is_some());
+            }
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+}
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -123,7 +123,8 @@
             // It serves all the same; an upgrade is a restart then.
             Err(error) => tracing::error!(%error, "no new process can take over"),
         }
-        work.spawn_local(discovery::watch(discovery.clone(), inbox.clone()));
+        let senders = config.settings.senders;
+        work.spawn_local(discovery::watch(discovery.clone(), inbox.clone(), senders, config.known.is_some()));
         work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
         work.spawn_local(clients.clone().serve(accepting));
         ready.set(true);
