--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -409,20 +409,22 @@
     Event::Listed { update, version: gen.unwrap_or(0), entries: entries.collect() }
 }
 
-fn load(report: Option<Telemetry>) -> Option<Load> {
-    report.map(|values| {
-        let value = |name| values.get(name).copied();
-        Load {
-            allowance_left: value("x0"),
-            limit: value("x1"),
-            in_flight: value("concurrent"),
-            queue: value("depth"),
-            utilization: value("load_share"),
-            latency: value("mean_ms").map(|ms| ms * 1e3),
-            rate: value("tps"),
-            error_rate: value("err_ps"),
-        }
-    })
+/// A report in the module's terms, by the names that the wire has for its values.
+pub fn load(value: impl Fn(&str) -> Option<f64>) -> Load {
+    Load {
+        allowance_left: value("x0"),
+        limit: value("x1"),
+        in_flight: value("concurrent"),
+        queue: value("depth"),
+        utilization: value("load_share"),
+        latency: value("mean_ms").map(|ms| ms * 1e3),
+        rate: value("tps"),
+        error_rate: value("err_ps"),
+    }
+}
+
+fn telemetry(report: Option<Telemetry>) -> Option<Load> {
+    report.map(|values| load(|name| values.get(name).copied()))
 }
 
 impl Incoming {
@@ -455,16 +457,16 @@
                 elapsed: optional(done.elapsed_ms),
                 last: done.last,
                 wait: if matches!(done.code, Code::F) { optional(done.hold_ms) } else { 0 },
-                load: load(done.telemetry),
+                load: telemetry(done.telemetry),
             },
             Self::AckFirst { req, attempt, .. } => Event::Started { id: req, attempt },
             Self::Abandoned { req, .. } => Event::Withdrawn { id: req },
             Self::Elapsed { ctx, .. } => Event::Timer { token: ctx },
-            Self::StatusBack { code, elapsed_ms, endpoint, telemetry, .. } => Event::Probed {
+            Self::StatusBack { code, elapsed_ms, endpoint, telemetry: report, .. } => Event::Probed {
                 endpoint,
                 outcome: code.into(),
                 elapsed: optional(elapsed_ms),
-                load: load(telemetry),
+                load: telemetry(report),
             },
             Self::Whisper { src_peer, blob, .. } => Event::Note {
                 from: src_peer,
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -325,7 +325,7 @@
             self.gauge();
             self.keep_promises();
             self.tally.tell();
-            self.tally.tell_traffic(self.open.len(), self.calls.len());
+            self.tally.tell_traffic(self.open.values().map(|open| open.destination), self.calls.len());
             successor = successor.or_else(|| successors.try_recv().ok());
             // Between two turns, with nothing left to tell the module.
             if self.events.is_empty() || self.rests() {
@@ -512,9 +512,9 @@
     fn called(&mut self, id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, ending: Ending) {
         self.calls.remove(&(id, attempt));
         if let Some(place) = self.places.get(endpoint) {
-            self.tally.held_slot(place.route.0, elapsed);
+            self.tally.ended(place.route.0, elapsed, &ending);
         }
-        let Ending { outcome, wait, last } = ending;
+        let Ending { outcome, wait, last, load } = ending;
         if last {
             self.withdraw(id, Some(fate(&ending)));
         } else if self.open.contains_key(&id) {
@@ -523,7 +523,7 @@
                 log_failure(self.journal.not_run(id));
             }
         }
-        self.events.push(Event::Ended { id, attempt, endpoint, outcome, elapsed, last, wait, load: None });
+        self.events.push(Event::Ended { id, attempt, endpoint, outcome, elapsed, last, wait, load });
     }
 
     fn noticed(&mut self, id: MessageId) {
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -11,7 +11,8 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Method, Request, Response, StatusCode};
-use roadshift::interface::{DestinationId, EndpointId, Limits, Micros, Outcome};
+use roadshift::interface::{DestinationId, EndpointId, Limits, Load, Micros, Outcome};
+use roadshift_adapter::wire::load;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
@@ -61,18 +62,20 @@
 }
 
 /// How a call ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Ending {
     pub outcome: Outcome,
     /// A wait that was told, from now on.
     pub wait: Micros,
     /// The message is over.
     pub last: bool,
+    /// The report that came with the answer, if any.
+    pub load: Option<Load>,
 }
 
 impl From<Outcome> for Ending {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, wait: 0, last: outcome == Outcome::Delivered }
+        Self { outcome, wait: 0, last: outcome == Outcome::Delivered, load: None }
     }
 }
 
@@ -433,6 +436,21 @@
 
 /// What an answer means, by the protocol's table. What the table does not name may have run.
 fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
+    Ending { load: report(headers), ..meaning(status, headers) }
+}
+
+/// The report of an answer, as `x0=0.4,x1=25`. What cannot be read of it, or cannot be, is left out.
+fn report(headers: &HeaderMap) -> Option<Load> {
+    let text = headers.get("x-load-report")?.to_str().ok()?;
+    let value = |name: &str| {
+        let (_, value) =
+            text.split(',').filter_map(|part| part.split_once('=')).find(|(key, _)| key.trim() == name)?;
+        value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
+    };
+    Some(load(value)).filter(|load| *load != Load::default())
+}
+
+fn meaning(status: StatusCode, headers: &HeaderMap) -> Ending {
     let number = |name| headers.get(name).and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     match status.as_u16() {
         DELIVERED => Outcome::Delivered.into(),
@@ -482,6 +500,23 @@
         }
     }
 
+    /// Guards against a limit that is told and not heard, and against figures that nobody can mean.
+    #[test]
+    fn reports_are_read_as_far_as_they_make_sense() {
+        let read = |text: &'static str| {
+            let headers = [(HeaderName::from_static("x-load-report"), HeaderValue::from_static(text))];
+            let ending = ending(StatusCode::SERVICE_UNAVAILABLE, &headers.into_iter().collect());
+            ending.load.map(|load| (load.allowance_left, load.limit))
+        };
+        assert_eq!(read("x0=0.4,x1=25"), Some((Some(0.4), Some(25.0))));
+        assert_eq!(read(" x1 = 25 , y=3"), Some((None, Some(25.0))));
+        assert_eq!(read("x0=-1,x1=25"), Some((None, Some(25.0))));
+        for spoilt in ["", "x0", "x0=,x1=nan", "x1=inf", "x0=0.4.1;x1=25", "=,=,="] {
+            assert_eq!(read(spoilt), None, "{spoilt}");
+        }
+        assert_eq!(ending(StatusCode::OK, &HeaderMap::new()).load, None);
+    }
+
     fn endpoints() -> Rc<Endpoints> {
         let second = 1_000_000;
         let limits = Limits { connect_timeout: second, connection_idle: 60 * second, ..Limits::default() };
--- a/sender/src/handover.rs
+++ b/sender/src/handover.rs
@@ -43,7 +43,7 @@
 /// No frame is longer: what is known of some hundred messages, or one message with its body.
 const FRAME_MOST: usize = 16 * 1024 * 1024;
 /// Changes with what two processes say to each other after the commit.
-pub const RELAY: u32 = 1;
+pub const RELAY: u32 = 2;
 /// How long a process whose successor has died tries for the lock: the kernel frees it a moment later.
 const RECLAIM_PATIENCE: Duration = Duration::from_secs(1);
 /// Goes with the listening socket.
--- a/sender/src/tally.rs
+++ b/sender/src/tally.rs
@@ -7,13 +7,15 @@
 use roadshift::interface::{DestinationId, Event, Micros, Outcome};
 use tokio::time::Instant;
 
+use crate::endpoints::Ending;
+
 /// A line is logged so often at most: a sender in trouble refuses hundreds a second.
 const EVERY: Duration = Duration::from_secs(1);
 /// And the line of the traffic so often.
 const TRAFFIC_EVERY: Duration = Duration::from_secs(5);
 
 /// Destinations named in it.
-const BUSIEST: usize = 4;
+const BUSIEST: usize = 12;
 
 /// Why a message was not delivered, or not even taken on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,8 +47,33 @@
     /// From being taken on to the first call, added up and at most.
     first_call_after: (Micros, Micros),
     outcomes: BTreeMap<Outcome, u32>,
-    /// For each destination, how long calls held slots, and how many calls ended.
-    slot_time: BTreeMap<DestinationId, (Micros, u32)>,
+    by_destination: BTreeMap<DestinationId, Calls>,
+}
+
+/// Calls to one destination that ended since the last line.
+#[derive(Debug, Default, Clone, Copy)]
+struct Calls {
+    delivered: u32,
+    /// Answered as full, and of those the ones that told a wait.
+    full: u32,
+    told: u32,
+    failed: u32,
+    /// For how long they held slots.
+    held: Micros,
+    /// Messages held for it now.
+    waiting: u32,
+    /// The latest report: the share of the limit that is left, and the limit in calls a second.
+    left: Option<f64>,
+    limit: Option<f64>,
+}
+
+impl Calls {
+    fn line(&self, to: DestinationId) -> String {
+        let Self { delivered, full, told, failed, held, waiting, left, limit } = self;
+        let figure = |value: &Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.2}"));
+        let (held_ms, left, limit) = (held / 1000, figure(left), figure(limit));
+        format!("{to}: {delivered} ok {full} full {told} told {failed} failed {held_ms} ms {waiting} wait left {left} limit {limit}")
+    }
 }
 
 /// Counts since the last line.
@@ -83,28 +110,42 @@
         self.traffic.first_call_after = (sum.saturating_add(after), most.max(after));
     }
 
-    /// Counts the time for which a call held a slot.
-    pub fn held_slot(&mut self, destination: DestinationId, elapsed: Micros) {
-        let (sum, calls) = self.traffic.slot_time.entry(destination).or_default();
-        (*sum, *calls) = (sum.saturating_add(elapsed), *calls + 1);
+    /// Counts a call that ended, and the time for which it held a slot.
+    pub fn ended(&mut self, destination: DestinationId, elapsed: Micros, ending: &Ending) {
+        let calls = self.traffic.by_destination.entry(destination).or_default();
+        calls.held = calls.held.saturating_add(elapsed);
+        match ending.outcome {
+            Outcome::Delivered => calls.delivered += 1,
+            Outcome::Full => {
+                (calls.full, calls.told) = (calls.full + 1, calls.told + u32::from(ending.wait > 0))
+            }
+            Outcome::NotSent | Outcome::Cancelled => {}
+            _ => calls.failed += 1,
+        }
+        if let Some(load) = ending.load {
+            (calls.left, calls.limit) = (load.allowance_left, load.limit);
+        }
     }
 
     /// Logs the traffic, if there was any and it is time.
-    pub fn tell_traffic(&mut self, held: usize, out: usize) {
+    pub fn tell_traffic(&mut self, held_for: impl ExactSizeIterator<Item = DestinationId>, out: usize) {
         let idle = self.traffic.taken == 0 && self.traffic.outcomes.is_empty();
         if idle || self.traffic_told.elapsed() < TRAFFIC_EVERY {
             return;
         }
         self.traffic_told = Instant::now();
-        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after, outcomes, slot_time } =
+        let held = held_for.len();
+        for destination in held_for {
+            self.traffic.by_destination.entry(destination).or_default().waiting += 1;
+        }
+        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after, outcomes, by_destination } =
             std::mem::take(&mut self.traffic);
         let (sum, most) = first_call_after;
         let (mean_ms, most_ms) = (sum / 1000 / Micros::from(first_calls.max(1)), most / 1000);
-        // What holds the slots: destination, milliseconds, calls.
-        let mut busiest: Vec<_> =
-            slot_time.into_iter().map(|(to, (sum, calls))| (to, sum / 1000, calls)).collect();
-        busiest.sort_by_key(|(_, held_ms, _)| std::cmp::Reverse(*held_ms));
+        let mut busiest: Vec<_> = by_destination.into_iter().collect();
+        busiest.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.held));
         busiest.truncate(BUSIEST);
+        let busiest = busiest.iter().map(|(to, calls)| calls.line(*to)).collect::<Vec<_>>().join("; ");
         tracing::info!(
             held,
             out,
@@ -115,7 +156,7 @@
             mean_ms,
             most_ms,
             ?outcomes,
-            ?busiest,
+            busiest,
             "traffic"
         );
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -347,7 +347,7 @@
 }
 
 /// A load report; values that were not reported are absent.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Share of the allowance that is left.
     pub allowance_left: Option<f64>,
