Set paces by the reported limit and share left; shrink a pause when the pace grows

After 16 s limits are back and 900 messages wait for a destination, but 26 to 45 of 60 calls a second go out with 0.7 of the limit left: Route::send had fixed next_at at the slow pace, up to 6 s ahead, whatever the pace became. Ruled out by log: messages resting after a try (5 of 3,670 late ones), told waits, Out or Warming (30 of 520 lines), slots, an uneven backlog (0.3 calls a second from senders with 2 as with 17 waiting). Change: the told limit and share left give a pace, half an even share at 0 left, a whole one from 0.5 on; it is set at a report of under 0.3 left, and no refusal or growth goes below it, unless much is left: then the limit is not what refuses.

--- a/src/control.rs
+++ b/src/control.rs
@@ -49,6 +49,9 @@
 const PACE_CREEP: f64 = 0.04; // Growth of the pace with each success
 const PACE_DOUBLES: f64 = 8.0; // Or twice in this time in seconds, where calls are rare
 const ASKED_SPAN: Micros = 5 * SECOND; // A clump must not pass for what is asked all the time
+const LOW_LEFT: f64 = 0.3; // A told share left that calls for a pace, before anything is refused
+const MUCH_LEFT: f64 = 0.5; // A told share left with which the limit does not explain a refusal
+const LEFT_PACE: f64 = 0.5; // Pace as a part of a told limit's even share while none of the limit is left
 const PACE_UNTRIED: f64 = 1.5; // No growth beyond so many times the calls of the last second
 const PACE_REGAINS: f64 = 3.0; // And in this time while it is below the own part of what is asked
 /// Span over which a route's calls are remembered; a pace that held nothing back for so long is forgotten.
@@ -106,6 +109,8 @@
     cut_at: Option<Micros>,
     sent: Vec<Micros>,
     listed: Option<f64>,
+    /// Told by the latest report: the limit of all senders in calls a second, and the share of it that is left.
+    told: Option<(f64, f64)>,
     refusals: u32,
     refused_since: Micros,
 }
@@ -521,13 +526,14 @@
     // Outcomes.
 
     fn ended(&mut self, event: &Event) {
-        let Event::Ended { id, attempt, outcome, last, wait, .. } = event else { return };
+        let Event::Ended { id, attempt, outcome, last, wait, load, .. } = event else { return };
         let Some(done) = self.attempts.remove(&(*id, *attempt)) else { return };
         // Each outcome of a bundle may tell a wait, not only the last one to come.
         if let Some(endpoint) = self.endpoints.get(&done.endpoint) {
             self.touched.insert(endpoint.route.0);
             let route = self.routes.entry(endpoint.route).or_default();
             route.wait_until = route.wait_until.max(self.now.saturating_add(*wait));
+            route.hear(*load);
         }
         if let Some((.., due)) = self.calls.get_mut(&done.call) {
             *due -= 1;
@@ -670,7 +676,9 @@
         let next_at = now + (self.warm_pause(endpoint, 0, waiting) as f64 * self.random.f64()) as Micros;
         let Some(endpoint) = self.endpoints.get_mut(&done.endpoint) else { return };
         let route = self.routes.entry(endpoint.route).or_default();
-        route.serve(now, part);
+        let told = route.told_pace(self.settings.senders);
+        route.serve(now, part, told);
+        route.heed_report(now, self.settings.senders, &mut self.random);
         endpoint.failures = 0;
         let cold = endpoint.quiet_for(now) >= COLD_AFTER;
         endpoint.delivered_at = Some(now);
@@ -785,7 +793,7 @@
         }
         let turns = message.order_key.as_ref().and_then(|key| self.turns.get(key));
         let rest = turns.map_or(0, |turns| if turns.rest_of == id { 0 } else { turns.rest_until });
-        if turns.is_some_and(|turns| turns.queue.front() != Some(&id)) {
+        if !self.has_turn(id) {
             return Gate::Shut;
         }
         let route = &self.routes[&endpoint.route];
@@ -813,6 +821,12 @@
         }
     }
 
+    /// Whether a message is the first of its order key, if it has one.
+    fn has_turn(&self, id: MessageId) -> bool {
+        let turns = self.messages[&id].order_key.as_ref().and_then(|key| self.turns.get(key));
+        turns.is_none_or(|turns| turns.queue.front() == Some(&id))
+    }
+
     /// Whether a message that may be repeated waits for the same destination: a trial that fails costs it
     /// little, but ends one that may not.
     fn has_repeatable(&self, message: &Message) -> bool {
@@ -903,6 +917,8 @@
         lines.sort_by_key(|(_, to)| std::cmp::Reverse(to.waiting.len()));
         for (destination, to) in lines.iter().take(LOG_LINES) {
             let line = to.waiting.len();
+            let resting = to.waiting.iter().filter(|id| self.messages[id].ready_at > self.now).count();
+            let behind = to.waiting.iter().filter(|id| !self.has_turn(**id)).count();
             for id in &to.endpoints {
                 let endpoint = &self.endpoints[id];
                 let (route, health) = (&self.routes[&endpoint.route], self.health_now(endpoint));
@@ -911,7 +927,8 @@
                     (route.pace, route.listed, (route.wait_until - self.now).max(0));
                 let sent = route.sent_within(self.now, SECOND);
                 let text = format!(
-                    "late: destination {destination}, {line} wait; endpoint {id}, {out} out, \
+                    "late: destination {destination}, {line} wait, {resting} rest after a try, {behind} are not first \
+                     of their key; endpoint {id}, {out} out, \
                      pace {pace:.1?}, {sent} sent in 1 s, listed rate {listed:.1?}, told wait {wait_us} us, \
                      {health:?}"
                 );
@@ -1047,6 +1064,39 @@
 }
 
 impl Route {
+    /// Takes in a report; one without a limit, or with figures that cannot be, tells nothing.
+    fn hear(&mut self, load: Option<Load>) {
+        let Some(Load { limit: Some(limit), allowance_left: Some(left), .. }) = load else { return };
+        if limit.is_finite() && limit > 0.0 && left >= 0.0 {
+            self.told = Some((limit, left.min(1.0)));
+        }
+    }
+
+    /// The pace at which all senders together use what a report says is left of the limit and comes anew: half
+    /// of this sender's part of the limit when nothing is left, so that what was overdrawn is made up, and more
+    /// than its part while others leave theirs.
+    fn told_pace(&self, senders: u32) -> f64 {
+        self.told.map_or(0.0, |(limit, left)| limit * (LEFT_PACE + left).min(1.0) / f64::from(senders))
+    }
+
+    /// Much of the limit is left by the latest report: a refusal is not the limit's.
+    fn has_left(&self) -> bool {
+        self.told.is_some_and(|(_, left)| left >= MUCH_LEFT)
+    }
+
+    /// Slows down before the limit is used up: of many senders, each would have to be refused first.
+    fn heed_report(&mut self, now: Micros, senders: u32, random: &mut fastrand::Rng) {
+        if self.told.is_none_or(|(_, left)| left >= LOW_LEFT) {
+            return;
+        }
+        let lately = (self.sent_within(now, SECOND) - 1.0).max(self.told_pace(senders));
+        let was = self.pace.replace(self.pace.unwrap_or(f64::MAX).min(lately));
+        if was.is_none() {
+            self.next_at = now;
+            self.space_out(now, random.f64());
+        }
+    }
+
     fn send(&mut self, now: Micros, chance: f64) {
         self.sent.retain(|at| now - at <= SENT_SPAN);
         self.sent.push(now);
@@ -1065,7 +1115,7 @@
         self.next_at = self.next_at.max(from) + pause as Micros;
     }
 
-    fn serve(&mut self, now: Micros, part: f64) {
+    fn serve(&mut self, now: Micros, part: f64, told: f64) {
         self.refusals = 0;
         // Calls may be rare: each counts for the pause before it.
         let doubles = |pace| if pace < part { PACE_REGAINS } else { PACE_DOUBLES };
@@ -1074,7 +1124,12 @@
         // Half a call is added, since where calls are rare a second may have none.
         let tried = (0.5 + self.sent_within(now, SECOND)) * PACE_UNTRIED;
         let grown = |pace: f64| if pace > tried.max(part) { pace } else { pace * growth(pace) };
-        self.pace = self.pace.map(|pace| grown(pace.max(PACE_SHARE * part)));
+        if let Some(pace) = self.pace {
+            let grown = grown(pace.max(PACE_SHARE * part)).max(told);
+            // The pause that runs shrinks too: at a slow pace, it lasts for seconds.
+            self.next_at = self.next_at.min(now + ((self.next_at - now) as f64 * pace / grown) as Micros);
+            self.pace = Some(grown);
+        }
     }
 
     /// Takes a refusal into the pace and the wait; says whether it looks like an outage. `part` is what the
@@ -1096,9 +1151,11 @@
             // Less one call: where calls are rare, one in a second says nothing of a rate.
             let lately = (self.sent_within(now, SECOND) - 1.0).max(first * self.sent_within(now, SENT_SPAN));
             let cut = self.pace.map_or(lately, |pace| pace / 2.0);
-            let listed = self.listed.filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
+            let limit = self.told.map(|(limit, _)| limit).or(self.listed);
+            let listed = limit.filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
             let least = PACE_MIN.max(PACE_SHARE * listed) / f64::from(senders);
-            self.pace = Some(cut.max(least).max(PACE_SHARE * part));
+            let told = if self.has_left() { 0.0 } else { self.told_pace(senders) };
+            self.pace = Some(cut.max(least).max(PACE_SHARE * part).max(told));
             self.cut_at = Some(now);
             self.next_at = now + wait;
             self.space_out(now, chance);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -119,6 +119,13 @@
     Event::Ended { id, attempt, endpoint, outcome, elapsed: 0, last: false, wait, load: None }
 }
 
+/// An outcome with a report of the share of the limit that is left, and of the limit.
+pub fn reported(id: MessageId, attempt: u32, outcome: Outcome, left: f64, limit: f64) -> Event {
+    let last = outcome == Outcome::Delivered;
+    let load = Some(Load { allowance_left: Some(left), limit: Some(limit), ..Load::default() });
+    Event::Ended { id, attempt, endpoint: 1, outcome, elapsed: 0, last, wait: 0, load }
+}
+
 /// One controller with its clock and the timers it asked for.
 pub struct Bench {
     pub controller: Controller,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -122,3 +122,64 @@
     assert!(later.iter().all(|(at, id, to)| *at >= told + 4 * SECOND && (*id, *to) == (2, 1)), "{later:?}");
     assert!(!later.is_empty());
 }
+
+/// One of a hundred senders, with a call out to a destination that it calls rarely.
+fn rare_caller() -> Bench {
+    let settings = Settings { senders: 100, rates_listed: true, ..settings() };
+    let mut bench = Bench::new(settings, vec![Entry { rate: 20.0, ..entry(1, 10, 0) }]);
+    bench.turn(&[message(1, 0, 10)]);
+    bench
+}
+
+/// Sends until `until`, each answered at once as delivered with this report.
+fn delivered(bench: &mut Bench, until: Micros, (left, limit): (f64, f64)) -> Vec<Micros> {
+    let mut sent = Vec::new();
+    while let Some(at) = bench.timers.iter().copied().filter(|at| *at <= until).min() {
+        for (at, id, _) in sends_in_time(&bench.pass(at)) {
+            sent.push(at);
+            bench.turn(&[reported(id, bench.attempts[&id], Outcome::Delivered, left, limit)]);
+        }
+    }
+    bench.now = until;
+    sent
+}
+
+/// Guards against a limit that is found out by a refusal of each of a hundred senders: that is a hundred calls.
+#[test]
+fn a_report_of_little_left_paces_before_a_refusal() {
+    let calls_of_ten = |left| {
+        let mut bench = rare_caller();
+        bench.turn(&[reported(1, 0, Outcome::Delivered, left, 50.0)]);
+        let now = sends(&bench.turn(&[message(2, 0, 10), message(3, 0, 10), message(4, 0, 10)])).len();
+        let until = bench.now + 5 * SECOND;
+        now + delivered(&mut bench, until, (left, 50.0)).len()
+    };
+    // An even share of the limit is half a call a second, and some of that must be made up.
+    assert!((1..=2).contains(&calls_of_ten(0.05)));
+    assert_eq!(calls_of_ten(0.9), 3, "nothing is held back while most of the limit is left");
+}
+
+/// Guards against a sender at a slow pace that hears of a limit lifted, and sits out the pause that it had begun.
+#[test]
+fn a_lifted_limit_is_used_from_the_next_answer_on() {
+    let mut bench = rare_caller();
+    bench.turn(&[reported(1, 0, Outcome::Full, 0.0, 20.0)]);
+    bench.turn(&[message(2, 0, 10), message(3, 0, 10), message(4, 0, 10)]);
+    let start = bench.now;
+    let sent = delivered(&mut bench, start + 30 * SECOND, (0.9, 200.0));
+    assert!(sent[0] - start >= 2 * SECOND, "a tenth of a call a second at first: {sent:?}");
+    assert!(sent[2] - sent[0] <= 2 * SECOND, "then two a second: {sent:?}");
+}
+
+/// Guards against reports that nobody can mean: they change nothing.
+#[test]
+fn reports_that_cannot_be_are_not_heard() {
+    for (left, limit) in
+        [(0.0, 0.0), (0.0, -5.0), (0.0, f64::NAN), (-1.0, 5.0), (f64::NAN, 5.0), (0.0, f64::INFINITY)]
+    {
+        let mut bench = rare_caller();
+        bench.turn(&[reported(1, 0, Outcome::Delivered, left, limit)]);
+        let sent = sends(&bench.turn(&[message(2, 0, 10), message(3, 0, 10)])).len();
+        assert_eq!(sent, 2, "left {left}, limit {limit}");
+    }
+}
