--- a/src/control.rs
+++ b/src/control.rs
@@ -894,9 +894,14 @@
             let later = self.now + self.delay(to);
             let latencies = to.endpoints.iter().map(|id| self.endpoints[id].latency);
             let slot_time = latencies.fold(10.0 * UNKNOWN_LATENCY, f64::min).max(UNKNOWN_LATENCY / 8.0);
+            let loss = |message| self.worth_at(message, self.now) - self.worth_at(message, later);
             for (id, message) in to.waiting.iter().map(|id| (*id, &self.messages[id])) {
-                let loss = self.worth_at(message, self.now) - self.worth_at(message, later);
-                order.push((loss / slot_time, message.aim_at, id));
+                // The first of a key holds up all behind it, wherever they go.
+                let turns = message.order_key.as_ref().and_then(|key| self.turns.get(key));
+                let behind = turns.filter(|turns| turns.queue.front() == Some(&id));
+                let held_up = behind.into_iter().flat_map(|turns| turns.queue.iter().skip(1));
+                let held_up: f64 = held_up.filter_map(|id| self.messages.get(id)).map(loss).sum();
+                order.push(((loss(message) + held_up) / slot_time, message.aim_at, id));
             }
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -634,3 +634,20 @@
         assert_eq!(trials.iter().map(|(_, id, _)| *id).collect::<Vec<_>>(), [tried_by]);
     }
 }
+
+/// Guards against a key whose first message is late and so worth little: all behind it are lost with it.
+#[test]
+fn the_first_of_a_key_goes_before_what_holds_up_nothing() {
+    let slots = Limits { slots: 1, ..settings().limits };
+    let mut bench =
+        Bench::new(Settings { limits: slots, ..settings() }, vec![entry(1, 10, 0), entry(2, 20, 0)]);
+    // The only slot is taken while all come.
+    bench.turn(&[message(1, 0, 20)]);
+    bench.turn(&[message(2, 0, 10), keyed(3, 10, "k"), keyed(4, 10, "k"), keyed(5, 20, "k")]);
+    // Past the aim, where waiting costs worth.
+    bench.now += 3 * SECOND;
+    let freed = bench.turn(&[ended(1, 0, 2, Outcome::Delivered)]);
+    assert_eq!(sends(&freed), [(3, 1)]);
+    let next = bench.turn(&[ended(3, 0, 1, Outcome::Delivered)]);
+    assert_eq!(sends(&next), [(4, 1)], "two are left of the key");
+}
