--- a/src/control.rs
+++ b/src/control.rs
@@ -932,8 +932,8 @@
                     (route.pace, route.listed, (route.wait_until - self.now).max(0));
                 let sent = route.sent_within(self.now, SECOND);
                 let text = format!(
-                    "late: destination {destination}, {line} wait, {resting} rest after a try, {behind} are not first \
-                     of their key; endpoint {id}, {out} out, \
+                    "late: destination {destination}, {line} wait, {resting} rest after a try, \
+                     {behind} are not first of their key; endpoint {id}, {out} out, \
                      pace {pace:.1?}, {sent} sent in 1 s, listed rate {listed:.1?}, told wait {wait_us} us, \
                      {health:?}"
                 );
