Take two refusals with much of the limit left for an outage

Route::refuse wanted four refusals in a row, which takes a sender with 0.3 calls a second over 10 s, and its floor by the limit kept the calls coming.

--- a/src/control.rs
+++ b/src/control.rs
@@ -109,7 +109,7 @@
     cut_at: Option<Micros>,
     sent: Vec<Micros>,
     listed: Option<f64>,
-    /// Told by the latest report: the limit of all senders in calls a second, and the share of it that is left.
+    /// The latest report's limit of all senders in calls a second, and the share of it that is left.
     told: Option<(f64, f64)>,
     refusals: u32,
     refused_since: Micros,
@@ -1077,9 +1077,8 @@
         }
     }
 
-    /// The pace at which all senders together use what a report says is left of the limit and comes anew: half
-    /// of this sender's part of the limit when nothing is left, so that what was overdrawn is made up, and more
-    /// than its part while others leave theirs.
+    /// This sender's even share of a told limit; half of it when nothing is left, so that what all have
+    /// overdrawn is made up.
     fn told_pace(&self, senders: u32) -> f64 {
         self.told.map_or(0.0, |(limit, left)| limit * (LEFT_PACE + left).min(1.0) / f64::from(senders))
     }
@@ -1151,7 +1150,8 @@
         chance: f64,
     ) -> bool {
         self.refused_since = if self.refusals == 0 { now } else { self.refused_since };
-        self.refusals += 1;
+        // The limit is not what refuses while much of it is left: where calls are rare, that says enough.
+        self.refusals += if self.has_left() { SHUT_REFUSALS / 2 } else { 1 };
         if self.cut_at.is_none_or(|at| now - at >= SECOND) {
             // Less one call: where calls are rare, one in a second says nothing of a rate.
             let lately = (self.sent_within(now, SECOND) - 1.0).max(first * self.sent_within(now, SENT_SPAN));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -171,6 +171,23 @@
     assert!(sent[2] - sent[0] <= 2 * SECOND, "then two a second: {sent:?}");
 }
 
+/// Guards against a destination that is down and answers as full, to which each of a hundred senders goes on calling
+/// for want of a run of refusals: it held every call for 8 s though all of its limit was left.
+#[test]
+fn two_refusals_with_most_of_the_limit_left_are_an_outage() {
+    let avoided = |left| {
+        let mut bench = rare_caller();
+        bench.turn(&[reported(1, 0, Outcome::Full, left, 20.0)]);
+        bench.now += 3 * SECOND;
+        bench.turn(&[message(2, 2, 10)]);
+        bench.pass(bench.now + 12 * SECOND);
+        let id = *bench.calls.first_key_value().expect("a second call").0;
+        bench.turn(&[reported(id, bench.attempts[&id], Outcome::Full, left, 20.0)]);
+        bench.controller.avoided()
+    };
+    assert_eq!((avoided(1.0), avoided(0.0)), (1, 0));
+}
+
 /// Guards against reports that nobody can mean: they change nothing.
 #[test]
 fn reports_that_cannot_be_are_not_heard() {
