--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -180,7 +180,9 @@
         bench.turn(&[reported(1, 0, Outcome::Full, left, 20.0)]);
         bench.now += 3 * SECOND;
         bench.turn(&[message(2, 2, 10)]);
-        bench.pass(bench.now + 12 * SECOND);
+        while bench.calls.is_empty() {
+            bench.pass(bench.now + 100 * MS);
+        }
         let id = *bench.calls.first_key_value().expect("a second call").0;
         bench.turn(&[reported(id, bench.attempts[&id], Outcome::Full, left, 20.0)]);
         bench.controller.avoided()
