Hold a key until the notice that ended its last message is answered

Controller::end forgot a message it gave up and passed its key on in the same turn; for the platform it is over only once its notice is answered. The module keeps the key until the host says Over; the host says so when the notice is answered, or when the client was refused directly. The simulator takes an end as it is decided and is not changed.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -314,6 +314,8 @@
         let kinds = 0..self.kinds.len();
         let fees = info.carriage.as_deref().unwrap_or_default();
         Ok(Settings {
+            // The simulator takes an end as it is decided.
+            notices: false,
             classes: self.categories.iter().map(Category::class).collect::<Result<_, _>>()?,
             kinds: kinds
                 .map(|kind| Kind {
--- a/sender/src/config.rs
+++ b/sender/src/config.rs
@@ -124,6 +124,8 @@
     fn decode(text: &[u8], state: PathBuf) -> anyhow::Result<Self> {
         let file: File = serde_json::from_slice(text).context("the configuration is malformed")?;
         let settings = file.settings.settings().map_err(anyhow::Error::msg)?;
+        // On sockets, the platform hears of an end by a notice, later than the module decides on it.
+        let settings = Settings { notices: true, ..settings };
         Ok(Self {
             name: file.name,
             listen: file.listen,
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -197,7 +197,10 @@
         let kept: Vec<_> = self.journal.kept().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
-                Kept::Owed(notice) => self.notices.push(id, notice),
+                Kept::Owed(notice, order_key) => {
+                    self.notices.push(id, notice);
+                    self.events.extend(order_key.map(|order_key| Event::Owed { id, order_key }));
+                }
                 Kept::Open(taken, past) => self.resume_message(id, taken, past),
             }
         }
@@ -212,7 +215,7 @@
         let kept: Vec<_> = self.journal.kept().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
-                Kept::Owed(notice) => self.notices.push(id, notice),
+                Kept::Owed(notice, _) => self.notices.push(id, notice),
                 Kept::Open(taken, past) if self.controller.holds(id) => self.hold(id, taken, past),
                 // Its end was not written; what is not known to have ended goes on.
                 Kept::Open(taken, past) => self.resume_message(id, taken, past),
@@ -528,6 +531,7 @@
 
     fn noticed(&mut self, id: MessageId) {
         log_failure(self.journal.noticed(id));
+        self.events.push(Event::Over { id });
     }
 
     fn list(&mut self, version: u64, told: Told) {
@@ -669,8 +673,9 @@
     fn give_up(&mut self, id: MessageId, bounced: Option<Micros>) {
         self.count_given_up(id, bounced.is_some());
         let fate = if bounced.is_some() { Fate::Dropped } else { Fate::BadGateway };
-        if let Some(open) = self.close(id, Some(fate)) {
-            self.conclude(id, open.call_id, bounced);
+        match self.close(id, Some(fate)) {
+            Some(open) => self.conclude(id, open.call_id, bounced),
+            None => self.events.push(Event::Over { id }),
         }
     }
 
--- a/sender/src/journal.rs
+++ b/sender/src/journal.rs
@@ -116,6 +116,8 @@
     /// An operator has taken the endpoint of this name out, or put it back.
     Out(String),
     Back(String),
+    /// The order key of a message whose notice is still owed.
+    Key(MessageId, String),
 }
 
 /// The attempts of a message so far.
@@ -139,7 +141,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Kept {
     Open(Taken, Past),
-    Owed(Notice),
+    /// With its order key: the next message of that waits for the platform's answer.
+    Owed(Notice, Option<String>),
 }
 
 /// The journal of one sender.
@@ -289,7 +292,12 @@
                     text.extend(encode(&Record::Taken(*id, taken.clone()))?);
                     text.extend(encode(&Record::Past(*id, *past))?);
                 }
-                Kept::Owed(notice) => text.extend(encode(&Record::Ended(*id, Some(notice.clone())))?),
+                Kept::Owed(notice, key) => {
+                    text.extend(encode(&Record::Ended(*id, Some(notice.clone())))?);
+                    if let Some(key) = key {
+                        text.extend(encode(&Record::Key(*id, key.clone()))?);
+                    }
+                }
             }
         }
         if blocks(self.length) + blocks(text.len() as u64) > self.disk {
@@ -335,12 +343,17 @@
             Record::Past(id, now) => self.with_past(id, |past| *past = now),
             Record::Ended(id, notice) => {
                 self.used = self.used.max(id);
-                self.drop_open(id);
+                let key = self.drop_open(id);
                 if let Some(notice) = notice {
-                    self.live.insert(id, Kept::Owed(notice));
+                    self.live.insert(id, Kept::Owed(notice, key));
+                }
+            }
+            Record::Key(id, key) => {
+                if let Some(Kept::Owed(_, kept)) = self.live.get_mut(&id) {
+                    *kept = Some(key);
                 }
             }
-            Record::Noticed(id) => self.drop_open(id),
+            Record::Noticed(id) => drop(self.drop_open(id)),
             Record::Out(name) => drop(self.out.insert(name)),
             Record::Back(name) => drop(self.out.remove(&name)),
         }
@@ -352,10 +365,11 @@
         }
     }
 
-    fn drop_open(&mut self, id: MessageId) {
-        if let Some(Kept::Open(taken, _)) = self.live.remove(&id) {
-            self.open_bytes = self.open_bytes.saturating_sub(room(&taken));
-        }
+    /// Gives the order key of what was open.
+    fn drop_open(&mut self, id: MessageId) -> Option<String> {
+        let Some(Kept::Open(taken, _)) = self.live.remove(&id) else { return None };
+        self.open_bytes = self.open_bytes.saturating_sub(room(&taken));
+        taken.order_key
     }
 }
 
@@ -427,7 +441,11 @@
         let again = Journal::open(folder.path(), DISK).unwrap();
         assert_eq!(kept(&again), kept(&journal));
         let past = Past { attempts: 3, ran: Some((6, 0)), out: Some((7, 0)) };
-        assert_eq!(kept(&again), [(1, Kept::Open(taken("m", 100), past)), (3, Kept::Owed(notice))]);
+        // Its key is kept, also by compaction: what comes next of it waits for the notice to be answered.
+        let owed = Kept::Owed(notice, Some("card".to_owned()));
+        journal.compact().unwrap();
+        assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()), kept(&again));
+        assert_eq!(kept(&again), [(1, Kept::Open(taken("m", 100), past)), (3, owed)]);
         assert_eq!((again.next_id(), past.first_run()), (4, Some((6, 0))));
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -192,6 +192,8 @@
     ends: BTreeSet<(Micros, MessageId)>,
     routes: BTreeMap<RouteKey, Route>,
     turns: BTreeMap<String, Turns>,
+    /// Given up, but not over while the platform has not heard so: its key waits.
+    owed: BTreeMap<MessageId, String>,
     shares: Vec<(f64, Micros)>,
     started: Option<Micros>,
     arrived: f64,
@@ -283,6 +285,13 @@
                 }
                 self.ends.insert((self.now, *id));
             }
+            Event::Owed { id, order_key } => {
+                self.turns.entry(order_key.clone()).or_default().queue.push_back(*id);
+                self.owed.insert(*id, order_key.clone());
+            }
+            Event::Over { id } => {
+                self.owed.remove(id).into_iter().for_each(|key| self.pass_turn(&key, *id));
+            }
             Event::Started { id, .. } => drop(self.messages.entry(*id).and_modify(|m| m.streaming = true)),
             Event::Ended { .. } => self.ended(event),
             Event::Withdrawn { id } => self.forget(*id),
@@ -488,6 +497,8 @@
         let retry_after = if self.settings.limits.retry_after { retry_after } else { 0 };
         let harmless = safe || (message.ran.is_none() && !message.out);
         actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+        let key = message.order_key.clone().filter(|_| self.settings.notices);
+        self.owed.extend(key.map(|key| (id, key)));
         self.forget(id);
     }
 
@@ -499,7 +510,8 @@
 
     /// Lets the next message of an order key have its turn, once the ended one has no attempt out.
     fn pass_turn(&mut self, key: &str, id: MessageId) {
-        if self.attempts.range((id, 0)..=(id, u32::MAX)).next().is_some() || self.messages.contains_key(&id) {
+        let out = self.attempts.range((id, 0)..=(id, u32::MAX)).next().is_some();
+        if out || self.messages.contains_key(&id) || self.owed.contains_key(&id) {
             return;
         }
         if let Some(turns) = self.turns.get_mut(key) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,6 +229,8 @@
     pub rules: Rules,
     /// Points taken off the result.
     pub prices: Prices,
+    /// A message that is refused or failed is over only once the host says so by `Over`.
+    pub notices: bool,
 }
 
 impl Settings {
@@ -419,6 +421,18 @@
         /// process died may have run.
         ran: Option<(Micros, usize)>,
     },
+    /// An earlier process of this sender gave up a message of an order key, and the platform has yet to hear so.
+    Owed {
+        /// The message; told in the order in which messages were taken on.
+        id: MessageId,
+        /// What it was about.
+        order_key: String,
+    },
+    /// The platform has heard that a message was refused or failed: what follows in its order may go.
+    Over {
+        /// The message.
+        id: MessageId,
+    },
     /// A streamed response began; the attempt belongs to the client from now on.
     Started {
         /// The message.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -66,6 +66,7 @@
             order_pause: SECOND,
         },
         prices: Prices::default(),
+        notices: false,
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -253,3 +253,35 @@
     let served = day.held.values().filter(|held| held.ran.is_some() || held.attempts == 1).count();
     assert!(served * 100 >= day.held.len() * 90, "{served} of {}", day.held.len());
 }
+
+/// Guards against a message that goes out while the platform still counts the one before it as open: on sockets it
+/// hears of an end by a notice, which may be slow or have to be sent again.
+#[test]
+fn a_key_waits_until_the_platform_has_heard_of_an_end() {
+    let classes = vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe), {
+        Class { ordered: true, ..class(Effect::Unsafe) }
+    }];
+    for notices in [false, true] {
+        let settings = Settings { notices, classes: classes.clone(), ..settings() };
+        let mut bench = Bench::new(settings, vec![entry(1, 10, 0), entry(2, 20, 0)]);
+        bench.turn(&[keyed(1, 10, "k"), keyed(2, 20, "k"), keyed(3, 20, "other")]);
+        let failed = bench.turn(&[ended(1, 0, 1, Outcome::Error)]);
+        assert!(failed.contains(&Action::Fail { id: 1 }), "{failed:?}");
+        assert_eq!(sends(&failed), if notices { vec![] } else { vec![(2, 2)] });
+        if notices {
+            let until = bench.now + 5 * SECOND;
+            assert!(sends_in_time(&bench.pass(until)).iter().all(|(_, id, _)| *id != 2));
+            // Nor does an earlier process's message free it, or another key's end.
+            bench.turn(&[Event::Over { id: 9 }]);
+            assert_eq!(sends(&bench.turn(&[Event::Over { id: 1 }])), [(2, 2)]);
+        }
+    }
+    // What an earlier process gave up holds its key up too; the next message ends in time all the same.
+    let settings = Settings { notices: true, classes, ..settings() };
+    let mut bench = Bench::new(settings, vec![entry(1, 10, 0)]);
+    let owed = Event::Owed { id: 1, order_key: "k".to_owned() };
+    assert!(sends(&bench.turn(&[owed, keyed(2, 10, "k"), keyed(3, 10, "other")])) == [(3, 1)]);
+    let until = bench.now + 20 * SECOND;
+    let ends = bench.pass(until);
+    assert!(ends.iter().any(|(at, action)| matches!(action, Action::Refuse { id: 2, .. }) && *at < until));
+}
