--- a/sender/src/discovery.rs
+++ b/sender/src/discovery.rs
@@ -22,6 +22,7 @@
 
 /// Short, so that a watch that was lost in silence is soon made anew.
 const WATCH_MS: u64 = 10_000;
+const FIRST_WATCH_MS: u64 = 50;
 /// How long an answer to notices may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 const LIST_BYTES: usize = 8 * 1024 * 1024;
@@ -146,10 +147,15 @@
 
 /// Watches the list for good. A new address ends the watch at the old one with its connection, so that no list
 /// of the old agent can follow one of the new agent.
-pub async fn watch(mut addresses: Addresses, inbox: mpsc::Sender<Happening>, senders: u32, known: bool) {
+pub async fn watch(
+    mut addresses: Addresses,
+    inbox: mpsc::Sender<Happening>,
+    senders: u32,
+    mut known: Option<u64>,
+) {
     let mut backoff = Backoff::new(senders, fastrand::Rng::new());
     // Who knows a list can serve on it meanwhile. A new address is asked at once: it may know better.
-    if known {
+    if known.is_some() {
         sleep(backoff.first()).await;
     }
     loop {
@@ -157,20 +163,32 @@
         tokio::select! {
             biased;
             Ok(()) = addresses.changed() => {}
-            () = watch_at(address, &inbox, &mut backoff) => return,
+            () = watch_at(address, known.take(), &inbox, &mut backoff) => return,
         }
     }
 }
 
-/// Watches the list of one agent, from a whole list on: versions of another agent mean nothing here. The next
-/// call goes out at once after each answer: a later one would begin a new watch, and changes in between would
-/// count as told though they were not.
-async fn watch_at(address: SocketAddr, inbox: &mpsc::Sender<Happening>, backoff: &mut Backoff) {
+/// Watches the list of one agent, from the version on that is known of it, or else from a whole list: versions of
+/// another agent mean nothing here. The next call goes out at once after each answer: a later one would begin a
+/// new watch, and changes in between would count as told though they were not. A new watch is what costs
+/// discovery; a first call for the whole list would be one more.
+async fn watch_at(
+    address: SocketAddr,
+    known: Option<u64>,
+    inbox: &mpsc::Sender<Happening>,
+    backoff: &mut Backoff,
+) {
     let mut agent = Agent::new(address);
-    let mut after = None;
+    // The first answer comes at once: it settles that what is known is all there is.
+    let (mut after, mut wait_ms) = (known, FIRST_WATCH_MS);
     loop {
-        match next_list(&mut agent, after).await {
+        match next_list(&mut agent, after, wait_ms).await {
+            Ok(list) if !list.snapshot && after.is_some_and(|after| list.index < after) => {
+                tracing::warn!(index = list.index, ?after, "discovery counts anew: asks for the whole list");
+                after = None;
+            }
             Ok(list) => {
+                wait_ms = WATCH_MS;
                 let (index, whole, lines) = (list.index, list.snapshot, list.endpoints.len());
                 tracing::info!(index, whole, lines, failures = backoff.failures, "discovery answers");
                 (after, backoff.failures) = (Some(list.index), 0);
@@ -186,12 +204,12 @@
     }
 }
 
-async fn next_list(agent: &mut Agent, after: Option<u64>) -> anyhow::Result<List> {
+async fn next_list(agent: &mut Agent, after: Option<u64>, wait_ms: u64) -> anyhow::Result<List> {
     let (path, patience) = match after {
         None => ("/v1/servers".to_owned(), LIST_PATIENCE),
         Some(after) => {
-            let path = format!("/v1/servers?after={after}&wait_ms={WATCH_MS}");
-            (path, LIST_PATIENCE + Duration::from_millis(WATCH_MS))
+            let path = format!("/v1/servers?after={after}&wait_ms={wait_ms}");
+            (path, LIST_PATIENCE + Duration::from_millis(wait_ms))
         }
     };
     let (status, body) = timeout(patience, agent.ask(Method::GET, &path, Bytes::new())).await??;
@@ -321,11 +339,50 @@
                 }
             });
             for _ in 0..3 {
-                let refused = next_list(&mut agent, None).await.unwrap_err();
+                let refused = next_list(&mut agent, None, 0).await.unwrap_err();
                 assert!(refused.to_string().contains("503"), "{refused:#}");
                 assert!(agent.connection.is_some());
             }
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
+
+    /// Guards against two calls by each process of a restarted fleet where one will do, and against a discovery
+    /// that counts anew being waited for until it has caught up.
+    #[tokio::test]
+    async fn a_known_list_is_followed_from_its_version_on() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_moved, addresses) = tokio::sync::watch::channel(listener.local_addr().unwrap());
+            let (asked, mut asks) = mpsc::channel(8);
+            tokio::task::spawn_local(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                for answer in [r#"{"index":9,"snapshot":false,"endpoints":[]}"#; 2]
+                    .into_iter()
+                    .chain([r#"{"index":3,"snapshot":false,"endpoints":[]}"#, ""])
+                {
+                    let mut request = [0; 4096];
+                    let length = stream.read(&mut request).await.unwrap();
+                    let line = String::from_utf8_lossy(&request[..length]).lines().next().unwrap().to_owned();
+                    asked.send(line).await.unwrap();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
+                    stream.write_all((head + answer).as_bytes()).await.unwrap();
+                }
+            });
+            let (inbox, mut lists) = mpsc::channel(8);
+            tokio::task::spawn_local(watch(addresses, inbox, 1, Some(7)));
+            let mut lines = Vec::new();
+            for _ in 0..4 {
+                lines
+                    .push(asks.recv().await.unwrap().replace(" HTTP/1.1", "").replace("GET /v1/servers", ""));
+            }
+            let after = |version: u64, wait: u64| format!("?after={version}&wait_ms={wait}");
+            assert_eq!(
+                lines,
+                [after(7, FIRST_WATCH_MS), after(9, WATCH_MS), after(9, WATCH_MS), String::new()]
+            );
+            assert!(matches!(lists.recv().await, Some(Happening::Listed(List { index: 9, .. }))));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
 }
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -124,7 +124,12 @@
             Err(error) => tracing::error!(%error, "no new process can take over"),
         }
         let senders = config.settings.senders;
-        work.spawn_local(discovery::watch(discovery.clone(), inbox.clone(), senders, config.known.is_some()));
+        work.spawn_local(discovery::watch(
+            discovery.clone(),
+            inbox.clone(),
+            senders,
+            config.known.as_ref().map(|known| known.index),
+        ));
         work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
         work.spawn_local(clients.clone().serve(accepting));
         ready.set(true);
--- a/sender/src/places.rs
+++ b/sender/src/places.rs
@@ -44,6 +44,8 @@
     next_id: EndpointId,
     destinations: HashMap<DestinationId, Instant>,
     settled: bool,
+    /// An earlier process's list is known.
+    recalled: bool,
     /// Names of endpoints that operators have taken out; they keep their ids.
     out: HashSet<String>,
 }
@@ -76,6 +78,7 @@
             next_id: 0,
             destinations: HashMap::new(),
             settled: false,
+            recalled: false,
             out: HashSet::new(),
         }
     }
@@ -152,12 +155,13 @@
 
     /// Takes in the list that an earlier process had, of unknown age.
     pub fn recall(&mut self, list: &List) -> Told {
+        self.recalled = true;
         Told { update: Update::Disk, ..self.take(list, true) }
     }
 
-    /// Takes in a list from discovery.
+    /// Takes in a list from discovery. What has changed since a list that was known makes it whole.
     pub fn list(&mut self, list: &List) -> Told {
-        self.settled |= list.snapshot;
+        self.settled |= list.snapshot || self.recalled;
         self.take(list, list.snapshot)
     }
 
