--- a/src/control.rs
+++ b/src/control.rs
@@ -749,11 +749,12 @@
     /// Messages a second that this sender is sure to be handed for an endpoint's route, up to its part of a
     /// listed rate; none for one that is out, whose trials many senders share.
     fn part(&self, endpoint: &Endpoint) -> f64 {
-        let listed = self.routes.get(&endpoint.route).and_then(|route| route.listed);
+        let share =
+            self.routes.get(&endpoint.route).and_then(|route| route.even_share(self.settings.senders));
         let out = matches!(endpoint.health, Health::Out { .. });
         let Some(to) = self.destinations.get(&endpoint.route.0).filter(|_| !out) else { return 0.0 };
         let own = (to.arrivals / self.counted(ASKED_SPAN)).max(self.growth(to)) / endpoint.routes(to);
-        own.min(listed.map_or(f64::MAX, |listed| listed / f64::from(self.settings.senders)))
+        own.min(share.unwrap_or(f64::MAX))
     }
 
     /// Calls a second that an endpoint is taken to serve, of all senders.
@@ -1089,6 +1090,11 @@
         }
     }
 
+    /// This sender's part of the limit as reported last, or else as listed, in calls a second.
+    fn even_share(&self, senders: u32) -> Option<f64> {
+        self.told.map(|(limit, _)| limit).or(self.listed).map(|limit| limit / f64::from(senders))
+    }
+
     /// This sender's even share of a told limit; half of it when nothing is left, so that what all have
     /// overdrawn is made up.
     fn told_pace(&self, senders: u32) -> f64 {
@@ -1141,7 +1147,9 @@
         let tried = (0.5 + self.sent_within(now, SECOND)) * PACE_UNTRIED;
         let grown = |pace: f64| if pace > tried.max(part) { pace } else { pace * growth(pace) };
         if let Some(pace) = self.pace {
-            let grown = grown(pace.max(PACE_SHARE * part)).max(told);
+            let grows = self.told.is_none_or(|(_, left)| left >= LOW_LEFT);
+            let pace_now = pace.max(PACE_SHARE * part);
+            let grown = if grows { grown(pace_now) } else { pace_now }.max(told);
             // The pause that runs shrinks too: at a slow pace, it lasts for seconds.
             self.next_at = self.next_at.min(now + ((self.next_at - now) as f64 * pace / grown) as Micros);
             self.pace = Some(grown);
@@ -1166,7 +1174,10 @@
         self.refusals += if self.has_left() { SHUT_REFUSALS / 2 } else { 1 };
         if self.cut_at.is_none_or(|at| now - at >= SECOND) {
             // Less one call: where calls are rare, one in a second says nothing of a rate.
-            let lately = (self.sent_within(now, SECOND) - 1.0).max(first * self.sent_within(now, SENT_SPAN));
+            // Nor are the few of some seconds a rate that all senders could keep to.
+            let share = self.even_share(senders).unwrap_or(f64::MAX);
+            let rare = (first * self.sent_within(now, SENT_SPAN)).min(share);
+            let lately = (self.sent_within(now, SECOND) - 1.0).max(rare);
             let cut = self.pace.map_or(lately, |pace| pace / 2.0);
             let limit = self.told.map(|(limit, _)| limit).or(self.listed);
             let listed = limit.filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -190,6 +190,25 @@
     assert_eq!((avoided(1.0), avoided(0.0)), (1, 0));
 }
 
+/// Guards against a fleet that goes on at the listed rate, or at the rate of a few calls of late, when a destination
+/// has lowered its limit and counts refused calls too: it then answered none for up to 8 s.
+#[test]
+fn a_refusal_brings_a_rare_caller_below_its_share_of_the_lowered_limit() {
+    let mut bench = rare_caller();
+    bench.turn(&[reported(1, 0, Outcome::Delivered, 0.9, 20.0)]);
+    for id in 2..8 {
+        bench.now += 3 * SECOND / 2;
+        bench.turn(&[message(id, 0, 10)]);
+        bench.turn(&[reported(id, 0, Outcome::Delivered, 0.9, 20.0)]);
+    }
+    bench.now += 3 * SECOND / 2;
+    bench.turn(&[message(8, 0, 10)]);
+    bench.turn(&[reported(8, 0, Outcome::Full, 0.0, 5.0), message(9, 0, 10), message(10, 0, 10)]);
+    let until = bench.now + 10 * SECOND;
+    let sent = sends_in_time(&bench.pass(until)).len();
+    assert!(sent <= 1, "{sent} calls in 10 s at a twentieth of a call a second");
+}
+
 /// Guards against reports that nobody can mean: they change nothing.
 #[test]
 fn reports_that_cannot_be_are_not_heard() {
