Withhold a call whose connection comes up after its window or deadline

Cause: the module decides on a repeat up to 50 ms before the window ends (`latest_start`), but `Endpoints::exchange` wrote it whenever its connection came up, up to the connect time-out (1 s) later. Where connections come up late, or a peer is cut off and back, that lies outside the window; likewise past the deadline.

Ruled out by reading: the group (zones of the first call are kept), outcomes taken for never-ran (a whole answer is wanted), free repeats (only with no byte written).

The module now tells with each call until when it may go out, and the sender withholds it after that, as it does for told waits and drains.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -536,7 +536,8 @@
 /// Adds an action's line to a reply.
 pub fn write(reply: &mut String, i: u64, action: Action) {
     let outgoing = match action {
-        Action::Send { id, endpoint, timeout } => {
+        // There, what is sent arrives in the same moment.
+        Action::Send { id, endpoint, timeout, .. } => {
             Outgoing::Try { i, req: id, endpoint, within_ms: millis(timeout) }
         }
         Action::Cancel { id, attempt } => Outgoing::Retract { i, req: id, attempt },
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -593,7 +593,9 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, endpoint, timeout } => self.send(now, id, endpoint, timeout),
+            Action::Send { id, endpoint, timeout, begin_by } => {
+                self.send(now, id, endpoint, (timeout, begin_by));
+            }
             Action::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
             Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)),
             Action::Fail { id } => self.give_up(id, None),
@@ -605,8 +607,8 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: MessageId, endpoint: EndpointId, timeout: Micros) {
-        let Some((attempt, call)) = self.prepare(now, id, endpoint, timeout) else {
+    fn send(&mut self, now: Micros, id: MessageId, endpoint: EndpointId, times: (Micros, Micros)) {
+        let Some((attempt, call)) = self.prepare(now, id, endpoint, times) else {
             // Not held any more, or not to be kept in the journal: no byte of it has gone out.
             let attempt = self.open.get_mut(&id).map_or(0, |open| {
                 open.attempts += 1;
@@ -642,7 +644,7 @@
         now: Micros,
         id: MessageId,
         endpoint: EndpointId,
-        timeout: Micros,
+        (timeout, begin_by): (Micros, Micros),
     ) -> Option<(u32, Call)> {
         let open = self.open.get_mut(&id)?;
         let place = self.places.get(endpoint)?;
@@ -659,6 +661,7 @@
             body: open.body.clone(),
             timeout: span(timeout),
             made: Instant::now(),
+            begin_by: self.clock.instant(begin_by),
         };
         let written = self.journal.attempt(id, (now, place.zone as u64));
         written.inspect_err(|error| tracing::warn!(%error)).ok()?;
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -53,6 +53,8 @@
     pub timeout: Duration,
     /// When it was decided on.
     pub made: Instant,
+    /// Later than this, nothing of it may be sent: a repeat would come outside its window.
+    pub begin_by: Instant,
 }
 
 impl Call {
@@ -256,10 +258,14 @@
                 Some((open, _)) => connection.insert(open),
                 None => connection.insert(self.connect(call.address).await?),
             };
-            // While the connection was made, a wait may have been told, or the endpoint may have begun to drain:
-            // nothing may go there now.
+            // While the connection was made, a wait may have been told, the endpoint may have begun to drain, or
+            // the time for another try may have passed: nothing may go there now.
             let left = self.left.borrow().get(&call.endpoint).is_some_and(|since| *since >= call.made);
-            if left || self.retired.get() || self.must_wait(call.route) {
+            let late = Instant::now() > call.begin_by;
+            if late {
+                tracing::info!(?call.call_id, "its time to be sent had passed before a connection was up");
+            }
+            if left || late || self.retired.get() || self.must_wait(call.route) {
                 return Err(Outcome::NotSent);
             }
             open.count_whole(request.length, &self.tries);
@@ -526,7 +532,8 @@
     fn call_to(address: SocketAddr) -> Call {
         let (endpoint, route, timeout) = (1, (7, None), Duration::from_secs(30));
         let (call_id, key) = (HeaderValue::from_static("m"), None);
-        Call { endpoint, address, route, call_id, key, body: Bytes::new(), timeout, made: Instant::now() }
+        let (made, body) = (Instant::now(), Bytes::new());
+        Call { endpoint, address, route, call_id, key, body, timeout, made, begin_by: made + timeout }
     }
 
     async fn outcome(endpoints: &Rc<Endpoints>, address: SocketAddr) -> Outcome {
@@ -587,6 +594,25 @@
         local.run_until(test).await;
     }
 
+    /// Guards against a repeat outside its window: it was decided on inside, and its connection came up late.
+    #[tokio::test]
+    async fn a_call_whose_connection_comes_up_late_is_not_sent() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::task::spawn_local(serve(listener));
+            let endpoints = endpoints();
+            let (_kept, cancel) = oneshot::channel();
+            let made = Instant::now();
+            let late = Call { begin_by: made, ..call_to(address) };
+            assert_eq!(endpoints.clone().call(late, cancel).await.outcome, Outcome::NotSent);
+            assert_eq!(endpoints.tries.get(), 0);
+            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(endpoints.tries.get(), 1);
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
     /// Guards against a call that was decided on before its endpoint began to drain, or before another process
     /// became the sender, and whose connection comes up only then.
     #[tokio::test]
--- a/src/control.rs
+++ b/src/control.rs
@@ -996,7 +996,7 @@
     fn send(&mut self, id: MessageId, to: EndpointId, actions: &mut Vec<Action>) {
         let (now, chance) = (self.now, self.random.f64());
         let (message, endpoint) = (&self.messages[&id], &self.endpoints[&to]);
-        let timeout = self.timeout(message, endpoint);
+        let (timeout, begin_by) = (self.timeout(message, endpoint), self.latest_start(message));
         let mut health = self.health_now(endpoint);
         if let Health::Warming { since, waiting, next_at } = &mut health {
             *next_at = (*next_at).max(now - SECOND) + self.warm_pause(endpoint, now - *since, *waiting);
@@ -1029,7 +1029,7 @@
         message.attempts += 1;
         message.out = true;
         self.destinations.entry(message.destination).or_default().waiting.remove(&id);
-        actions.push(Action::Send { id, endpoint: to, timeout });
+        actions.push(Action::Send { id, endpoint: to, timeout, begin_by });
     }
 
     /// When the hold is nearly full, refuses what is worth least by the time it could be served, lest
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -500,6 +500,8 @@
         endpoint: EndpointId,
         /// Time-out of this attempt.
         timeout: Micros,
+        /// When its last byte must be out at the latest: a connection that comes up later carries it no more.
+        begin_by: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -447,7 +447,7 @@
     actions.extend(
         answer(bench, 1, Outcome::Delivered, 0, start + 8 * SECOND)
             .into_iter()
-            .map(|at| (at, Action::Send { id: 0, endpoint: 1, timeout: 0 })),
+            .map(|at| (at, Action::Send { id: 0, endpoint: 1, timeout: 0, begin_by: 0 })),
     );
     sends_in_time(&actions).into_iter().map(|(at, ..)| at - start).collect()
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -98,7 +98,7 @@
     fn act(&mut self, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => self.send(*id, *endpoint, *timeout),
+                Action::Send { id, endpoint, timeout, .. } => self.send(*id, *endpoint, *timeout),
                 Action::Refuse { id, .. } => self.end(*id, true),
                 Action::Fail { id } => self.end(*id, false),
                 _ => {}
