Make a silent watch anew within its clock, and bound pauses by the settings

Seen by reading, and by tests that failed before: a watch that has fallen silent was waited for for 13 s and then backed off from for up to 30 s with 300 senders; what it misses counts as told after 6 s or 2 s after its wait. First calls were put off by up to 15 s of the 10 s that the settings give, failed ones by up to 120 s of 40 s. Notices on a silent connection were sent again after 2 s; a message is lost 0.35 s after its time.

Wrong were the constants of `discovery.rs` and `Backoff::next`, which took silence and an agent of one's own for a busy discovery.

Tests seen to fail with the old figures: a silent watch in its first call, after an answer and within a list; pauses against the settings' times; a notice on a silent connection. New besides: SIGHUP in a pause, in silence and within a list.

--- a/sender/src/discovery.rs
+++ b/sender/src/discovery.rs
@@ -11,20 +11,32 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
-use roadshift::interface::MessageId;
+use roadshift::interface::{Discovery, MessageId, Settings};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch, Notify};
+use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::connection::Connection;
 use crate::driver::Happening;
+use crate::endpoints::span;
 use crate::journal::Notice;
 
-/// Short, so that a watch that was lost in silence is soon made anew.
-const WATCH_MS: u64 = 10_000;
-const FIRST_WATCH_MS: u64 = 50;
-/// How long an answer to notices may take.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// How long a call that goes on with a watch waits: so short that one which has fallen silent is made anew well
+/// before what it misses counts as told, 6 s after or 2 s after the wait. Longer with many senders, lest those whose
+/// watches fall silent together overbook discovery with new ones: each adds a part to the time that they share.
+const WATCH_LEAST: Duration = Duration::from_millis(2_500);
+const WATCH_MOST: Duration = Duration::from_secs(10);
+const WATCH_PART: Duration = Duration::from_millis(33);
+const FIRST_WATCH: Duration = Duration::from_millis(50);
+/// How long its answer may take beyond that: it comes at once, since it is no new watch.
+const WATCH_PATIENCE: Duration = Duration::from_secs(1);
+/// Longest pause before a watch that has fallen silent is made anew, the first time.
+const RENEW_JITTER: Duration = Duration::from_millis(200);
+/// How long an answer to notices may take. It is given at once, so the connection may be dead; each time that it was
+/// not, it is doubled, lest a slow platform never get to answer.
+const NOTICE_PATIENCE: Duration = Duration::from_millis(150);
+const NOTICE_PATIENCE_MOST: Duration = Duration::from_secs(2);
 const LIST_BYTES: usize = 8 * 1024 * 1024;
 /// Pause after a notice was not taken; it is stretched by chance, so that senders do not come in step.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -32,6 +44,12 @@
 /// times a second, however many they are. Doubled with each further failure, so many times at most.
 const ASK_GAP: Duration = Duration::from_millis(100);
 const ASK_DOUBLINGS: u32 = 2;
+/// Where senders ask, a list counts as old so long after the last call as the settings say, and four times as long
+/// after one that failed: pauses before a first call and between failed ones stay below that.
+const FIRST_SHARE: f64 = 0.8;
+const FAILED_SHARE: f64 = 3.0;
+/// Where lists are pushed, what the agent has counts as told at once.
+const PUSHED_GAP_MOST: Duration = Duration::from_millis(200);
 /// How long an answer with the list may take beyond the wait that was asked for: longer than discovery lets a call
 /// wait in its queue (2 s), lest its work on an answer be for nothing.
 const LIST_PATIENCE: Duration = Duration::from_secs(3);
@@ -105,11 +123,45 @@
     sleep(PAUSE.mul_f64(1.0 + 2.0 * fastrand::f64())).await;
 }
 
+/// How often discovery may be called, by what the settings say of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Manner {
+    /// Longest pause before the first call of a process that knows a list.
+    first: Duration,
+    /// Longest pause after a failed call, doubled with each further one up to the utmost.
+    gap: Duration,
+    gap_most: Duration,
+    /// How long a call that goes on with a watch waits.
+    wait: Duration,
+}
+
+impl Manner {
+    pub fn new(settings: &Settings) -> Self {
+        match settings.discovery {
+            // The agent is this sender's alone.
+            Discovery::Push => {
+                Self { first: Duration::ZERO, gap: ASK_GAP, gap_most: PUSHED_GAP_MOST, wait: WATCH_LEAST }
+            }
+            // One discovery answers all senders.
+            Discovery::Subscribe => {
+                let within = span(settings.rules.ask_within);
+                let gap_most = within.mul_f64(FAILED_SHARE).max(ASK_GAP);
+                Self {
+                    first: (ASK_GAP * settings.senders / 2).min(within.mul_f64(FIRST_SHARE)),
+                    gap: (ASK_GAP * settings.senders).min(gap_most),
+                    gap_most,
+                    wait: (WATCH_PART * settings.senders).clamp(WATCH_LEAST, WATCH_MOST),
+                }
+            }
+        }
+    }
+}
+
 /// Pauses between calls for the list: exponential backoff with full jitter. All senders share discovery, and
 /// what refuses more calls than it can answer answers none: a refusal costs it as much.
 struct Backoff {
     random: fastrand::Rng,
-    gap: Duration,
+    manner: Manner,
     failures: u32,
     /// Failures since the last line of the log, and when that was.
     untold: u32,
@@ -117,17 +169,23 @@
 }
 
 impl Backoff {
-    fn new(senders: u32, random: fastrand::Rng) -> Self {
-        Self { random, gap: ASK_GAP * senders, failures: 0, untold: 0, told: None }
+    fn new(manner: Manner, random: fastrand::Rng) -> Self {
+        Self { random, manner, failures: 0, untold: 0, told: None }
     }
 
     /// Before a first call that can wait: senders that are started together must not ask together.
     fn first(&mut self) -> Duration {
-        (self.gap / 2).mul_f64(self.random.f64())
+        self.manner.first.mul_f64(self.random.f64())
     }
 
-    fn next(&mut self) -> Duration {
-        let longest = self.gap * 2u32.pow(self.failures.min(ASK_DOUBLINGS));
+    /// After a failed call. Silence says nothing of discovery, but that the connection is dead: the first time, a
+    /// new one is made at once, since changes go on to count as told.
+    fn next(&mut self, is_silence: bool) -> Duration {
+        let Manner { gap, gap_most, .. } = self.manner;
+        let longest = match self.failures {
+            0 if is_silence => RENEW_JITTER,
+            failures => (gap * 2u32.pow(failures.min(ASK_DOUBLINGS))).min(gap_most),
+        };
         self.failures = self.failures.saturating_add(1);
         longest.mul_f64(self.random.f64())
     }
@@ -150,10 +208,10 @@
 pub async fn watch(
     mut addresses: Addresses,
     inbox: mpsc::Sender<Happening>,
-    senders: u32,
+    manner: Manner,
     mut known: Option<u64>,
 ) {
-    let mut backoff = Backoff::new(senders, fastrand::Rng::new());
+    let mut backoff = Backoff::new(manner, fastrand::Rng::new());
     // Who knows a list can serve on it meanwhile. A new address is asked at once: it may know better.
     if known.is_some() {
         sleep(backoff.first()).await;
@@ -162,7 +220,8 @@
         let address = *addresses.borrow_and_update();
         tokio::select! {
             biased;
-            Ok(()) = addresses.changed() => {}
+            // What failed at the old address says nothing of the new one.
+            Ok(()) = addresses.changed() => backoff.failures = 0,
             () = watch_at(address, known.take(), &inbox, &mut backoff) => return,
         }
     }
@@ -180,15 +239,15 @@
 ) {
     let mut agent = Agent::new(address);
     // The first answer comes at once: it settles that what is known is all there is.
-    let (mut after, mut wait_ms) = (known, FIRST_WATCH_MS);
+    let (mut after, mut wait, mut patience) = (known, FIRST_WATCH, LIST_PATIENCE);
     loop {
-        match next_list(&mut agent, after, wait_ms).await {
+        match next_list(&mut agent, after, wait, patience).await {
             Ok(list) if !list.snapshot && after.is_some_and(|after| list.index < after) => {
                 tracing::warn!(index = list.index, ?after, "discovery counts anew: asks for the whole list");
                 after = None;
             }
             Ok(list) => {
-                wait_ms = WATCH_MS;
+                (wait, patience) = (backoff.manner.wait, WATCH_PATIENCE);
                 let (index, whole, lines) = (list.index, list.snapshot, list.endpoints.len());
                 tracing::info!(index, whole, lines, failures = backoff.failures, "discovery answers");
                 (after, backoff.failures) = (Some(list.index), 0);
@@ -198,19 +257,24 @@
             }
             Err(error) => {
                 backoff.tell(&error);
-                sleep(backoff.next()).await;
+                let pause = backoff.next(error.is::<Elapsed>());
+                sleep(pause).await;
+                // The next call begins a new watch, whose first answer again comes at once.
+                (wait, patience) = (FIRST_WATCH, LIST_PATIENCE);
             }
         }
     }
 }
 
-async fn next_list(agent: &mut Agent, after: Option<u64>, wait_ms: u64) -> anyhow::Result<List> {
+async fn next_list(
+    agent: &mut Agent,
+    after: Option<u64>,
+    wait: Duration,
+    patience: Duration,
+) -> anyhow::Result<List> {
     let (path, patience) = match after {
-        None => ("/v1/servers".to_owned(), LIST_PATIENCE),
-        Some(after) => {
-            let path = format!("/v1/servers?after={after}&wait_ms={wait_ms}");
-            (path, LIST_PATIENCE + Duration::from_millis(wait_ms))
-        }
+        None => ("/v1/servers".to_owned(), patience),
+        Some(after) => (format!("/v1/servers?after={after}&wait_ms={}", wait.as_millis()), patience + wait),
     };
     let (status, body) = timeout(patience, agent.ask(Method::GET, &path, Bytes::new())).await??;
     ensure!(status == StatusCode::OK, "discovery answers {status}");
@@ -247,6 +311,7 @@
     /// acknowledged goes to the new one: a notice that comes twice does no harm.
     pub async fn send(self: Rc<Self>, mut addresses: Addresses, inbox: mpsc::Sender<Happening>) {
         let mut agent = Agent::new(*addresses.borrow_and_update());
+        let mut patience = NOTICE_PATIENCE;
         loop {
             let batch: Vec<_> = self.queue.borrow().iter().take(NOTICES).cloned().collect();
             if batch.is_empty() {
@@ -259,16 +324,22 @@
                     agent = Agent::new(*addresses.borrow_and_update());
                     continue;
                 }
-                answer = timeout(PATIENCE, agent.ask(Method::POST, "/status", lines(&batch))) => answer,
+                answer = timeout(patience, agent.ask(Method::POST, "/status", lines(&batch))) => answer,
             };
             match answer {
                 Ok(Ok((StatusCode::NO_CONTENT, _))) => {
+                    patience = NOTICE_PATIENCE;
                     self.queue.borrow_mut().drain(..batch.len());
                     let sent = batch.into_iter().map(|(id, _)| id).collect();
                     if inbox.send(Happening::Noticed(sent)).await.is_err() {
                         return;
                     }
                 }
+                Err(_) => {
+                    tracing::warn!(?patience, "notices were not answered");
+                    agent.connection = None;
+                    patience = (2 * patience).min(NOTICE_PATIENCE_MOST);
+                }
                 failed => {
                     tracing::warn!(?failed, "notices were not taken");
                     agent.connection = None;
@@ -295,18 +366,29 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use roadshift::interface::Rules;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
+    /// So many senders that ask, and need not for 10 s.
+    fn asks(senders: u32) -> Manner {
+        let rules = Rules { ask_within: 10_000_000, ..Rules::default() };
+        Manner::new(&Settings { discovery: Discovery::Subscribe, senders, rules, ..Settings::default() })
+    }
+
+    fn pushed(senders: u32) -> Manner {
+        Manner::new(&Settings { discovery: Discovery::Push, senders, ..Settings::default() })
+    }
+
     /// Calls by the second of so many senders that discovery refuses from their common start on.
     fn refused_calls(senders: u32) -> [u32; 20] {
         let mut asked = [0; 20];
         for seed in 0..senders {
-            let mut backoff = Backoff::new(senders, fastrand::Rng::with_seed(seed.into()));
+            let mut backoff = Backoff::new(asks(senders), fastrand::Rng::with_seed(seed.into()));
             let mut at = backoff.first();
             while at < Duration::from_secs(20) {
                 asked[at.as_secs() as usize] += 1;
-                at += backoff.next();
+                at += backoff.next(false);
             }
         }
         asked
@@ -339,7 +421,7 @@
                 }
             });
             for _ in 0..3 {
-                let refused = next_list(&mut agent, None, 0).await.unwrap_err();
+                let refused = next_list(&mut agent, None, Duration::ZERO, LIST_PATIENCE).await.unwrap_err();
                 assert!(refused.to_string().contains("503"), "{refused:#}");
                 assert!(agent.connection.is_some());
             }
@@ -354,7 +436,7 @@
         let test = async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (_moved, addresses) = tokio::sync::watch::channel(listener.local_addr().unwrap());
-            let (asked, mut asks) = mpsc::channel(8);
+            let (asked, mut lines_asked) = mpsc::channel(8);
             tokio::task::spawn_local(async move {
                 let (mut stream, _) = listener.accept().await.unwrap();
                 for answer in [r#"{"index":9,"snapshot":false,"endpoints":[]}"#; 2]
@@ -370,19 +452,180 @@
                 }
             });
             let (inbox, mut lists) = mpsc::channel(8);
-            tokio::task::spawn_local(watch(addresses, inbox, 1, Some(7)));
+            tokio::task::spawn_local(watch(addresses, inbox, asks(1), Some(7)));
             let mut lines = Vec::new();
             for _ in 0..4 {
-                lines
-                    .push(asks.recv().await.unwrap().replace(" HTTP/1.1", "").replace("GET /v1/servers", ""));
+                lines.push(
+                    lines_asked.recv().await.unwrap().replace(" HTTP/1.1", "").replace("GET /v1/servers", ""),
+                );
             }
-            let after = |version: u64, wait: u64| format!("?after={version}&wait_ms={wait}");
+            let after =
+                |version: u64, wait: Duration| format!("?after={version}&wait_ms={}", wait.as_millis());
             assert_eq!(
                 lines,
-                [after(7, FIRST_WATCH_MS), after(9, WATCH_MS), after(9, WATCH_MS), String::new()]
+                [after(7, FIRST_WATCH), after(9, WATCH_LEAST), after(9, WATCH_LEAST), String::new()]
             );
             assert!(matches!(lists.recv().await, Some(Happening::Listed(List { index: 9, .. }))));
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
+
+    /// What an agent does with a call, whatever connection it comes on.
+    #[derive(Clone, Copy)]
+    enum Does {
+        /// Answers with this version, and no lines.
+        Version(u64),
+        /// Answers nothing, or no more than the start of a list, and keeps the connection open.
+        Nothing,
+        Half,
+        Refuses,
+    }
+
+    /// An agent that plays a script, one entry a call, the last for all that follow. Gives its address and the
+    /// version that each call names.
+    async fn agent(script: Vec<Does>) -> (SocketAddr, mpsc::UnboundedReceiver<Option<u64>>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (post, calls) = mpsc::unbounded_channel();
+        let script = Rc::new(RefCell::new(script));
+        tokio::task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (post, script) = (post.clone(), script.clone());
+                tokio::task::spawn_local(async move {
+                    let mut request = [0; 4096];
+                    while let Some(length) = stream.read(&mut request).await.ok().filter(|length| *length > 0)
+                    {
+                        let text = String::from_utf8_lossy(&request[..length]);
+                        let after = text.split_once("after=").and_then(|(_, rest)| rest.split('&').next());
+                        let does = {
+                            let mut script = script.borrow_mut();
+                            if script.len() > 1 {
+                                script.remove(0)
+                            } else {
+                                script[0]
+                            }
+                        };
+                        post.send(after.and_then(|after| after.parse().ok())).unwrap();
+                        let answer = match does {
+                            Does::Version(index) => {
+                                // Indented, as lists may come.
+                                let list = format!("{{\n  \"index\": {index},\n  \"snapshot\": false,\n  \"endpoints\": [\n  ]\n}}\n");
+                                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())
+                            }
+                            Does::Nothing => String::new(),
+                            Does::Half => {
+                                "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":9,".to_owned()
+                            }
+                            Does::Refuses => "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
+                        };
+                        stream.write_all(answer.as_bytes()).await.unwrap();
+                    }
+                });
+            }
+        });
+        (address, calls)
+    }
+
+    /// What counts as told of a watch that has fallen silent counts so 6 s after.
+    const CLOCK: Duration = Duration::from_secs(6);
+
+    /// Versions named by an agent's calls, in order, each within the clock of the one before.
+    async fn named(calls: &mut mpsc::UnboundedReceiver<Option<u64>>, count: usize) -> Vec<Option<u64>> {
+        let mut named = Vec::new();
+        for _ in 0..count {
+            named.push(timeout(CLOCK, calls.recv()).await.expect("in time").unwrap());
+        }
+        named
+    }
+
+    /// Guards against a watch that has fallen silent being waited for until long after what it misses counts as told:
+    /// from its first call, right after an answer, and in the middle of a list.
+    #[tokio::test]
+    async fn a_silent_watch_is_made_anew_in_time() {
+        let test = |script: Vec<Does>, versions: &'static [Option<u64>]| async move {
+            let (address, mut calls) = agent(script).await;
+            let (_moved, addresses) = tokio::sync::watch::channel(address);
+            let (inbox, _lists) = mpsc::channel(8);
+            tokio::task::spawn_local(watch(addresses, inbox, asks(1), Some(7)));
+            assert_eq!(named(&mut calls, versions.len()).await, versions);
+        };
+        let all = async {
+            tokio::join!(
+                test(vec![Does::Nothing, Does::Version(8), Does::Nothing], &[Some(7), Some(7), Some(8)]),
+                test(
+                    vec![Does::Version(8), Does::Nothing, Does::Version(9), Does::Nothing],
+                    &[Some(7), Some(8), Some(8), Some(9)]
+                ),
+                test(vec![Does::Half, Does::Version(8), Does::Nothing], &[Some(7), Some(7), Some(8)]),
+            );
+        };
+        tokio::task::LocalSet::new().run_until(all).await;
+    }
+
+    /// Guards against a new address that is heeded only after the pause of a call that failed at the old one, or after
+    /// the old one's silence.
+    #[tokio::test]
+    async fn a_new_address_is_asked_at_once_whatever_became_of_the_old_one() {
+        let test = |first: Does| async move {
+            let (old, mut old_calls) = agent(vec![first]).await;
+            let (new, mut new_calls) = agent(vec![Does::Version(3), Does::Nothing]).await;
+            let (moved, addresses) = tokio::sync::watch::channel(old);
+            let (inbox, mut lists) = mpsc::channel(8);
+            // So many that pauses last for half a minute.
+            tokio::task::spawn_local(watch(addresses, inbox, asks(3_000), None));
+            assert_eq!(named(&mut old_calls, 1).await, [None]);
+            moved.send(new).unwrap();
+            assert_eq!(named(&mut new_calls, 2).await, [None, Some(3)]);
+            assert!(matches!(lists.recv().await, Some(Happening::Listed(List { index: 3, .. }))));
+        };
+        let all = async {
+            tokio::join!(test(Does::Refuses), test(Does::Nothing), test(Does::Half));
+        };
+        tokio::task::LocalSet::new().run_until(all).await;
+    }
+
+    /// Guards against pauses that outlast the time after which a list counts as old, however many senders there are.
+    #[test]
+    fn pauses_end_before_the_list_counts_as_old() {
+        for senders in [1, 6, 300, 100_000] {
+            for seed in 0..50 {
+                let mut backoff = Backoff::new(asks(senders), fastrand::Rng::with_seed(seed));
+                assert!(backoff.first() < Duration::from_secs(10));
+                assert!(backoff.next(true) <= RENEW_JITTER);
+                let failed = Duration::from_secs(40) - LIST_PATIENCE;
+                assert!((0..10).all(|_| backoff.next(seed % 2 == 0) < failed), "{senders} senders");
+                let mut backoff = Backoff::new(pushed(senders), fastrand::Rng::with_seed(seed));
+                assert_eq!(backoff.first(), Duration::ZERO);
+                assert!((0..10).all(|_| backoff.next(false) <= PUSHED_GAP_MOST), "{senders} senders");
+            }
+            // The clock of a call that may wait runs for 2 s after its wait.
+            for Manner { wait, .. } in [asks(senders), pushed(senders)] {
+                let anew = wait + WATCH_PATIENCE + RENEW_JITTER;
+                assert!(anew < CLOCK.max(wait + Duration::from_secs(2)), "{senders} senders");
+            }
+        }
+    }
+
+    /// Guards against a message that is lost because its notice was written to a connection which has fallen silent.
+    #[tokio::test]
+    async fn a_notice_goes_out_again_soon_when_its_connection_is_silent() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (_moved, addresses) = tokio::sync::watch::channel(listener.local_addr().unwrap());
+            let (inbox, mut noticed) = mpsc::channel(8);
+            let notices = Rc::new(Notices::default());
+            tokio::task::spawn_local(notices.clone().send(addresses, inbox));
+            notices.push(1, Notice { call_id: "m1".to_owned(), bounced: None });
+            let (mut first, _) = listener.accept().await.unwrap();
+            assert!(first.read(&mut [0; 4096]).await.unwrap() > 0);
+            let since = Instant::now();
+            // It stays open and says nothing.
+            let (mut second, _) = listener.accept().await.unwrap();
+            assert!(second.read(&mut [0; 4096]).await.unwrap() > 0);
+            assert!(since.elapsed() < Duration::from_millis(1_500), "{:?}", since.elapsed());
+            second.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.unwrap();
+            assert!(matches!(noticed.recv().await, Some(Happening::Noticed(ids)) if ids == [1]));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
 }
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -123,11 +123,10 @@
             // It serves all the same; an upgrade is a restart then.
             Err(error) => tracing::error!(%error, "no new process can take over"),
         }
-        let senders = config.settings.senders;
         work.spawn_local(discovery::watch(
             discovery.clone(),
             inbox.clone(),
-            senders,
+            discovery::Manner::new(&config.settings),
             config.known.as_ref().map(|known| known.index),
         ));
         work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
