At the end of a drain, answer requests on their way and refuse what is not tried

Seen in tests that force each crossing: with nothing held the process ended 1 s after SIGTERM under a request it was reading; a half-read head on a kept connection was closed at SIGTERM; after 2.4 s, when no call goes out any more, messages were still taken on.

Wrong were `Driver::is_done` (held messages only), the `graceful_shutdown` in `Clients::converse` (the library counts a partial head as idle), and `Driver::turn` in rest (answers all as taken on). Ruled out: a second SIGTERM or SIGINT, SIGTERM in a start, a client that sends on until SIGKILL: their tests passed before as well.

--- a/sender/src/admission.rs
+++ b/sender/src/admission.rs
@@ -20,6 +20,8 @@
 /// clients that ask often then need no new one.
 const IDLE_PATIENCE: Duration = Duration::from_secs(5);
 const TEND_GAP: Duration = Duration::from_millis(200);
+/// How often it is looked whether requests are on their way, once the process is to end.
+const LOOK_GAP: Duration = Duration::from_millis(5);
 /// Pause after a failed accept: the cause, such as no descriptor left, will not be gone at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -117,6 +119,11 @@
         self.blank.set(0);
     }
 
+    /// Part of a request has come, or all of it, and it is not answered yet.
+    pub fn is_asked(&self) -> bool {
+        self.phase.get() != Phase::Idle
+    }
+
     /// Waits until the connection is to be closed.
     pub async fn unwanted(&self) {
         self.unwanted.notified().await;
@@ -198,6 +205,18 @@
         self.seats.borrow().len()
     }
 
+    /// A request is on its way on some connection: one that was made to hand it in counts.
+    pub fn is_asked(&self) -> bool {
+        self.seats.borrow().values().any(|seat| seat.is_asked() || seat.fresh.get())
+    }
+
+    /// Waits until no request is on its way.
+    pub async fn quiet(&self) {
+        while self.is_asked() {
+            sleep(LOOK_GAP).await;
+        }
+    }
+
     /// So many seats are taken by connections of another process.
     pub fn leave_free(&self, elsewhere: usize) {
         self.elsewhere.set(elsewhere);
--- a/sender/src/clients.rs
+++ b/sender/src/clients.rs
@@ -57,8 +57,9 @@
         }
         let io = TokioIo::new(Observed { stream: Rc::new(stream), observer: seat.clone() });
         let this = self.clone();
+        let taken = seat.clone();
         let service = service_fn(move |request| {
-            let (this, seat) = (this.clone(), seat.clone());
+            let (this, seat) = (this.clone(), taken.clone());
             async move { Ok::<_, Infallible>(this.answer(request, &seat).await) }
         });
         let mut server = http1::Builder::new();
@@ -66,13 +67,17 @@
         server.header_read_timeout(None).max_buf_size(BUFFER_BYTES);
         let mut connection = std::pin::pin!(server.serve_connection(io, service));
         let mut duty = self.duty.clone();
-        let served = tokio::select! {
-            served = &mut connection => served,
-            // One that comes while draining must be let read its first request; the answer closes it.
-            () = Duty::ends(&mut duty) => {
-                // Closes it between requests only: one that was read is answered first.
-                connection.as_mut().graceful_shutdown();
-                connection.await
+        let served = loop {
+            tokio::select! {
+                served = &mut connection => break served,
+                // One that comes while draining must be let read its first request; the answer closes it. So with
+                // a request that has come in part: the library takes that for an idle connection, and its client
+                // may have written all of it.
+                () = Duty::ends(&mut duty) => {
+                    if !seat.is_asked() {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
             }
         };
         if let Err(error) = served {
--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -18,6 +18,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
+use crate::admission::Admission;
 use crate::clients::Answer;
 use crate::discovery::{List, Notices};
 use crate::endpoints::{span, Call, Ending, Endpoints};
@@ -33,6 +34,8 @@
 /// SIGKILL comes 3.7 s after SIGTERM at the soonest.
 const DRAIN_SENDS: Duration = Duration::from_millis(2400);
 pub const DRAIN_ENDS: Duration = Duration::from_millis(3300);
+/// And so long for the last answers to clients.
+pub const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// With nothing left to do, it stays so long for connections that still come.
 const DRAIN_LINGERS: Duration = Duration::from_millis(1000);
 /// Two processes' clocks differ by no more, unless somebody has set the time in between.
@@ -297,10 +300,11 @@
         inbox: &mut mpsc::Receiver<Happening>,
         orders: &mut mpsc::Receiver<Order>,
         successors: &mut mpsc::Receiver<Successor>,
+        admission: &Admission,
     ) -> End {
         let mut successor = None;
         self.gauge();
-        while !self.is_done() {
+        while !self.is_done(inbox.is_empty() && !admission.is_asked()) {
             if self.events.is_empty() && self.waiting.is_empty() && successor.is_none() {
                 tokio::select! {
                     Some((command, reply)) = orders.recv() => self.command(command, reply),
@@ -380,9 +384,11 @@
         timer.min(poll).min(self.tally.due().unwrap_or(idle))
     }
 
-    fn is_done(&self) -> bool {
+    /// Whether the process can end: before its time is up, only with nothing to do and no request on its way.
+    fn is_done(&self, quiet: bool) -> bool {
         self.drains.is_some_and(|since| {
-            let idle = self.open.is_empty() && self.calls.is_empty() && self.notices.len() == 0;
+            let held = self.open.is_empty() && self.calls.is_empty() && self.notices.len() == 0;
+            let idle = held && self.waiting.is_empty() && quiet;
             let passed = since.elapsed();
             passed >= DRAIN_ENDS || (idle && passed >= DRAIN_LINGERS)
         })
@@ -459,6 +465,13 @@
             // Handed in once more because an answer got lost: it is taken on already.
             return self.waiting.push((*id, false, reply));
         }
+        if self.rests() {
+            // The next process would have to try it, some seconds from now: others are sooner.
+            self.tally.count(Cause::Ending, handed.destination);
+            self.figures.ended(handed.class, Fate::Dropped);
+            let _ = reply.send(Answer::Refused(NO_ROOM_WAIT));
+            return;
+        }
         let unheard = match self.places.existence(handed.destination) {
             Existence::Known => None,
             Existence::Unknown => Some((Cause::UnknownDestination, Answer::Unknown)),
--- a/sender/src/main.rs
+++ b/sender/src/main.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinSet, LocalSet};
+use tokio::time::timeout;
 
 mod admission;
 mod clients;
@@ -134,7 +135,7 @@
         ready.set(true);
         tracing::info!(name = config.name, %listen, "ready");
 
-        let driven = driver.run(&mut happenings, &mut ordered, &mut successors).await;
+        let driven = driver.run(&mut happenings, &mut ordered, &mut successors, &admission).await;
         let driver::End::HandedOver(old) = driven else { break };
         // Clients go to the new process.
         ready.set(false);
@@ -154,6 +155,11 @@
         endpoints.retire(false);
         duty.send_replace(Duty::Serving);
     }
+    // Whoever has handed in what nobody will decide on any more hears so.
+    drop(happenings);
+    if timeout(driver::LAST_ANSWERS, admission.quiet()).await.is_err() {
+        tracing::warn!(connections = admission.taken(), "ends with a request on its way");
+    }
     tracing::info!("ends");
     Ok(())
 }
--- a/sender/src/tally.rs
+++ b/sender/src/tally.rs
@@ -28,6 +28,8 @@
     Unsettled,
     /// Discovery lists no such destination.
     UnknownDestination,
+    /// The process is about to end, and could not try it any more.
+    Ending,
     /// The module refused it before any attempt.
     RefusedUntried,
     /// The module refused it after attempts that never ran, or that may be repeated.
