--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -1,6 +1,7 @@
 //! The only owner of the controller: turns what happens on sockets into its events, and carries out its
 //! actions. It decides nothing.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -21,10 +22,10 @@
 use crate::admission::Admission;
 use crate::clients::Answer;
 use crate::discovery::{List, Notices};
-use crate::endpoints::{span, Call, Ending, Endpoints};
+use crate::endpoints::{span, Call, Ending, Endpoints, Step};
 use crate::figures::{Fate, Figures};
 use crate::handover::{self, Lock, State, Successor};
-use crate::journal::{Body, Journal, JournalError, Kept, Notice, Past, Taken};
+use crate::journal::{Body, Journal, JournalError, Kept, Notice, Past, Sent, Taken};
 use crate::management::{Command, Order, Verdict};
 use crate::places::{Existence, Places, Told};
 use crate::relay::Old;
@@ -128,7 +129,8 @@
     settings: Settings,
     names: Names,
     clock: Clock,
-    journal: Journal,
+    /// Shared with calls, which write when they begin to go out; nobody writes once the driver has gone.
+    journal: Rc<RefCell<Journal>>,
     endpoints: Rc<Endpoints>,
     notices: Rc<Notices>,
     outbox: mpsc::Sender<Happening>,
@@ -171,7 +173,7 @@
             settings,
             names,
             clock: Clock::start(),
-            journal,
+            journal: Rc::new(RefCell::new(journal)),
             endpoints,
             notices,
             outbox,
@@ -197,7 +199,7 @@
             let told = self.places.recall(&list);
             self.list(list.index, told);
         }
-        let kept: Vec<_> = self.journal.kept().map(|(id, kept)| (id, kept.clone())).collect();
+        let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
                 Kept::Owed(notice, order_key) => {
@@ -215,7 +217,7 @@
         self.places.go_on(state.places);
         self.clock.go_on(state.now);
         self.timers = state.timers.into_iter().collect();
-        let kept: Vec<_> = self.journal.kept().map(|(id, kept)| (id, kept.clone())).collect();
+        let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
                 Kept::Owed(notice, _) => self.notices.push(id, notice),
@@ -429,7 +431,11 @@
             let _ = reply.send(Verdict::Unknown);
             return;
         }
-        let kept = if out { self.journal.take_out(name) } else { self.journal.put_back(name) };
+        let kept = if out {
+            self.journal.borrow_mut().take_out(name)
+        } else {
+            self.journal.borrow_mut().put_back(name)
+        };
         if kept.inspect_err(|error| tracing::error!(%error, "an operator's command is not kept")).is_err() {
             let _ = reply.send(Verdict::NotKept);
             return;
@@ -499,7 +505,14 @@
             body: Body(handed.body.clone()),
         };
         let full = self.open.len() + self.notices.len() >= self.settings.limits.held;
-        if full || self.journal.take_on(id, taken).inspect_err(|error| tracing::warn!(%error)).is_err() {
+        if full
+            || self
+                .journal
+                .borrow_mut()
+                .take_on(id, taken)
+                .inspect_err(|error| tracing::warn!(%error))
+                .is_err()
+        {
             self.tally.count(if full { Cause::HoldFull } else { Cause::JournalFull }, handed.destination);
             self.figures.ended(handed.class, Fate::Dropped);
             let _ = reply.send(Answer::Refused(NO_ROOM_WAIT));
@@ -530,20 +543,20 @@
         if let Some(place) = self.places.get(endpoint) {
             self.tally.ended(place.route.0, elapsed, &ending);
         }
-        let Ending { outcome, wait, last, load } = ending;
+        let Ending { outcome, wait, last, load, begun } = ending;
         if last {
             self.withdraw(id, Some(fate(&ending)));
         } else if self.open.contains_key(&id) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
-            if never_ran {
-                log_failure(self.journal.not_run(id));
+            if never_ran && begun {
+                log_failure(self.journal.borrow_mut().not_run(id));
             }
         }
         self.events.push(Event::Ended { id, attempt, endpoint, outcome, elapsed, last, wait, load });
     }
 
     fn noticed(&mut self, id: MessageId) {
-        log_failure(self.journal.noticed(id));
+        log_failure(self.journal.borrow_mut().noticed(id));
         self.events.push(Event::Over { id });
     }
 
@@ -600,7 +613,7 @@
     /// Ends a message of which nothing is owed; it has no fate where no client heard of it.
     fn withdraw(&mut self, id: MessageId, fate: Option<Fate>) {
         if self.close(id, fate).is_some() {
-            log_failure(self.journal.end(id, None));
+            log_failure(self.journal.borrow_mut().end(id, None));
         }
     }
 
@@ -622,7 +635,7 @@
 
     fn send(&mut self, now: Micros, id: MessageId, endpoint: EndpointId, times: (Micros, Micros)) {
         let Some((attempt, call)) = self.prepare(now, id, endpoint, times) else {
-            // Not held any more, or not to be kept in the journal: no byte of it has gone out.
+            // Not held any more: no byte of it has gone out.
             let attempt = self.open.get_mut(&id).map_or(0, |open| {
                 open.attempts += 1;
                 open.attempts - 1
@@ -659,8 +672,9 @@
         endpoint: EndpointId,
         (timeout, begin_by): (Micros, Micros),
     ) -> Option<(u32, Call)> {
-        let open = self.open.get_mut(&id)?;
         let place = self.places.get(endpoint)?;
+        let keep = self.keep(id, (now, place.zone as u64));
+        let open = self.open.get_mut(&id)?;
         // A call to any other destination's endpoint would be worse than none.
         if place.route.0 != open.destination {
             return None;
@@ -675,9 +689,8 @@
             timeout: span(timeout),
             made: Instant::now(),
             begin_by: self.clock.instant(begin_by),
+            keep,
         };
-        let written = self.journal.attempt(id, (now, place.zone as u64));
-        written.inspect_err(|error| tracing::warn!(%error)).ok()?;
         if open.attempts == 0 {
             self.tally.first_call(now - open.taken_at);
         }
@@ -685,6 +698,21 @@
         Some((open.attempts - 1, call))
     }
 
+    /// How a call has the journal told how far it has come.
+    fn keep(&self, id: MessageId, sent: Sent) -> Box<dyn Fn(Step) -> bool> {
+        let journal = Rc::downgrade(&self.journal);
+        Box::new(move |step| {
+            let Some(journal) = journal.upgrade() else { return false };
+            let written = match step {
+                // What has ended while the connection came up goes nowhere.
+                Step::Begins if !journal.borrow().is_open(id) => return false,
+                Step::Begins => journal.borrow_mut().attempt(id, sent),
+                Step::Unsent => journal.borrow_mut().unsent(id),
+            };
+            written.inspect_err(|error| tracing::warn!(%error)).is_ok()
+        })
+    }
+
     /// Ends a message by a notice, unless its client has heard of the refusal already.
     fn give_up(&mut self, id: MessageId, bounced: Option<Micros>) {
         self.count_given_up(id, bounced.is_some());
@@ -707,7 +735,7 @@
 
     fn conclude(&mut self, id: MessageId, call_id: String, bounced: Option<Micros>) {
         let notice = Notice { call_id, bounced };
-        log_failure(self.journal.end(id, Some(notice.clone())));
+        log_failure(self.journal.borrow_mut().end(id, Some(notice.clone())));
         self.notices.push(id, notice);
     }
 
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -55,6 +55,17 @@
     pub made: Instant,
     /// Later than this, nothing of it may be sent: a repeat would come outside its window.
     pub begin_by: Instant,
+    /// Keeps how far it has come, for the time after the process's death; false where it must not go on.
+    pub keep: Box<dyn Fn(Step) -> bool>,
+}
+
+/// A step of a call that outlasts the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Its connection is up, and its first byte goes out next.
+    Begins,
+    /// None went out.
+    Unsent,
 }
 
 impl Call {
@@ -73,11 +84,18 @@
     pub last: bool,
     /// The report that came with the answer, if any.
     pub load: Option<Load>,
+    /// Bytes of it have gone out, and the journal tells so. Earlier versions, which do not say, wrote that of each.
+    #[serde(default = "begun")]
+    pub begun: bool,
+}
+
+fn begun() -> bool {
+    true
 }
 
 impl From<Outcome> for Ending {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, wait: 0, last: outcome == Outcome::Delivered, load: None }
+        Self { outcome, wait: 0, last: outcome == Outcome::Delivered, load: None, begun: true }
     }
 }
 
@@ -179,12 +197,17 @@
     /// never open together.
     pub async fn call(self: Rc<Self>, call: Call, cancel: oneshot::Receiver<()>) -> Ending {
         let request = Prepared::new(&call);
+        let ending = self.make(&call, &request, cancel).await;
+        Ending { begun: request.begun.get(), ..ending }
+    }
+
+    async fn make(self: &Rc<Self>, call: &Call, request: &Prepared, cancel: oneshot::Receiver<()>) -> Ending {
         let mut connection = None;
         let ended = tokio::select! {
             biased;
             // A dropped sender cancels too: nobody is left to hear the outcome.
             _ = cancel => Err(Outcome::Cancelled),
-            ending = self.attempt(&call, &request, &mut connection) => ending,
+            ending = self.attempt(call, request, &mut connection) => ending,
             () = sleep(call.timeout) => Err(Outcome::Timeout),
         };
         let outcome = match ended {
@@ -265,9 +288,11 @@
             if late {
                 tracing::info!(?call.call_id, "its time to be sent had passed before a connection was up");
             }
-            if left || late || self.retired.get() || self.must_wait(call.route) {
+            let held_back = left || late || self.retired.get() || self.must_wait(call.route);
+            if held_back || !(call.keep)(Step::Begins) {
                 return Err(Outcome::NotSent);
             }
+            request.begun.set(true);
             open.count_whole(request.length, &self.tries);
             match open.send(request.request()).await {
                 Ok(response) => {
@@ -276,7 +301,10 @@
                 }
                 // Where an endpoint had closed an idle connection before any byte was written, the call has not
                 // been made.
-                Err(SendError::Unsent) if idle_for.is_some() => {}
+                Err(SendError::Unsent) if idle_for.is_some() => {
+                    (call.keep)(Step::Unsent);
+                    request.begun.set(false);
+                }
                 Err(error) => {
                     // An answer that has begun, however spoilt, shows that the connection was alive.
                     let dead = !open.is_answered();
@@ -409,6 +437,8 @@
     headers: HeaderMap,
     body: Bytes,
     length: u64,
+    /// Its first byte may have gone out.
+    begun: Cell<bool>,
 }
 
 impl Prepared {
@@ -428,7 +458,7 @@
         let lines = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
         let head = "POST  HTTP/1.1\r\n\r\n".len() + PATH.len() + lines.sum::<usize>();
         let length = (head + call.body.len()) as u64;
-        Self { headers, body: call.body.clone(), length }
+        Self { headers, body: call.body.clone(), length, begun: Cell::new(false) }
     }
 
     fn request(&self) -> Request<Full<Bytes>> {
@@ -533,7 +563,8 @@
         let (endpoint, route, timeout) = (1, (7, None), Duration::from_secs(30));
         let (call_id, key) = (HeaderValue::from_static("m"), None);
         let (made, body) = (Instant::now(), Bytes::new());
-        Call { endpoint, address, route, call_id, key, body, timeout, made, begin_by: made + timeout }
+        let (begin_by, keep) = (made + timeout, Box::new(|_| true));
+        Call { endpoint, address, route, call_id, key, body, timeout, made, begin_by, keep }
     }
 
     async fn outcome(endpoints: &Rc<Endpoints>, address: SocketAddr) -> Outcome {
--- a/sender/src/journal.rs
+++ b/sender/src/journal.rs
@@ -118,6 +118,8 @@
     Back(String),
     /// The order key of a message whose notice is still owed.
     Key(MessageId, String),
+    /// No byte of the last attempt has gone out: it was none.
+    Unsent(MessageId),
 }
 
 /// The attempts of a message so far.
@@ -200,6 +202,11 @@
         self.live.iter().map(|(id, kept)| (*id, kept))
     }
 
+    /// Whether a message is held that has not ended.
+    pub fn is_open(&self, id: MessageId) -> bool {
+        matches!(self.live.get(&id), Some(Kept::Open(..)))
+    }
+
     /// Names of the endpoints that operators have taken out.
     pub fn out(&self) -> &BTreeSet<String> {
         &self.out
@@ -238,11 +245,17 @@
         self.append(Record::Taken(id, taken), FILE_SHARE)
     }
 
-    /// Writes that an attempt goes out; until then no byte of it may.
+    /// Writes that an attempt goes out; until then no byte of it may. Written before its connection is up, a call
+    /// that was never made would count as one that may have run, should the process die meanwhile.
     pub fn attempt(&mut self, id: MessageId, sent: Sent) -> Result<(), JournalError> {
         self.append(Record::Attempt(id, sent), UTMOST_SHARE)
     }
 
+    /// Writes that no byte of the last attempt has gone out, nor will.
+    pub fn unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
+        self.append(Record::Unsent(id), UTMOST_SHARE)
+    }
+
     /// Writes that the last attempt never ran.
     pub fn not_run(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::NotRun(id), UTMOST_SHARE)
@@ -340,6 +353,10 @@
                 past.attempts += 1;
             }),
             Record::NotRun(id) => self.with_past(id, |past| past.out = None),
+            Record::Unsent(id) => self.with_past(id, |past| {
+                past.out = None;
+                past.attempts = past.attempts.saturating_sub(1);
+            }),
             Record::Past(id, now) => self.with_past(id, |past| *past = now),
             Record::Ended(id, notice) => {
                 self.used = self.used.max(id);
@@ -586,4 +603,24 @@
         (1..=held).for_each(|id| journal.end(id, None).unwrap());
         journal.take_on(held + 1, taken("m", 1_000)).unwrap();
     }
+
+    /// Guards against an attempt that never went out being counted, or hiding that one before it may have run.
+    #[test]
+    fn an_attempt_of_which_nothing_went_out_is_none() {
+        let folder = tempfile::tempdir().unwrap();
+        let past = |journal: &Journal| match kept(journal).remove(0) {
+            (_, Kept::Open(_, past)) => (past.attempts, past.first_run()),
+            owed => panic!("{owed:?}"),
+        };
+        let mut journal = Journal::open(folder.path(), DISK).unwrap();
+        journal.take_on(1, taken("m1", 10)).unwrap();
+        journal.attempt(1, (5, 0)).unwrap();
+        journal.unsent(1).unwrap();
+        assert_eq!(past(&journal), (0, None));
+        journal.attempt(1, (6, 0)).unwrap();
+        journal.attempt(1, (7, 1)).unwrap();
+        journal.unsent(1).unwrap();
+        drop(journal);
+        assert_eq!(past(&Journal::open(folder.path(), DISK).unwrap()), (1, Some((6, 0))));
+    }
 }
--- a/sender/tests/restart.rs
+++ b/sender/tests/restart.rs
@@ -3,11 +3,12 @@
 mod common;
 
 use std::io::{BufReader, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::time::Duration;
 
 use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
+use socket2::{Domain, Socket, Type};
 
 struct Stage {
     _folder: tempfile::TempDir,
@@ -201,3 +202,40 @@
     assert!(bytes <= 500_000, "{bytes}");
     sender.await_log(&["not delivered", "JournalFull", "{7: 1}"]);
 }
+
+/// A listener whose queue is full: connections to it do not come up. Closing what fills it lets them.
+fn unreachable() -> (Socket, SocketAddr, Vec<Socket>) {
+    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let listener = socket();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let filling = (0..4).map(|_| {
+        let client = socket();
+        client.set_nonblocking(true).unwrap();
+        // It is on its way, or the queue is full.
+        let _ = client.connect(&address);
+        client
+    });
+    let filling = filling.collect();
+    (listener, address.as_socket().unwrap(), filling)
+}
+
+/// Guards against a call that was decided on, but whose connection was not up when the process died, being taken for
+/// one that may have run: a message that may not be repeated would fail untried.
+#[test]
+fn an_unsafe_message_whose_connection_was_not_up_at_a_kill_is_still_tried() {
+    let stage = Stage::new(vec![OK], Terms { effect: "side_effect", ..Terms::default() });
+    let (_listener, far, _filling) = unreachable();
+    stage.discovery.tell(vec![line("s-1", far, 7, "up")]);
+    let known = || vec![line("s-1", far, 7, "up")];
+    let sender = Sender::start(&stage.state, &stage.discovery, known(), &stage.terms);
+    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
+    // The call is decided on in the turn of the answer; it would take a second to give up.
+    std::thread::sleep(Duration::from_millis(300));
+    sender.kill();
+    stage.discovery.tell(vec![line("s-1", stage.endpoint.address, 7, "up")]);
+    let _sender = stage.sender();
+    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
+    assert!(stage.discovery.notices.try_recv().is_err(), "nothing else becomes of it");
+}
