Log what a restart finds untried and what of it is refused untried; test that it is tried

Tests on sockets: after SIGKILL and SIGTERM, with discovery silent, and with a destination that refuses at first, what was held untried gets its call (12 of 12; over half where it is shut).

--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -110,6 +110,8 @@
     body: Bytes,
     attempts: u32,
     taken_at: Micros,
+    /// Another process took it on.
+    resumed: bool,
 }
 
 /// How a driver ends.
@@ -200,6 +202,11 @@
             self.list(list.index, told);
         }
         let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
+        let count = |past: fn(&Past) -> bool| {
+            kept.iter().filter(|(_, kept)| matches!(kept, Kept::Open(_, of) if past(of))).count()
+        };
+        let (untried, tried) = (count(|past| past.attempts == 0), count(|past| past.attempts > 0));
+        tracing::info!(untried, tried, owed = kept.len() - untried - tried, "resumes");
         for (id, kept) in kept {
             match kept {
                 Kept::Owed(notice, order_key) => {
@@ -251,7 +258,8 @@
         let Taken { call_id, key, destination, body: Body(body), .. } = taken;
         self.by_call_id.insert(call_id.clone(), id);
         let (attempts, taken_at) = (past.attempts, self.clock.now());
-        self.open.insert(id, Open { call_id, class, key, destination, body, attempts, taken_at });
+        self.open
+            .insert(id, Open { call_id, class, key, destination, body, attempts, taken_at, resumed: true });
     }
 
     fn resume_message(&mut self, id: MessageId, taken: Taken, past: Past) {
@@ -534,7 +542,10 @@
         });
         self.by_call_id.insert(handed.call_id.clone(), id);
         let Handed { call_id, class, key, destination, body, .. } = handed;
-        self.open.insert(id, Open { call_id, class, key, destination, body, attempts: 0, taken_at: now });
+        self.open.insert(
+            id,
+            Open { call_id, class, key, destination, body, attempts: 0, taken_at: now, resumed: false },
+        );
         self.waiting.push((id, true, reply));
     }
 
@@ -726,6 +737,7 @@
     fn count_given_up(&mut self, id: MessageId, refused: bool) {
         let Some(open) = self.open.get(&id) else { return };
         let cause = match refused {
+            true if open.attempts == 0 && open.resumed => Cause::ResumedUntried,
             true if open.attempts == 0 => Cause::RefusedUntried,
             true => Cause::RefusedTried,
             false => Cause::Failed,
--- a/sender/src/tally.rs
+++ b/sender/src/tally.rs
@@ -32,6 +32,8 @@
     Ending,
     /// The module refused it before any attempt.
     RefusedUntried,
+    /// So with one that another process had taken on and not tried.
+    ResumedUntried,
     /// The module refused it after attempts that never ran, or that may be repeated.
     RefusedTried,
     /// The module gave it up after an attempt that may have run.
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -168,6 +168,7 @@
     /// Answers to notices that are not 204.
     deaf: u32,
     refused: u32,
+    silent: bool,
 }
 
 /// Discovery's agent: holds watches until something changes, and takes notices.
@@ -181,9 +182,18 @@
 
 impl Discovery {
     pub fn start(lines: Vec<Value>) -> Self {
+        Self::play(Lists { index: 1, lines, ..Lists::default() })
+    }
+
+    /// Takes notices, and answers no call for a list.
+    pub fn silent() -> Self {
+        Self::play(Lists { silent: true, ..Lists::default() })
+    }
+
+    fn play(lists: Lists) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let lists = Arc::new((Mutex::new(Lists { index: 1, lines, ..Lists::default() }), Condvar::new()));
+        let lists = Arc::new((Mutex::new(lists), Condvar::new()));
         let ((post, notices), (ask, asked)) = (channel(), channel());
         let shared = lists.clone();
         thread::spawn(move || {
@@ -202,6 +212,9 @@
                 Self::take_notices(&seen, post, lists)
             } else {
                 drop(ask.send(seen.line.clone()));
+                if lists.0.lock().unwrap().silent {
+                    continue;
+                }
                 let text = Self::list(&seen.line, lists).to_string();
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
             };
--- a/sender/tests/restart.rs
+++ b/sender/tests/restart.rs
@@ -239,3 +239,59 @@
     assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
     assert!(stage.discovery.notices.try_recv().is_err(), "nothing else becomes of it");
 }
+
+/// How many of so many messages, held untried behind a told wait when a process ended, got a call from the next one,
+/// whose endpoint then goes on with this script.
+fn resumed_and_tried(signal: &str, then: &[Reply], discovery_is_up: bool) -> (usize, usize) {
+    const COUNT: usize = 12;
+    let script = [&[Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 9000\r\n")], then].concat();
+    let stage = Stage::new(script, Terms { effect: "side_effect", ..Terms::default() });
+    let mut sender = stage.sender();
+    assert_eq!(sender.hand_in("first", 9_000, "x"), TAKEN_ON);
+    stage.endpoint.next();
+    for number in 0..COUNT {
+        assert_eq!(sender.hand_in(&format!("m{number}"), 9_000, "x"), TAKEN_ON);
+    }
+    sender.signal(signal);
+    sender.wait();
+    assert!(stage.endpoint.is_quiet());
+    let gone;
+    let discovery = if discovery_is_up {
+        &stage.discovery
+    } else {
+        gone = Discovery::silent();
+        &gone
+    };
+    let known = vec![line("s-1", stage.endpoint.address, 7, "up")];
+    let mut sender = Sender::launch(&stage.state, discovery, known, &stage.terms);
+    sender.await_log(&["resumes", "untried=12 tried=1"]);
+    sender.await_ready();
+    // Until all are over.
+    sender.await_figure("in_progress", 0);
+    let calls: std::collections::BTreeSet<_> =
+        stage.endpoint.calls.try_iter().map(|call| call.headers["x-call-id"].clone()).collect();
+    (calls.iter().filter(|id| id.starts_with('m')).count(), COUNT)
+}
+
+/// Guards against messages that were taken on, and are given up after a restart without a call.
+#[test]
+fn what_a_restart_finds_untried_is_tried() {
+    for signal in ["-KILL", "-TERM"] {
+        let (tried, of) = resumed_and_tried(signal, &[OK], true);
+        assert_eq!(tried, of, "after {signal}");
+    }
+}
+
+#[test]
+fn what_a_restart_finds_untried_is_tried_with_discovery_down() {
+    let (tried, of) = resumed_and_tried("-KILL", &[OK], false);
+    assert_eq!(tried, of);
+}
+
+/// The destination refuses at first, as one that is shut or cold.
+#[test]
+fn what_a_restart_finds_untried_is_tried_where_the_destination_is_not_up_yet() {
+    let shut = Reply::Answer("503 Shut\r\n");
+    let (tried, of) = resumed_and_tried("-KILL", &[shut.clone(), shut.clone(), shut, OK], true);
+    assert!(2 * tried > of, "{tried} of {of}");
+}
