Let what a restart finds untried go before other messages

Ruled out by tests on sockets: pauses between resumed ones, silent discovery, a destination that refuses at first: with nothing new coming in, all get their call. Wrong was the order in `dispatch`: by loss of worth alone, newer messages took each turn of a pace until the old ones expired; and `relieve_hold` took them first.

--- a/src/control.rs
+++ b/src/control.rs
@@ -85,6 +85,9 @@
     ran: Option<(Micros, usize)>,
     ready_at: Micros,
     refused: bool,
+    /// An earlier process took it on and made no call: it has waited long enough, and goes before others.
+    #[serde(default)]
+    overdue: bool,
 }
 
 /// Without outcome yet; outlives its message.
@@ -279,6 +282,7 @@
                     let line = self.destinations[&message.destination].waiting.len() as Micros - 1;
                     message.ready_at = self.now + (pause * line).min((message.deadline - self.now) / 2);
                     (message.attempts, message.tries, message.ran) = (*attempts, *attempts, *ran);
+                    message.overdue = *attempts == 0;
                     // It came in an earlier process's time: the count starts with what comes in this one's.
                     let to = self.destinations.entry(message.destination).or_default();
                     (to.arrivals, self.arrived) = (to.arrivals - 1.0, self.arrived - 1.0);
@@ -914,7 +918,8 @@
                 let behind = turns.filter(|turns| turns.queue.front() == Some(&id));
                 let held_up = behind.into_iter().flat_map(|turns| turns.queue.iter().skip(1));
                 let held_up: f64 = held_up.filter_map(|id| self.messages.get(id)).map(loss).sum();
-                order.push(((loss(message) + held_up) / slot_time, message.aim_at, id));
+                let loss = if message.overdue { f64::MAX } else { (loss(message) + held_up) / slot_time };
+                order.push((loss, message.aim_at, id));
             }
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -1027,6 +1032,7 @@
         let attempt = Attempt { endpoint: to, call, sent: now, cancelled: false, order_key };
         self.attempts.insert((id, message.attempts), attempt);
         message.attempts += 1;
+        message.overdue = false;
         message.out = true;
         self.destinations.entry(message.destination).or_default().waiting.remove(&id);
         actions.push(Action::Send { id, endpoint: to, timeout, begin_by });
@@ -1041,7 +1047,7 @@
             let lines = this.destinations.values().filter(|to| !to.waiting.is_empty());
             let lines = lines.map(|to| (to, this.delay(to)));
             let all = lines.flat_map(|(to, wait)| to.waiting.iter().map(move |id| (*id, wait)));
-            let free = all.filter(|(id, _)| this.messages[id].ran.is_none());
+            let free = all.filter(|(id, _)| this.messages[id].ran.is_none() && !this.messages[id].overdue);
             let keep = |(id, wait): &(MessageId, Micros)| this.worth_at(&this.messages[id], this.now + wait);
             let Some((id, wait)) = free.min_by(|a, b| keep(a).total_cmp(&keep(b))) else { return };
             self.end(id, wait, actions);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -474,6 +474,30 @@
     assert!((13..=21).contains(&in_4_s), "{sent:?}");
 }
 
+/// Guards against messages that wait through a restart and then, worth less than newer ones, until their end.
+#[test]
+fn what_was_resumed_untried_goes_before_what_came_later() {
+    let timed = |id, left: Micros| {
+        let mut message = message(id, 1, 10);
+        if let Event::Message { time_left, .. } = &mut message {
+            *time_left = left;
+        }
+        message
+    };
+    let first_of = |attempts| {
+        let limits = Limits { slots: 1, ..settings().limits };
+        let terms = Settings { limits, decay: Decay::Halves, ..settings() };
+        let Class { aim, deadline, .. } = terms.classes[1].clone();
+        // Long past its aim, the old one loses nothing by waiting; the new one loses more each moment.
+        let (old, new) = (timed(1, 5 * SECOND), timed(2, deadline - aim));
+        let resumed = Event::Resumed { id: 1, attempts, ran: None };
+        sends(&Bench::new(terms, shared()).turn(&[old, resumed, new]))[0].0
+    };
+    assert_eq!(first_of(0), 1);
+    // Tried before, it is as any other.
+    assert_eq!(first_of(1), 2);
+}
+
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_key_window() {
     let mut bench = Bench::new(settings(), shared());
