Take a call that is called off before its last byte for one never made

Found line by line in `Endpoints::call`: what was called off counted as perhaps run even when its connection was not up, so that a message that may not be repeated failed though no endpoint had begun it; a time-out in the same place rightly counted as not connected.

The test was seen to fail: (Cancelled, false) for (NotSent, false).

--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -226,6 +226,8 @@
             Outcome::NotSent => outcome,
             // True even where the rest of the answer is spoilt.
             _ if delivered => Outcome::Delivered,
+            // An endpoint begins a call with its last byte: this one was never made.
+            Outcome::Cancelled if !whole => Outcome::NotSent,
             Outcome::Cancelled => outcome,
             _ if !whole => Outcome::ConnectFailed,
             _ => outcome,
@@ -509,6 +511,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use socket2::{Domain, Socket, Type};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
@@ -625,6 +628,33 @@
         local.run_until(test).await;
     }
 
+    /// Guards against a message that may not be repeated failing because a call was called off that no endpoint began.
+    #[tokio::test]
+    async fn a_call_that_is_called_off_before_its_last_byte_has_not_run() {
+        let test = async {
+            // Its queue is full: connections do not come up.
+            let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            let listener = socket();
+            listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+            listener.listen(0).unwrap();
+            let address = listener.local_addr().unwrap();
+            let filling = [socket(), socket(), socket(), socket()];
+            filling.iter().for_each(|client| {
+                client.set_nonblocking(true).unwrap();
+                drop(client.connect(&address));
+            });
+            let (kept, cancel) = oneshot::channel();
+            let call = endpoints().call(call_to(address.as_socket().unwrap()), cancel);
+            let called_off = async {
+                tokio::task::yield_now().await;
+                drop(kept);
+            };
+            let (ending, ()) = tokio::join!(call, called_off);
+            assert_eq!((ending.outcome, ending.begun), (Outcome::NotSent, false));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
     /// Guards against a repeat outside its window: it was decided on inside, and its connection came up late.
     #[tokio::test]
     async fn a_call_whose_connection_comes_up_late_is_not_sent() {
