Keep no idle connections where endpoints lack room for them

Wrong: Endpoints::put_idle kept each connection for 0.7 of the idle time, whatever the endpoints held. Each of 300 senders with one idle connection fills an endpoint's table.

--- a/sender/src/driver.rs
+++ b/sender/src/driver.rs
@@ -542,6 +542,7 @@
         });
         self.by_call_id.insert(handed.call_id.clone(), id);
         let Handed { call_id, class, key, destination, body, .. } = handed;
+        tracing::debug!(id, call_id, class, destination, time_left_us = handed.time_left, "is handed in");
         self.open.insert(
             id,
             Open { call_id, class, key, destination, body, attempts: 0, taken_at: now, resumed: false },
@@ -555,6 +556,7 @@
             self.tally.ended(place.route.0, elapsed, &ending);
         }
         let Ending { outcome, wait, last, load, begun } = ending;
+        tracing::debug!(id, attempt, ?outcome, elapsed, wait, begun, ?load, "a call ends");
         if last {
             self.withdraw(id, Some(fate(&ending)));
         } else if self.open.contains_key(&id) {
@@ -664,6 +666,7 @@
                 load,
             });
         };
+        tracing::debug!(id, attempt, endpoint, timeout_us = times.0, "a call is made");
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert((id, attempt), cancel);
         let (endpoints, outbox) = (self.endpoints.clone(), self.outbox.clone());
@@ -742,6 +745,7 @@
             true => Cause::RefusedTried,
             false => Cause::Failed,
         };
+        tracing::debug!(id, call_id = open.call_id, ?cause, attempts = open.attempts, "is given up");
         self.tally.count(cause, open.destination);
     }
 
--- a/sender/src/endpoints.rs
+++ b/sender/src/endpoints.rs
@@ -38,6 +38,14 @@
 const BREAKS: usize = 8;
 /// And how often they are logged at most.
 const BREAKS_EVERY: Duration = Duration::from_secs(5);
+/// How long no connection is kept idle at an endpoint that has turned one away for want of room.
+const CROWDED_FOR: Duration = Duration::from_secs(60);
+/// What such an answer leaves of the time for which idle connections to the others are kept, and what each second
+/// adds to that again.
+const PATIENCE_CUT: f64 = 0.5;
+const PATIENCE_REGAINS: f64 = 1.03;
+/// How often it is looked what has been idle for too long.
+const TEND_GAP: Duration = Duration::from_millis(250);
 
 /// A told wait holds for a destination, or for an endpoint that is a route apart.
 pub type Route = (DestinationId, Option<EndpointId>);
@@ -167,6 +175,10 @@
     waits: RefCell<HashMap<Route, Instant>>,
     /// Endpoints to which nothing new may go, since when.
     left: RefCell<HashMap<EndpointId, Instant>>,
+    /// Endpoints that have no room for more connections, since when: idle ones, of all senders, take it up.
+    crowded: RefCell<HashMap<EndpointId, Instant>>,
+    /// Share of the idle time for which connections to the others are kept: what one lacks, they soon will.
+    patience: Cell<f64>,
     /// Another process is the sender: no call begins, and no connection is kept.
     retired: Cell<bool>,
     /// Messages written whole.
@@ -186,6 +198,8 @@
             connect_timeout: span(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
             left: RefCell::default(),
+            crowded: RefCell::default(),
+            patience: Cell::new(1.0),
             retired: Cell::new(false),
             tries,
             breaks: RefCell::default(),
@@ -257,6 +271,10 @@
             return Err(Outcome::Error);
         }
         self.heed(call.route, ending.wait);
+        // A limit on calls would have answered and kept the connection.
+        if rest == Rest::Last && ending.outcome == Outcome::Full && !open.is_reused {
+            self.note_crowded(call.endpoint);
+        }
         match (rest, connection.take()) {
             (Rest::Whole, Some(open)) => self.put_idle(call.at(), open),
             // The length may have been wrong: in doubt it may have run. A wait that was told is kept all the same.
@@ -365,7 +383,7 @@
     }
 
     fn put_idle(&self, (endpoint, address): (EndpointId, SocketAddr), mut connection: Connection) {
-        if self.retired.get() {
+        if self.retired.get() || self.crowded.borrow().contains_key(&endpoint) {
             return;
         }
         connection.is_reused = true;
@@ -385,20 +403,26 @@
 
     /// Closes what has been idle for too long, and logs why calls broke.
     pub async fn tend(self: Rc<Self>) {
-        let mut told = Instant::now();
+        let (mut told, mut faded) = (Instant::now(), Instant::now());
         loop {
-            sleep(Duration::from_secs(1)).await;
+            sleep(TEND_GAP).await;
+            self.patience.set((self.patience.get() * PATIENCE_REGAINS.powf(TEND_GAP.as_secs_f64())).min(1.0));
+            let idle_time = self.idle_time.mul_f64(self.patience.get());
             if told.elapsed() >= BREAKS_EVERY && !self.breaks.borrow().is_empty() {
                 told = Instant::now();
                 let idle_ms_trusted = self.survival.borrow().trusted_ms();
                 tracing::warn!(by_reason_and_reuse = ?self.breaks.take(), idle_ms_trusted, "calls broke");
             }
-            self.survival.borrow_mut().fade();
+            if faded.elapsed() >= Duration::from_secs(1) {
+                faded = Instant::now();
+                self.survival.borrow_mut().fade();
+            }
             self.idle
                 .borrow_mut()
-                .retain(|idle| idle.since.elapsed() < self.idle_time && idle.connection.is_quiet());
+                .retain(|idle| idle.since.elapsed() < idle_time && idle.connection.is_quiet());
             self.waits.borrow_mut().retain(|_, until| *until > Instant::now());
             // No call takes longer than that to connect.
+            self.crowded.borrow_mut().retain(|_, since| since.elapsed() < CROWDED_FOR);
             self.left.borrow_mut().retain(|_, since| since.elapsed() < 2 * self.connect_timeout);
         }
     }
@@ -420,6 +444,14 @@
         self.idle.borrow_mut().retain(|idle| idle.endpoint != endpoint);
     }
 
+    /// An endpoint has turned a connection away for want of room. Where many senders call each rarely, what all
+    /// keep idle fills the few that it holds; soon others lack room too.
+    fn note_crowded(&self, endpoint: EndpointId) {
+        self.crowded.borrow_mut().insert(endpoint, Instant::now());
+        self.close_idle(endpoint);
+        self.patience.set(self.patience.get() * PATIENCE_CUT);
+    }
+
     fn heed(&self, route: Route, wait: Micros) {
         if wait > 0 {
             let until = Instant::now() + span(wait);
@@ -608,6 +640,83 @@
         assert!(survival.trusts(late));
     }
 
+    /// Answers calls on one connection at a time with 200, and turns others away: for want of room, or with a limit's
+    /// refusal, which keeps the connection.
+    async fn serve_one(listener: TcpListener, free: Rc<Cell<bool>>, by_limit: bool) {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let free = free.clone();
+            tokio::task::spawn_local(async move {
+                let mine = free.replace(false);
+                let answer = match (mine, by_limit) {
+                    (true, _) => "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    (false, true) => "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+                    (false, false) => "HTTP/1.1 503 No\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                };
+                while stream.read(&mut [0; 4096]).await.is_ok_and(|bytes| bytes > 0) {
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                    if !mine && !by_limit {
+                        return;
+                    }
+                }
+                free.set(free.get() || mine);
+            });
+        }
+    }
+
+    /// Guards against idle connections of hundreds of senders that fill the few which an endpoint holds: on a day
+    /// with no fault, two calls in five were turned away for want of room.
+    #[tokio::test]
+    async fn an_endpoint_without_room_has_no_connection_kept_idle() {
+        let test = |by_limit: bool| async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let free = Rc::new(Cell::new(true));
+            tokio::task::spawn_local(serve_one(listener, free.clone(), by_limit));
+            let endpoints = endpoints();
+            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            while endpoints.idle.borrow().is_empty() {
+                tokio::task::yield_now().await;
+            }
+            // One goes on the idle connection, the other on a new one.
+            let both = tokio::join!(outcome(&endpoints, address), outcome(&endpoints, address));
+            assert_eq!(both, (Outcome::Delivered, Outcome::Full));
+            // Until both have been kept, or the one that has room is closed.
+            while endpoints.idle.borrow().len() < 2 && !free.get() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            (free.get(), endpoints.patience.get() < 1.0)
+        };
+        let all = async {
+            assert_eq!(test(false).await, (true, true));
+            assert_eq!(test(true).await, (false, false), "a limit is no reason for new connections");
+        };
+        let within = timeout(Duration::from_secs(20), tokio::task::LocalSet::new().run_until(all)).await;
+        assert!(within.is_ok(), "far sooner than the 42 s of an idle connection");
+    }
+
+    /// Guards against each endpoint having to turn each sender away once before its idle connections make room.
+    #[tokio::test]
+    async fn what_some_endpoints_lack_is_not_hoarded_at_others() {
+        let test = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            tokio::task::spawn_local(serve(listener));
+            let endpoints = endpoints();
+            let other = Connection::open(address).await.unwrap();
+            endpoints.put_idle((2, address), other);
+            (0..12).for_each(|_| endpoints.note_crowded(1));
+            let connection = Connection::open(address).await.unwrap();
+            endpoints.put_idle((1, address), connection);
+            assert_eq!(endpoints.idle.borrow().len(), 1, "the other's only");
+            tokio::task::spawn_local(endpoints.clone().tend());
+            while !endpoints.idle.borrow().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let within = timeout(Duration::from_secs(20), tokio::task::LocalSet::new().run_until(test)).await;
+        assert!(within.is_ok(), "far sooner than the 42 s of an idle connection");
+    }
+
     /// Guards against the answer to an earlier call being taken for that to one which was held back on the same
     /// connection: the message would be dropped as delivered.
     #[tokio::test]
