Size slow starts so that the whole fleet keeps to a cold server's budget

Wrong: Controller::capacity took 2.5 times the demand for the capacity where no limit is known, and did not hear of told limits; WARM_SHARE of 0.9 left chance too little.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,8 +34,11 @@
 /// Without a delivery for this long, an outage leaves the endpoint cold.
 const QUIET_MAX: Micros = 10 * SECOND; // An outage is not taken to have begun long before it was found
 const COLD_AFTER: Micros = 3 * SECOND;
-const WARM_SHARE: f64 = 0.9; // Share of the allowed overload that slow start uses; the rest is for chance
-const SEEN_CAPACITY: f64 = 2.5; // A destination is taken to serve so many times what is asked of it
+const WARM_SHARE: f64 = 0.75; // Share of the allowed overload that slow start uses; the rest is for chance
+/// A destination is taken to serve no more than so many times what is asked of it, and so many times that
+/// where no limit is known: it has kept up so far.
+const SEEN_CAPACITY: f64 = 2.5;
+const SURE_CAPACITY: f64 = 1.25;
 const DEMAND_PRIOR: f64 = 1.0; // Messages of an average destination that a new count of them starts with
 const LEAST_CAPACITY: f64 = 0.5; // Calls a second that any destination is taken to serve
 const PACE_MIN: f64 = 0.75; // Slowest pace, in calls a second of all senders: they share a limit
@@ -763,9 +766,10 @@
 
     /// Calls a second that an endpoint is taken to serve, of all senders.
     fn capacity(&self, endpoint: &Endpoint) -> f64 {
-        let seen = (self.demand(endpoint) * SEEN_CAPACITY).max(LEAST_CAPACITY);
-        let listed = self.routes.get(&endpoint.route).and_then(|route| route.listed);
-        let whole = listed.map_or(seen, |listed| listed.min(seen.max(listed / 2.0)));
+        let demand = self.demand(endpoint);
+        let known = self.routes.get(&endpoint.route).and_then(Route::limit);
+        let seen = |known: f64| known.min((SEEN_CAPACITY * demand).max(known / 2.0));
+        let whole = known.map_or(SURE_CAPACITY * demand, seen).max(LEAST_CAPACITY);
         let shared = self.destinations.get(&endpoint.route.0).filter(|_| endpoint.route.1.is_none());
         whole / shared.map_or(1, |to| to.endpoints.len().max(1)) as f64
     }
@@ -1096,9 +1100,14 @@
         }
     }
 
-    /// This sender's part of the limit as reported last, or else as listed, in calls a second.
+    /// The limit as reported last, or else as listed, in calls a second.
+    fn limit(&self) -> Option<f64> {
+        self.told.map(|(limit, _)| limit).or(self.listed)
+    }
+
+    /// This sender's part of it.
     fn even_share(&self, senders: u32) -> Option<f64> {
-        self.told.map(|(limit, _)| limit).or(self.listed).map(|limit| limit / f64::from(senders))
+        self.limit().map(|limit| limit / f64::from(senders))
     }
 
     /// This sender's even share of a told limit; half of it when nothing is left, so that what all have
@@ -1185,8 +1194,7 @@
             let rare = (first * self.sent_within(now, SENT_SPAN)).min(share);
             let lately = (self.sent_within(now, SECOND) - 1.0).max(rare);
             let cut = self.pace.map_or(lately, |pace| pace / 2.0);
-            let limit = self.told.map(|(limit, _)| limit).or(self.listed);
-            let listed = limit.filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
+            let listed = self.limit().filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
             let least = PACE_MIN.max(PACE_SHARE * listed) / f64::from(senders);
             let told = if self.has_left() { 0.0 } else { self.told_pace(senders) };
             self.pace = Some(cut.max(least).max(PACE_SHARE * part).max(told));
