Accept no client before those told to go have given their descriptors back

Wrong: Admission::take seats a new client at once, and the one told to go holds its descriptor until its task runs; up to 128 were accepted before that. Ruled out: the shares in config.rs, which add up.

With it the cap on endpoints out by hand goes from 256 to 1,024, as lists of servers may be that long; a test with 1,024 servers of long names, indented lists and 1,024 senders needed nothing else. Tests over sockets run with the system's limit on descriptors.

--- a/sender/src/admission.rs
+++ b/sender/src/admission.rs
@@ -43,6 +43,8 @@
     fresh: Cell<bool>,
     /// Bytes since the last answer.
     received: Cell<u64>,
+    /// It has been told to go, to make room for another.
+    leaves: Cell<bool>,
     /// Where the request's head ends among them, and how much of the blank line that ends it has come.
     head: Cell<Option<u64>>,
     blank: Cell<u8>,
@@ -77,6 +79,7 @@
             since: Cell::new(Instant::now()),
             fresh: Cell::new(true),
             received: Cell::new(0),
+            leaves: Cell::new(false),
             head: Cell::new(None),
             blank: Cell::new(0),
             unwanted: Notify::new(),
@@ -144,6 +147,8 @@
     most: usize,
     /// Of these, those that another process of this sender still holds.
     elsewhere: Cell<usize>,
+    /// Those whose connections have been told to go, and hold their descriptors until they have.
+    leaving: Cell<usize>,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
     counter: Cell<u64>,
     changed: Notify,
@@ -159,14 +164,17 @@
 impl Drop for Taken {
     fn drop(&mut self) {
         self.admission.seats.borrow_mut().remove(&self.number);
+        let left = usize::from(self.seat.leaves.get());
+        self.admission.leaving.set(self.admission.leaving.get() - left);
         self.admission.changed.notify_one();
     }
 }
 
 impl Admission {
     pub fn new(most: usize) -> Rc<Self> {
-        let (elsewhere, counter) = (Cell::new(0), Cell::new(0));
-        Rc::new(Self { most, elsewhere, seats: RefCell::default(), counter, changed: Notify::new() })
+        let (elsewhere, leaving, counter) = (Cell::new(0), Cell::new(0), Cell::new(0));
+        let (seats, changed) = (RefCell::default(), Notify::new());
+        Rc::new(Self { most, elsewhere, leaving, seats, counter, changed })
     }
 
     /// Accepts connections for good, and serves each in a task of its own until it or its seat ends that.
@@ -223,9 +231,10 @@
         self.changed.notify_one();
     }
 
-    /// Waits until another connection can have a seat: always, unless requests are open on all.
+    /// Waits until another connection can have a seat: always, unless requests are open on all, once those have gone
+    /// that were told to. Otherwise a crowd that comes at once takes the descriptors of discovery and endpoints.
     pub async fn vacancy(&self) {
-        while self.is_full() && self.dispensable().is_none() {
+        while self.leaving.get() > 0 || (self.is_full() && self.dispensable().is_none()) {
             self.changed.notified().await;
         }
     }
@@ -237,6 +246,8 @@
             if let Some(seat) = self.dispensable() {
                 // It may not be chosen again until it has gone.
                 seat.open();
+                seat.leaves.set(true);
+                self.leaving.set(self.leaving.get() + 1);
                 seat.unwanted.notify_one();
             }
         }
--- a/sender/src/journal.rs
+++ b/sender/src/journal.rs
@@ -26,7 +26,7 @@
 /// Room counted for a message beside its own record: its attempts and its end.
 const MESSAGE_ROOM: u64 = 256;
 /// Endpoints that may be out by hand at once.
-const OUT_MOST: usize = 256;
+const OUT_MOST: usize = 1024;
 
 /// Why a record was not written.
 #[derive(Debug, thiserror::Error)]
--- a/sender/tests/common/mod.rs
+++ b/sender/tests/common/mod.rs
@@ -215,7 +215,8 @@
                 if lists.0.lock().unwrap().silent {
                     continue;
                 }
-                let text = Self::list(&seen.line, lists).to_string();
+                // Indented, as lists may come.
+                let text = format!("{:#}", Self::list(&seen.line, lists));
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
             };
             if stream.get_mut().write_all(answer.as_bytes()).is_err() {
@@ -253,6 +254,11 @@
         self.lists.1.notify_all();
     }
 
+    /// Answers calls for a list from now on; those that it has heard stay unanswered.
+    pub fn speak(&self) {
+        self.lists.0.lock().unwrap().silent = false;
+    }
+
     /// Answers so many posts of notices with an error.
     pub fn deafen(&self, posts: u32) {
         self.lists.0.lock().unwrap().deaf = posts;
@@ -287,6 +293,7 @@
     pub disk_mb: f64,
     pub effect: &'static str,
     pub sockets: usize,
+    pub senders: u32,
     pub held: usize,
     pub ordered: bool,
     pub tenant: &'static str,
@@ -294,7 +301,15 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { disk_mb: 3.0, effect: "token", sockets: 256, held: 50, ordered: false, tenant: "small" }
+        Self {
+            disk_mb: 3.0,
+            effect: "token",
+            sockets: 256,
+            senders: 1,
+            held: 50,
+            ordered: false,
+            tenant: "small",
+        }
     }
 }
 
@@ -323,7 +338,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": terms.sockets, "disk_mb": terms.disk_mb},
             "known": {"index": 0, "snapshot": true, "endpoints": known},
             "settings": {
-                "balancers": 1, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
+                "balancers": terms.senders, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
                 "categories": [{"name": "notice", "effect": terms.effect, "dedupScope": "all",
                     "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
                     "fifoByKey": terms.ordered}],
@@ -338,7 +353,10 @@
         });
         let path = state.with_extension("json");
         std::fs::write(&path, config.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_corkthread"))
+        // Held to its descriptors by the system too.
+        let limited = format!("ulimit -n {} && exec \"$0\"", terms.sockets);
+        let mut child = Command::new("sh")
+            .args(["-c", &limited, env!("CARGO_BIN_EXE_corkthread")])
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_STATE", state)
             .env("ROUTER_MANAGEMENT", "127.0.0.1:0")
