Leave room for a repeat inside short windows and deadlines

Seen in tests: with a window of 1 s the first time-out is 4 s or more, and with a deadline of 5 s one second is left; an attempt that lies in the future, as after a clock was set back, was taken for one in time.

Wrong: Controller::timeout had its floor whatever window and deadline say; Event::Resumed took any time for past.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,6 +16,8 @@
 const SHARED_TRIES: u32 = 4; // Tries that share the time left; more follow what never ran
 const TIMEOUT_FLOOR: Micros = 4 * SECOND; // Generous: repeating what still runs costs more
 const TIMEOUT_LATENCIES: f64 = 8.0; // A time-out never is less than so many usual answer times
+/// Time-outs leave room for a repeat only where that is so many usual answer times, lest most be cut off.
+const REPEAT_LATENCIES: f64 = 1.5;
 /// No answer for so many usual answer times, and this time at least, is silence.
 const SILENCE_LATENCIES: f64 = 6.0;
 const SILENCE_FLOOR: Micros = 1_500_000;
@@ -284,7 +286,10 @@
                 if let Some(message) = self.messages.get_mut(id) {
                     let line = self.destinations[&message.destination].waiting.len() as Micros - 1;
                     message.ready_at = self.now + (pause * line).min((message.deadline - self.now) / 2);
-                    (message.attempts, message.tries, message.ran) = (*attempts, *attempts, *ran);
+                    (message.attempts, message.tries) = (*attempts, *attempts);
+                    // By a clock that has gone back, nobody can tell how long ago that was.
+                    message.ran =
+                        ran.map(|(at, zone)| (if at > self.now { Micros::MIN / 4 } else { at }, zone));
                     message.overdue = *attempts == 0;
                     // It came in an earlier process's time: the count starts with what comes in this one's.
                     let to = self.destinations.entry(message.destination).or_default();
@@ -999,7 +1004,24 @@
             Health::Out { .. } => usual.clamp(TIMEOUT_FLOOR / 2, 2 * TIMEOUT_FLOOR),
             _ => (left / Micros::from(tries)).max(TIMEOUT_FLOOR).max(usual),
         };
-        span.min(left).max(1)
+        span.min(self.repeat_room(message, endpoint).unwrap_or(left)).min(left).max(1)
+    }
+
+    /// How long a call may take if a repeat is to follow inside the message's deadline and its key's window.
+    /// None where a repeat is not allowed, or where usual answers would not come in that time.
+    fn repeat_room(&self, message: &Message, endpoint: &Endpoint) -> Option<Micros> {
+        let class = &self.settings.classes[message.class];
+        let window = match class.effect {
+            Effect::Unsafe => return None,
+            Effect::Safe => Micros::MAX / 4,
+            Effect::Keyed => message.ran.map_or(self.now, |(sent, _)| sent) + class.window - self.now,
+        };
+        let gap = FIRST_GAP * GAP_GROWTH.pow(message.tries.min(9));
+        let room = (window - 2 * START_MARGIN - (gap as f64 * (1.0 + JITTER)) as Micros)
+            .min((message.deadline - self.now) / 2);
+        let usual = endpoint.answered_at.map_or(0, |_| (endpoint.latency * REPEAT_LATENCIES) as Micros);
+        let more = message.attempts + 1 < self.settings.limits.attempts;
+        (more && room >= usual.max(FIRST_GAP)).then_some(room)
     }
 
     fn send(&mut self, id: MessageId, to: EndpointId, actions: &mut Vec<Action>) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -80,6 +80,83 @@
     assert!(*timeout > 15 * SECOND, "an unsafe message's one unknown try gets room: {timeout}");
 }
 
+/// Settings whose keyed class drops repeats for a second only, and whose safe one ends after five.
+fn short() -> Settings {
+    let mut settings = settings();
+    settings.classes[1].window = SECOND;
+    settings.classes[0].deadline = 5 * SECOND;
+    settings
+}
+
+/// With `short` settings, and an endpoint that has just delivered: one failure there is not yet an outage.
+fn short_bench() -> Bench {
+    let mut bench = Bench::new(short(), shared());
+    bench.turn(&[message(9, 1, 10)]);
+    bench.turn(&[ended(9, 0, 1, Outcome::Delivered)]);
+    bench
+}
+
+/// Guards against a time-out that takes all of a short window, after which the message cannot be repeated.
+#[test]
+fn a_time_out_leaves_room_for_a_repeat_inside_a_short_window() {
+    let mut bench = short_bench();
+    let begun = bench.now;
+    let actions = bench.turn(&[message(1, 1, 10)]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    bench.now += timeout;
+    let mut later = bench.turn(&[ended(1, 0, 1, Outcome::Timeout)]);
+    later.extend(bench.pass(begun + 20 * SECOND).into_iter().map(|(_, action)| action));
+    assert_eq!(sends(&later), [(1, 1)], "repeated once: {later:?}");
+    let (at, _) = bench.calls[&1];
+    assert!(at - begun < SECOND, "inside the window: {}", at - begun);
+    // A class of five seconds gets a second try as well.
+    let mut bench = short_bench();
+    let Event::Message { id, class, destination, .. } = message(2, 0, 10) else { unreachable!() };
+    let event = Event::Message {
+        id,
+        class,
+        destination,
+        tenant: None,
+        time_left: 5 * SECOND,
+        work: None,
+        order_key: None,
+        returned: false,
+        repeat: false,
+        write: false,
+    };
+    let actions = bench.turn(&[event]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    assert!(*timeout <= 2_500 * MS, "{timeout}");
+}
+
+/// Guards against a repeat outside its window, by this process's clock or by one that has gone back, and against a
+/// message that is held on to though it cannot be repeated any more.
+#[test]
+fn what_may_have_run_is_repeated_up_to_its_windows_end_and_then_ends_at_once() {
+    for (after, repeated) in [(400 * MS, true), (600 * MS, true), (960 * MS, false), (2 * SECOND, false)] {
+        let mut bench = short_bench();
+        let begun = bench.now;
+        bench.turn(&[message(1, 1, 10)]);
+        bench.now += after;
+        let mut actions = bench.turn(&[ended(1, 0, 1, Outcome::Reset)]);
+        assert_eq!(actions.contains(&Action::Fail { id: 1 }), !repeated, "{after}");
+        actions = bench.pass(begun + 20 * SECOND).into_iter().map(|(_, action)| action).collect();
+        assert_eq!(sends(&actions).len(), usize::from(repeated), "{after}");
+    }
+    // Found by a restart.
+    for (ago, repeated) in [(300 * MS, true), (960 * MS, false), (30 * SECOND, false), (-SECOND, false)] {
+        let mut bench = short_bench();
+        let start = bench.now;
+        let resumed = Event::Resumed { id: 1, attempts: 1, ran: Some((start - ago, 1)) };
+        let first = bench.turn(&[message(1, 1, 10), resumed]);
+        assert_eq!(first.contains(&Action::Fail { id: 1 }), !repeated, "{ago}: {first:?}");
+        let mut sent: Vec<_> = sends(&first).into_iter().map(|_| start).collect();
+        sent.extend(sends_in_time(&bench.pass(start + 20 * SECOND)).into_iter().map(|(at, ..)| at));
+        assert_eq!(sent.len(), usize::from(repeated), "{ago}");
+        assert!(sent.iter().all(|at| at - start + ago < SECOND), "{ago}");
+    }
+}
+
 #[test]
 fn unsafe_messages_fail_after_an_unknown_outcome_and_go_again_after_a_refusal() {
     let mut bench = Bench::new(settings(), shared());
