Cut slow starts short only where no limit is known

The plays of the slow start's tests went over only where no limit is known: there the guess goes from 1.25 to 1.05 times the demand, which with 0.9 is the same budget as before. Where a limit is known, it lies below the capacity, and 0.9 holds.

--- a/src/control.rs
+++ b/src/control.rs
@@ -36,11 +36,11 @@
 /// Without a delivery for this long, an outage leaves the endpoint cold.
 const QUIET_MAX: Micros = 10 * SECOND; // An outage is not taken to have begun long before it was found
 const COLD_AFTER: Micros = 3 * SECOND;
-const WARM_SHARE: f64 = 0.75; // Share of the allowed overload that slow start uses; the rest is for chance
-/// A destination is taken to serve no more than so many times what is asked of it, and so many times that
-/// where no limit is known: it has kept up so far.
+const WARM_SHARE: f64 = 0.9; // Share of the allowed overload that slow start uses; the rest is for chance
+/// A destination of a known limit is taken to serve at most so many times what is asked of it.
 const SEEN_CAPACITY: f64 = 2.5;
-const SURE_CAPACITY: f64 = 1.25;
+/// Where no limit is known it is taken to serve little more than is asked: it has kept up so far.
+const SURE_CAPACITY: f64 = 1.05;
 const DEMAND_PRIOR: f64 = 1.0; // Messages of an average destination that a new count of them starts with
 const LEAST_CAPACITY: f64 = 0.5; // Calls a second that any destination is taken to serve
 const PACE_MIN: f64 = 0.75; // Slowest pace, in calls a second of all senders: they share a limit
