--- a/src/control.rs
+++ b/crates/delivery-control/src/control.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::*;
+use crate::*;
 
 const SECOND: Micros = 1_000_000;
 /// Pause before the second try, and its growth: the design's 200 ms and 600 ms.
@@ -79,7 +79,7 @@
     class: usize,
     destination: DestinationId,
     order_key: Option<String>,
-    worth: f64,
+    value: f64,
     aim_at: Micros,
     deadline: Micros,
     attempts: u32,
@@ -87,7 +87,7 @@
     out: bool,
     streaming: bool,
     /// When and in which zone the first attempt that may have run was sent.
-    ran: Option<(Micros, usize)>,
+    first_ambiguous: Option<AmbiguousAttempt>,
     ready_at: Micros,
     refused: bool,
     /// An earlier process took it on and made no call: it has waited long enough, and goes before others.
@@ -146,7 +146,7 @@
     route: RouteKey,
     zone: usize,
     bundle: usize,
-    listing: Listing,
+    listing: ListingState,
     /// Listed as live, and not taken out by hand.
     live: bool,
     latency: f64,
@@ -233,8 +233,8 @@
 impl Controller {
     /// Makes a controller; all its chance comes from `seed`.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let ask_at = (settings.discovery == Discovery::Subscribe).then_some(Micros::MIN);
+        settings.validate()?;
+        let ask_at = (settings.discovery == DiscoveryMode::Subscribe).then_some(Micros::MIN);
         let shares = vec![(f64::MAX, 0); settings.tenants.len()];
         let random = fastrand::Rng::with_seed(seed);
         Ok(Self { settings, random, shares, ask_at, first_pace: FIRST_PACE, ..Self::default() })
@@ -277,10 +277,10 @@
 
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Listed { update, entries, .. } => self.list(*update, entries),
-            Event::ByHand { endpoint, out } => self.move_by_hand(*endpoint, *out),
-            Event::Message { .. } => self.accept(event, actions),
-            Event::Resumed { id, attempts, ran } => {
+            Event::EndpointsUpdated { update, entries, .. } => self.list(*update, entries),
+            Event::Maintenance { endpoint, command } => self.move_by_hand(*endpoint, *command),
+            Event::MessageSubmitted(submission) => self.accept(submission, actions),
+            Event::MessageRecovered { id, attempts, first_ambiguous } => {
                 let pause = self.resume_gap(*id);
                 let pause = self.jittered(pause);
                 if let Some(message) = self.messages.get_mut(id) {
@@ -288,8 +288,10 @@
                     message.ready_at = self.now + (pause * line).min((message.deadline - self.now) / 2);
                     (message.attempts, message.tries) = (*attempts, *attempts);
                     // By a clock that has gone back, nobody can tell how long ago that was.
-                    message.ran =
-                        ran.map(|(at, zone)| (if at > self.now { Micros::MIN / 4 } else { at }, zone));
+                    message.first_ambiguous = first_ambiguous.map(|first| AmbiguousAttempt {
+                        sent_at: if first.sent_at > self.now { Micros::MIN / 4 } else { first.sent_at },
+                        ..first
+                    });
                     message.overdue = *attempts == 0;
                     // It came in an earlier process's time: the count starts with what comes in this one's.
                     let to = self.destinations.entry(message.destination).or_default();
@@ -297,17 +299,21 @@
                 }
                 self.ends.insert((self.now, *id));
             }
-            Event::Owed { id, order_key } => {
+            Event::NoticePending { id, order_key } => {
                 self.turns.entry(order_key.clone()).or_default().queue.push_back(*id);
                 self.owed.insert(*id, order_key.clone());
             }
-            Event::Over { id } => {
+            Event::NoticeAcknowledged { id } => {
                 self.owed.remove(id).into_iter().for_each(|key| self.pass_turn(&key, *id));
             }
-            Event::Started { id, .. } => drop(self.messages.entry(*id).and_modify(|m| m.streaming = true)),
-            Event::Ended { .. } => self.ended(event),
-            Event::Withdrawn { id } => self.forget(*id),
-            Event::Timer { .. } | Event::Note { .. } | Event::Probed { .. } => {}
+            Event::ResponseStarted { id, .. } => {
+                if let Some(message) = self.messages.get_mut(id) {
+                    message.streaming = true;
+                }
+            }
+            Event::AttemptEnded(end) => self.ended(end),
+            Event::MessageWithdrawn { id } => self.forget(*id),
+            Event::TimerFired { .. } | Event::NoteReceived { .. } | Event::ProbeEnded { .. } => {}
         }
     }
 
@@ -318,8 +324,8 @@
         let ids = to.map_or(&[][..], |to| &to.endpoints);
         let listed =
             ids.iter().filter_map(|id| self.routes[&self.endpoints[id].route].listed).reduce(f64::min);
-        let rate =
-            listed.unwrap_or(0.0) * self.settings.rules.start_capacity / f64::from(self.settings.senders);
+        let rate = listed.unwrap_or(0.0) * self.settings.rules.initial_capacity
+            / f64::from(self.settings.sender_count);
         ((SECOND as f64 / rate) as Micros).min(TRIAL_GAP)
     }
 
@@ -329,19 +335,19 @@
 
     // Discovery.
 
-    fn list(&mut self, update: Update, entries: &[Entry]) {
-        if update == Update::Failed {
+    fn list(&mut self, update: UpdateKind, entries: &[EndpointEntry]) {
+        if update == UpdateKind::Failed {
             let gap = self.jittered(ASK_GAP << self.ask_failures);
             self.ask_failures = (self.ask_failures + 1).min(ASK_DOUBLINGS);
-            self.ask_at = (self.settings.discovery == Discovery::Subscribe).then_some(self.now + gap);
+            self.ask_at = (self.settings.discovery == DiscoveryMode::Subscribe).then_some(self.now + gap);
             return;
         }
-        if update != Update::Disk {
+        if update != UpdateKind::Cached {
             (self.ask_at, self.ask_failures) = (None, 0);
         }
-        if update != Update::Changes {
+        if update != UpdateKind::Delta {
             let all = self.endpoints.values_mut();
-            all.for_each(|endpoint| (endpoint.listing, endpoint.live) = (Listing::Gone, false));
+            all.for_each(|endpoint| (endpoint.listing, endpoint.live) = (ListingState::Removed, false));
             let gone = self.endpoints.keys().filter(|id| !self.retired.contains_key(id));
             let gone: Vec<_> = gone.map(|id| (*id, self.now)).collect();
             self.retired.extend(gone);
@@ -351,20 +357,20 @@
         self.forget_retired();
     }
 
-    fn list_entry(&mut self, entry: &Entry) {
+    fn list_entry(&mut self, entry: &EndpointEntry) {
         let id = entry.endpoint;
         let kind = self.settings.kinds.get(entry.kind);
-        let route = (entry.destination, kind.is_some_and(|kind| kind.own_limits).then_some(id));
+        let route = (entry.destination, kind.is_some_and(|kind| kind.per_endpoint_limits).then_some(id));
         let fresh = Endpoint { route, latency: UNKNOWN_LATENCY, ..Endpoint::default() };
         let endpoint = self.endpoints.entry(id).or_insert(fresh);
         let before = std::mem::replace(&mut endpoint.route, route);
-        (endpoint.zone, endpoint.bundle) = (entry.zone, kind.map_or(1, |kind| kind.bundle_max.max(1)));
+        (endpoint.zone, endpoint.bundle) = (entry.zone, kind.map_or(1, |kind| kind.max_batch_size.max(1)));
         endpoint.listing = entry.listing;
         // A told wait binds the endpoint under whatever destination or kind it is listed again.
         let wait_until = self.routes.get(&before).map_or(0, |route| route.wait_until);
         let route = self.routes.entry(route).or_default();
         route.wait_until = route.wait_until.max(wait_until);
-        route.listed = (self.settings.rates_listed && entry.rate > 0.0).then_some(entry.rate);
+        route.listed = (self.settings.rates_are_listed && entry.rate > 0.0).then_some(entry.rate);
         for of in [before.0, entry.destination] {
             self.destinations.entry(of).or_default().endpoints.retain(|other| *other != id);
             self.touched.insert(of);
@@ -375,7 +381,7 @@
     /// Puts an endpoint among those that calls may go to, or takes it away from them.
     fn enlist(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        endpoint.live = endpoint.listing == Listing::Live && !self.by_hand.contains_key(&id);
+        endpoint.live = endpoint.listing == ListingState::Live && !self.by_hand.contains_key(&id);
         let to = self.destinations.entry(endpoint.route.0).or_default();
         to.endpoints.retain(|other| *other != id);
         self.touched.insert(endpoint.route.0);
@@ -389,9 +395,9 @@
 
     /// Taken out, an endpoint drains whatever is listed. It was restarted meanwhile, which is an outage:
     /// back, it is tried by one call, and then starts slowly.
-    fn move_by_hand(&mut self, id: EndpointId, out: bool) {
+    fn move_by_hand(&mut self, id: EndpointId, command: MaintenanceCommand) {
         let now = self.now;
-        if out {
+        if command == MaintenanceCommand::Drain {
             self.by_hand.entry(id).or_insert(now);
         } else if let Some(since) = self.by_hand.remove(&id) {
             let health = Health::Out { since, seen: true, gap: 0, trial_at: now, trial: None };
@@ -405,7 +411,7 @@
     pub fn avoided(&self) -> usize {
         let ill = |health| matches!(health, Health::Out { trial_at, .. } if trial_at > self.now);
         let shunned = |to: &&Endpoint| !to.live || ill(to.health);
-        self.endpoints.values().filter(|to| to.listing != Listing::Gone).filter(shunned).count()
+        self.endpoints.values().filter(|to| to.listing != ListingState::Removed).filter(shunned).count()
     }
 
     /// Forgets endpoints that are gone, once nothing is out there and no wait or outage must be remembered,
@@ -418,7 +424,7 @@
             let waits = self.routes.get(&route).is_some_and(|route| route.wait_until > self.now);
             let busy = self.attempts.values().any(|attempt| attempt.endpoint == id);
             let ill = self.health_now(endpoint) != Health::Up && self.now - since < ILL_KEPT;
-            let listed = endpoint.listing != Listing::Gone;
+            let listed = endpoint.listing != ListingState::Removed;
             if waits || busy || ill || listed || self.by_hand.contains_key(&id) {
                 self.retired.insert(id, since);
             } else {
@@ -433,24 +439,22 @@
 
     // Messages.
 
-    fn accept(&mut self, event: &Event, actions: &mut Vec<Action>) {
-        let &Event::Message { id, class, tenant, destination, time_left, work, ref order_key, .. } = event
-        else {
-            return;
-        };
+    fn accept(&mut self, submission: &MessageSubmission, actions: &mut Vec<Action>) {
+        let &MessageSubmission { id, class, tenant, destination, time_left, work, ref order_key, .. } =
+            submission;
         let Some(rules) = self.settings.classes.get(class) else {
-            return actions.push(Action::Refuse { id, retry_after: 0 });
+            return actions.push(Action::Reject { id, retry_after: 0 });
         };
-        let stretch = rules.aim_stretch * work.unwrap_or(0) as f64;
-        let aim = (rules.aim + stretch as Micros).min(rules.deadline).max(1);
+        let stretch = rules.latency_objective_stretch * work.unwrap_or(0) as f64;
+        let latency_objective = (rules.latency_objective + stretch as Micros).min(rules.deadline).max(1);
         let deadline = self.now.saturating_add(time_left).min(Micros::MAX / 4);
-        let (aim_at, full) = (deadline - rules.deadline + aim, rules.worth);
+        let (aim_at, full) = (deadline - rules.deadline + latency_objective, rules.value);
         let order_key = order_key.clone().filter(|_| rules.ordered);
         if let Some(key) = &order_key {
             self.turns.entry(key.clone()).or_default().queue.push_back(id);
         }
-        let worth = full * self.share_worth(tenant);
-        let held = Message { class, destination, order_key, worth, aim_at, deadline, ..Message::default() };
+        let value = full * self.share_worth(tenant);
+        let held = Message { class, destination, order_key, value, aim_at, deadline, ..Message::default() };
         self.arrived += 1.0;
         self.destinations.entry(destination).or_default().arrivals += 1.0;
         self.ends.insert((self.latest_start(&held), id));
@@ -469,12 +473,12 @@
     fn share_worth(&mut self, tenant: Option<usize>) -> f64 {
         let index = tenant.unwrap_or(usize::MAX);
         let Some(tenant) = self.settings.tenants.get(index) else { return 1.0 };
-        let rate = tenant.allowance / f64::from(self.settings.senders);
+        let rate = tenant.quota / f64::from(self.settings.sender_count);
         let (left, at) = self.shares[index];
         let left = (left + (self.now - at) as f64 / SECOND as f64 * rate).min((2.0 * rate).max(1.0));
         let within = left >= 1.0;
         self.shares[index] = (if within { left - 1.0 } else { left }, self.now);
-        f64::from(u8::from(within)).max(self.settings.over_share_worth)
+        f64::from(u8::from(within)).max(self.settings.over_quota_value)
     }
 
     fn worth_at(&self, message: &Message, at: Micros) -> f64 {
@@ -483,33 +487,37 @@
         let left = match self.settings.decay {
             _ if at >= message.deadline => 0.0,
             _ if late <= 0 => 1.0,
-            Decay::Line => 1.0 - (1.0 - class.late_share) * late as f64 / span.max(1) as f64,
-            Decay::Halves => 0.5f64.powf(late as f64 / class.aim.max(1) as f64).max(class.late_share),
+            ValueDecay::Linear => 1.0 - (1.0 - class.residual_value) * late as f64 / span.max(1) as f64,
+            ValueDecay::Exponential => {
+                0.5f64.powf(late as f64 / class.latency_objective.max(1) as f64).max(class.residual_value)
+            }
         };
-        left * message.worth
+        left * message.value
     }
 
     /// The last moment at which another try of the message could still be lawful and of use.
     fn latest_start(&self, message: &Message) -> Micros {
         let class = &self.settings.classes[message.class];
-        let in_time = message.deadline - START_MARGIN.max(2 * self.settings.resolution);
-        match (message.ran, class.effect) {
-            _ if message.attempts >= self.settings.limits.attempts => Micros::MIN,
-            (None, _) | (_, Effect::Safe) => in_time,
-            (Some(_), Effect::Unsafe) => Micros::MIN,
-            (Some((sent, _)), Effect::Keyed) => in_time.min(sent + class.window - START_MARGIN),
+        let in_time = message.deadline - START_MARGIN.max(2 * self.settings.turn_interval);
+        match (message.first_ambiguous, class.idempotency) {
+            _ if message.attempts >= self.settings.limits.max_attempts => Micros::MIN,
+            (None, _) | (_, Idempotency::Always) => in_time,
+            (Some(_), Idempotency::Never) => Micros::MIN,
+            (Some(first), Idempotency::WithKey) => {
+                in_time.min(first.sent_at + class.idempotency_window - START_MARGIN)
+            }
         }
     }
 
     /// How a message ends: refused only if no attempt may have run or repeats are harmless, else failed.
     fn end(&mut self, id: MessageId, retry_after: Micros, actions: &mut Vec<Action>) {
         let Some(message) = self.messages.get(&id) else { return };
-        let safe = self.settings.classes[message.class].effect == Effect::Safe;
-        let retry_after = retry_after.min(self.settings.limits.retry_after_max);
-        let retry_after = if self.settings.limits.retry_after { retry_after } else { 0 };
-        let harmless = safe || (message.ran.is_none() && !message.out);
-        actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
-        let key = message.order_key.clone().filter(|_| self.settings.notices);
+        let safe = self.settings.classes[message.class].idempotency == Idempotency::Always;
+        let retry_after = retry_after.min(self.settings.limits.max_retry_after);
+        let retry_after = if self.settings.limits.may_advise_retry { retry_after } else { 0 };
+        let harmless = safe || (message.first_ambiguous.is_none() && !message.out);
+        actions.push(if harmless { Action::Reject { id, retry_after } } else { Action::Fail { id } });
+        let key = message.order_key.clone().filter(|_| self.settings.notices_are_acknowledged);
         self.owed.extend(key.map(|key| (id, key)));
         self.forget(id);
     }
@@ -538,7 +546,7 @@
         while let Some((at, id)) = self.ends.first().copied().filter(|(at, _)| *at <= self.now) {
             self.ends.remove(&(at, id));
             let Some(message) = self.messages.get(&id).filter(|message| !message.streaming) else { continue };
-            let last_out = message.deadline - self.settings.resolution;
+            let last_out = message.deadline - self.settings.turn_interval;
             let end = if message.out { last_out } else { self.latest_start(message) };
             match end <= self.now {
                 true => self.end(id, TRIAL_GAP_MAX, actions),
@@ -549,8 +557,9 @@
 
     // Outcomes.
 
-    fn ended(&mut self, event: &Event) {
-        let Event::Ended { id, attempt, outcome, last, wait, load, .. } = event else { return };
+    fn ended(&mut self, end: &AttemptEnd) {
+        let AttemptEnd { id, attempt, outcome, is_final: last, retry_after: wait, load_report: load, .. } =
+            end;
         let Some(done) = self.attempts.remove(&(*id, *attempt)) else { return };
         // Each outcome of a bundle may tell a wait, not only the last one to come.
         if let Some(endpoint) = self.endpoints.get(&done.endpoint) {
@@ -572,25 +581,29 @@
         let Some(message) = self.messages.get_mut(id) else { return };
         message.out = false;
         let step = match outcome {
-            Outcome::Full if message.refused => FIRST_PACE_STEPS.0,
-            Outcome::Delivered if message.refused => FIRST_PACE_STEPS.1,
+            AttemptOutcome::Rejected if message.refused => FIRST_PACE_STEPS.0,
+            AttemptOutcome::Delivered if message.refused => FIRST_PACE_STEPS.1,
             _ => 1.0,
         };
         self.first_pace = (self.first_pace * step).clamp(FIRST_PACE_RANGE.0, FIRST_PACE_RANGE.1);
-        message.refused = *outcome == Outcome::Full;
-        if *last || *outcome == Outcome::Delivered {
+        message.refused = *outcome == AttemptOutcome::Rejected;
+        if *last || *outcome == AttemptOutcome::Delivered {
             return self.forget(*id);
         }
-        if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent) {
-            message.ran = message.ran.or(Some((done.sent, zone)));
+        if !matches!(
+            outcome,
+            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        ) {
+            message.first_ambiguous =
+                message.first_ambiguous.or(Some(AmbiguousAttempt { sent_at: done.sent, zone }));
         }
         // The gap grows from try to try, so far that the attempts left last to the end.
-        let left = Micros::from(self.settings.limits.attempts.saturating_sub(message.attempts).max(1));
+        let left = Micros::from(self.settings.limits.max_attempts.saturating_sub(message.attempts).max(1));
         let gap =
             (FIRST_GAP * GAP_GROWTH.pow(message.tries.min(9))).min((message.deadline - self.now) / left);
         message.ready_at = self.now + (gap as f64 * stretch) as Micros;
-        message.tries += u32::from(*outcome != Outcome::NotSent);
-        self.give_way(*id, if *outcome == Outcome::Full { stretch } else { 0.0 });
+        message.tries += u32::from(*outcome != AttemptOutcome::NotSent);
+        self.give_way(*id, if *outcome == AttemptOutcome::Rejected { stretch } else { 0.0 });
         self.ends.insert((self.now, *id));
         self.put_in_line(*id);
     }
@@ -599,58 +612,62 @@
     fn give_way(&mut self, id: MessageId, stretch: f64) {
         let most = (self.messages[&id].deadline - self.now) as f64 / 3.0;
         let pause = (GIVE_WAY / self.first_pace * SECOND as f64).min(most) * stretch;
-        let worth = |after| self.worth_at(&self.messages[&id], self.now + after);
-        let kept = worth(pause as Micros) / worth(0).max(f64::MIN_POSITIVE);
+        let value = |after| self.worth_at(&self.messages[&id], self.now + after);
+        let kept = value(pause as Micros) / value(0).max(f64::MIN_POSITIVE);
         let until = self.now + (pause * (2.0 * kept - 1.0).max(0.0)) as Micros;
         self.messages.entry(id).and_modify(|message| message.ready_at = message.ready_at.max(until));
     }
 
     /// Order: after an attempt that may still run, the key rests for all but the message that has the turn.
-    fn rest_key(&mut self, done: &Attempt, id: MessageId, outcome: Outcome) {
+    fn rest_key(&mut self, done: &Attempt, id: MessageId, outcome: AttemptOutcome) {
         let Some(key) = &done.order_key else { return };
         if let Some(turns) = self.turns.get_mut(key).filter(|turns| turns.queue.contains(&id)) {
-            if matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
-                turns.rest_until = self.now + self.settings.rules.order_pause;
+            if matches!(outcome, AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Cancelled)
+            {
+                turns.rest_until = self.now + self.settings.rules.quarantine_time;
                 turns.rest_of = id;
             }
             self.pass_turn(key, id);
         }
     }
 
-    fn learn(&mut self, done: &Attempt, outcome: Outcome, wait: Micros) {
+    fn learn(&mut self, done: &Attempt, outcome: AttemptOutcome, wait: Micros) {
         let (now, chance) = (self.now, self.random.f64());
         let paces = (self.first_pace, self.endpoints.get(&done.endpoint).map_or(0.0, |to| self.part(to)));
         let Some(endpoint) = self.endpoints.get_mut(&done.endpoint) else { return };
         let mut suspect = matches!(endpoint.health, Health::Out { .. });
         let route = self.routes.entry(endpoint.route).or_default();
-        if matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Full) {
+        if matches!(outcome, AttemptOutcome::Delivered | AttemptOutcome::Error | AttemptOutcome::Rejected) {
             endpoint.answered_at = Some(now);
             endpoint.idle.push(now);
         }
         match outcome {
-            Outcome::Delivered => {
+            AttemptOutcome::Delivered => {
                 let latency = (now - done.sent) as f64;
                 endpoint.latency += LATENCY_GAIN * (latency - endpoint.latency);
                 self.succeeded(done);
             }
-            Outcome::Full => {
-                suspect |= route.refuse(now, wait, self.settings.senders, paces, chance);
+            AttemptOutcome::Rejected => {
+                suspect |= route.refuse(now, wait, self.settings.sender_count, paces, chance);
                 let route = endpoint.route;
                 for id in if suspect { self.on_route(route) } else { Vec::new() } {
                     self.suspect(id, Some(done.call), wait);
                 }
             }
-            Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::ConnectFailed => {
+            AttemptOutcome::Error
+            | AttemptOutcome::Timeout
+            | AttemptOutcome::Reset
+            | AttemptOutcome::ConnectFailed => {
                 // A lone time-out among answers is a slow call, not an outage.
-                let slow = outcome == Outcome::Timeout && endpoint.answered_at >= Some(done.sent);
+                let slow = outcome == AttemptOutcome::Timeout && endpoint.answered_at >= Some(done.sent);
                 endpoint.failures += u32::from(!slow);
                 // Where calls are rare, one failure and no delivery of late is all there will be to go by.
                 suspect |= endpoint.failures
                     >= if endpoint.quiet_for(now) >= COLD_AFTER { 1 } else { OUTAGE_FAILURES };
             }
-            Outcome::Cancelled | Outcome::NotSent => {}
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {}
         }
-        if suspect && outcome != Outcome::Delivered {
+        if suspect && outcome != AttemptOutcome::Delivered {
             self.suspect(done.endpoint, Some(done.call), wait);
         }
     }
@@ -677,7 +694,7 @@
             return;
         }
         let gap = ((gap as f64 * TRIAL_GROWTH) as Micros).clamp(TRIAL_GAP, TRIAL_GAP_MAX);
-        let budget = self.budget(endpoint) * self.settings.rules.start_capacity.max(0.01);
+        let budget = self.budget(endpoint) * self.settings.rules.initial_capacity.max(0.01);
         let spread = 2.0 * self.contenders(endpoint, now - since + wait) / budget * self.random.f64();
         let trial_at = now + wait + self.jittered(gap).max(spread as Micros);
         let (seen, trial) = (seen || call.is_some(), trial.filter(|_| trial != call));
@@ -687,7 +704,8 @@
 
     /// Senders that hold messages for an endpoint out for so long, as far as demand tells.
     fn contenders(&self, endpoint: &Endpoint, span: Micros) -> f64 {
-        (self.demand(endpoint) * span as f64 / SECOND as f64).clamp(1.0, f64::from(self.settings.senders))
+        (self.demand(endpoint) * span as f64 / SECOND as f64)
+            .clamp(1.0, f64::from(self.settings.sender_count))
     }
 
     /// A success ends a suspicion; after a real outage the endpoint is cold and starts slowly.
@@ -700,9 +718,9 @@
         let next_at = now + (self.warm_pause(endpoint, 0, waiting) as f64 * self.random.f64()) as Micros;
         let Some(endpoint) = self.endpoints.get_mut(&done.endpoint) else { return };
         let route = self.routes.entry(endpoint.route).or_default();
-        let told = route.told_pace(self.settings.senders);
+        let told = route.told_pace(self.settings.sender_count);
         route.serve(now, part, told);
-        route.heed_report(now, self.settings.senders, &mut self.random);
+        route.heed_report(now, self.settings.sender_count, &mut self.random);
         endpoint.failures = 0;
         let cold = endpoint.quiet_for(now) >= COLD_AFTER;
         endpoint.delivered_at = Some(now);
@@ -755,14 +773,14 @@
         let mean = self.arrived / self.destinations.len().max(1) as f64;
         let Some(to) = self.destinations.get(&endpoint.route.0) else { return 0.0 };
         let own = (to.arrivals + DEMAND_PRIOR) * mean / ((mean + DEMAND_PRIOR) * self.counted(1));
-        own.max(self.growth(to)) * f64::from(self.settings.senders) / endpoint.routes(to)
+        own.max(self.growth(to)) * f64::from(self.settings.sender_count) / endpoint.routes(to)
     }
 
     /// Messages a second that this sender is sure to be handed for an endpoint's route, up to its part of a
     /// listed rate; none for one that is out, whose trials many senders share.
     fn part(&self, endpoint: &Endpoint) -> f64 {
         let share =
-            self.routes.get(&endpoint.route).and_then(|route| route.even_share(self.settings.senders));
+            self.routes.get(&endpoint.route).and_then(|route| route.even_share(self.settings.sender_count));
         let out = matches!(endpoint.health, Health::Out { .. });
         let Some(to) = self.destinations.get(&endpoint.route.0).filter(|_| !out) else { return 0.0 };
         let own = (to.arrivals / self.counted(ASKED_SPAN)).max(self.growth(to)) / endpoint.routes(to);
@@ -788,17 +806,19 @@
     /// the calls of all `waiting` senders use the allowed overload of a capacity that grows meanwhile.
     fn warm_pause(&self, endpoint: &Endpoint, passed: Micros, waiting: f64) -> Micros {
         let rules = &self.settings.rules;
-        let growth = ((1.0 - rules.start_capacity) / rules.warm_within.max(1) as f64).max(1e-12);
-        let share = rules.start_capacity.max(0.01) + growth * passed as f64;
+        let growth = ((1.0 - rules.initial_capacity) / rules.warm_up_time.max(1) as f64).max(1e-12);
+        let share = rules.initial_capacity.max(0.01) + growth * passed as f64;
         // One call is due once the integral of the growing rate reaches one.
         let due = ((share * share + 2.0 * growth * waiting / self.budget(endpoint)).sqrt() - share) / growth;
-        due.min(rules.warm_within as f64) as Micros
+        due.min(rules.warm_up_time as f64) as Micros
     }
 
     /// An endpoint's health; a slow start ends by itself.
     fn health_now(&self, endpoint: &Endpoint) -> Health {
         match endpoint.health {
-            Health::Warming { since, .. } if self.now - since > self.settings.rules.warm_within => Health::Up,
+            Health::Warming { since, .. } if self.now - since > self.settings.rules.warm_up_time => {
+                Health::Up
+            }
             health => health,
         }
     }
@@ -810,10 +830,11 @@
         let now = self.now;
         let class = &self.settings.classes[message.class];
         let endpoint = &self.endpoints[&to];
-        let scoped = class.effect == Effect::Keyed && class.scope == Scope::Zone;
+        let scoped =
+            class.idempotency == Idempotency::WithKey && class.idempotency_scope == IdempotencyScope::Zone;
         let elsewhere = !endpoint.live
             || endpoint.route.0 != message.destination
-            || message.ran.is_some_and(|(_, zone)| scoped && zone != endpoint.zone);
+            || message.first_ambiguous.is_some_and(|first| scoped && first.zone != endpoint.zone);
         if elsewhere || message.out || message.streaming || self.latest_start(message) <= now {
             return Gate::Shut;
         }
@@ -838,11 +859,11 @@
             Health::Warming { next_at, .. } if next_at > now => Gate::After(next_at),
             Health::Out { trial_at, .. } if trial_at > now => Gate::After(trial_at),
             Health::Out { .. } if self.on_route(endpoint.route).iter().any(tried) => Gate::Shut,
-            Health::Out { .. } if class.effect == Effect::Unsafe && self.has_repeatable(message) => {
+            Health::Out { .. } if class.idempotency == Idempotency::Never && self.has_repeatable(message) => {
                 Gate::Shut
             }
-            _ if self.calls.len() >= self.settings.limits.slots => Gate::NoSlot,
-            _ if held >= (self.settings.limits.slots as f64 * SLOT_SHARE).max(1.0) => Gate::Shut,
+            _ if self.calls.len() >= self.settings.limits.max_in_flight => Gate::NoSlot,
+            _ if held >= (self.settings.limits.max_in_flight as f64 * SLOT_SHARE).max(1.0) => Gate::Shut,
             _ => Gate::Open,
         }
     }
@@ -859,8 +880,8 @@
         let waiting = self.destinations.get(&message.destination).map(|to| &to.waiting);
         waiting.into_iter().flatten().any(|id| {
             let other = &self.messages[id];
-            let effect = self.settings.classes[other.class].effect;
-            effect != Effect::Unsafe && other.order_key.is_none() && other.ready_at <= self.now
+            let idempotency = self.settings.classes[other.class].idempotency;
+            idempotency != Idempotency::Never && other.order_key.is_none() && other.ready_at <= self.now
         })
     }
 
@@ -911,7 +932,7 @@
             self.agenda.remove(&due);
             self.touched.insert(due.1);
         }
-        if self.calls.len() < self.settings.limits.slots {
+        if self.calls.len() < self.settings.limits.max_in_flight {
             self.touched.append(&mut self.starved);
         }
         let mut order = Vec::new();
@@ -933,7 +954,7 @@
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         order.into_iter().for_each(|(.., id)| self.place(id, actions));
-        if !self.starved.is_empty() && self.settings.limits.cancel {
+        if !self.starved.is_empty() && self.settings.limits.may_cancel {
             self.free_slot(actions);
         }
     }
@@ -995,10 +1016,10 @@
     }
 
     fn timeout(&self, message: &Message, endpoint: &Endpoint) -> Micros {
-        let left = message.deadline - self.now - 2 * self.settings.resolution;
-        let unsure = self.settings.classes[message.class].effect == Effect::Unsafe;
+        let left = message.deadline - self.now - 2 * self.settings.turn_interval;
+        let unsure = self.settings.classes[message.class].idempotency == Idempotency::Never;
         let usual = (endpoint.latency * TIMEOUT_LATENCIES) as Micros;
-        let tries = SHARED_TRIES.min(self.settings.limits.attempts).saturating_sub(message.tries).max(1);
+        let tries = SHARED_TRIES.min(self.settings.limits.max_attempts).saturating_sub(message.tries).max(1);
         let span = match endpoint.health {
             _ if unsure => left,
             Health::Out { .. } => usual.clamp(TIMEOUT_FLOOR / 2, 2 * TIMEOUT_FLOOR),
@@ -1011,16 +1032,19 @@
     /// None where a repeat is not allowed, or where usual answers would not come in that time.
     fn repeat_room(&self, message: &Message, endpoint: &Endpoint) -> Option<Micros> {
         let class = &self.settings.classes[message.class];
-        let window = match class.effect {
-            Effect::Unsafe => return None,
-            Effect::Safe => Micros::MAX / 4,
-            Effect::Keyed => message.ran.map_or(self.now, |(sent, _)| sent) + class.window - self.now,
+        let idempotency_window = match class.idempotency {
+            Idempotency::Never => return None,
+            Idempotency::Always => Micros::MAX / 4,
+            Idempotency::WithKey => {
+                message.first_ambiguous.map_or(self.now, |first| first.sent_at) + class.idempotency_window
+                    - self.now
+            }
         };
         let gap = FIRST_GAP * GAP_GROWTH.pow(message.tries.min(9));
-        let room = (window - 2 * START_MARGIN - (gap as f64 * (1.0 + JITTER)) as Micros)
+        let room = (idempotency_window - 2 * START_MARGIN - (gap as f64 * (1.0 + JITTER)) as Micros)
             .min((message.deadline - self.now) / 2);
         let usual = endpoint.answered_at.map_or(0, |_| (endpoint.latency * REPEAT_LATENCIES) as Micros);
-        let more = message.attempts + 1 < self.settings.limits.attempts;
+        let more = message.attempts + 1 < self.settings.limits.max_attempts;
         (more && room >= usual.max(FIRST_GAP)).then_some(room)
     }
 
@@ -1067,13 +1091,14 @@
     /// When the hold is nearly full, refuses what is worth least by the time it could be served, lest
     /// messages for healthy destinations be turned away. May hurt when a long outage is about to end.
     fn relieve_hold(&mut self, actions: &mut Vec<Action>) {
-        let most = ((self.settings.limits.held as f64 * HOLD_FULL) as usize).max(1);
+        let most = ((self.settings.limits.buffer_capacity as f64 * HOLD_FULL) as usize).max(1);
         while self.messages.len() > most {
             let this: &Self = self;
             let lines = this.destinations.values().filter(|to| !to.waiting.is_empty());
             let lines = lines.map(|to| (to, this.delay(to)));
             let all = lines.flat_map(|(to, wait)| to.waiting.iter().map(move |id| (*id, wait)));
-            let free = all.filter(|(id, _)| this.messages[id].ran.is_none() && !this.messages[id].overdue);
+            let free = all
+                .filter(|(id, _)| this.messages[id].first_ambiguous.is_none() && !this.messages[id].overdue);
             let keep = |(id, wait): &(MessageId, Micros)| this.worth_at(&this.messages[id], this.now + wait);
             let Some((id, wait)) = free.min_by(|a, b| keep(a).total_cmp(&keep(b))) else { return };
             self.end(id, wait, actions);
@@ -1101,7 +1126,8 @@
     fn overdue_at(&self, id: MessageId, attempt: &Attempt) -> Option<Micros> {
         let endpoint = &self.endpoints[&attempt.endpoint];
         let message = self.messages.get(&id);
-        let unsure = message.is_some_and(|m| self.settings.classes[m.class].effect == Effect::Unsafe);
+        let unsure =
+            message.is_some_and(|m| self.settings.classes[m.class].idempotency == Idempotency::Never);
         let overtaken = endpoint.answered_at > Some(attempt.sent);
         let late = LATE_FLOOR.max((endpoint.latency * LATE_LATENCIES) as Micros);
         let patience = if overtaken { late.min(endpoint.silence()) } else { endpoint.silence() };
@@ -1115,8 +1141,8 @@
 
 impl Route {
     /// Takes in a report; one without a limit, or with figures that cannot be, tells nothing.
-    fn hear(&mut self, load: Option<Load>) {
-        let Some(Load { limit: Some(limit), allowance_left: Some(left), .. }) = load else { return };
+    fn hear(&mut self, load: Option<LoadReport>) {
+        let Some(LoadReport { limit: Some(limit), limit_remaining: Some(left), .. }) = load else { return };
         if limit.is_finite() && limit > 0.0 && left >= 0.0 {
             self.told = Some((limit, left.min(1.0)));
         }
@@ -1128,14 +1154,14 @@
     }
 
     /// This sender's part of it.
-    fn even_share(&self, senders: u32) -> Option<f64> {
-        self.limit().map(|limit| limit / f64::from(senders))
+    fn even_share(&self, sender_count: u32) -> Option<f64> {
+        self.limit().map(|limit| limit / f64::from(sender_count))
     }
 
     /// This sender's even share of a told limit; half of it when nothing is left, so that what all have
     /// overdrawn is made up.
-    fn told_pace(&self, senders: u32) -> f64 {
-        self.told.map_or(0.0, |(limit, left)| limit * (LEFT_PACE + left).min(1.0) / f64::from(senders))
+    fn told_pace(&self, sender_count: u32) -> f64 {
+        self.told.map_or(0.0, |(limit, left)| limit * (LEFT_PACE + left).min(1.0) / f64::from(sender_count))
     }
 
     /// Much of the limit is left by the latest report: a refusal is not the limit's.
@@ -1144,11 +1170,11 @@
     }
 
     /// Slows down before the limit is used up: of many senders, each would have to be refused first.
-    fn heed_report(&mut self, now: Micros, senders: u32, random: &mut fastrand::Rng) {
+    fn heed_report(&mut self, now: Micros, sender_count: u32, random: &mut fastrand::Rng) {
         if self.told.is_none_or(|(_, left)| left >= LOW_LEFT) {
             return;
         }
-        let lately = (self.sent_within(now, SECOND) - 1.0).max(self.told_pace(senders));
+        let lately = (self.sent_within(now, SECOND) - 1.0).max(self.told_pace(sender_count));
         let was = self.pace.replace(self.pace.unwrap_or(f64::MAX).min(lately));
         if was.is_none() {
             self.next_at = now;
@@ -1202,7 +1228,7 @@
         &mut self,
         now: Micros,
         wait: Micros,
-        senders: u32,
+        sender_count: u32,
         (first, part): (f64, f64),
         chance: f64,
     ) -> bool {
@@ -1212,13 +1238,13 @@
         if self.cut_at.is_none_or(|at| now - at >= SECOND) {
             // Less one call: where calls are rare, one in a second says nothing of a rate.
             // Nor are the few of some seconds a rate that all senders could keep to.
-            let share = self.even_share(senders).unwrap_or(f64::MAX);
+            let share = self.even_share(sender_count).unwrap_or(f64::MAX);
             let rare = (first * self.sent_within(now, SENT_SPAN)).min(share);
             let lately = (self.sent_within(now, SECOND) - 1.0).max(rare);
             let cut = self.pace.map_or(lately, |pace| pace / 2.0);
             let listed = self.limit().filter(|_| self.refusals < SHUT_REFUSALS).unwrap_or(0.0);
-            let least = PACE_MIN.max(PACE_SHARE * listed) / f64::from(senders);
-            let told = if self.has_left() { 0.0 } else { self.told_pace(senders) };
+            let least = PACE_MIN.max(PACE_SHARE * listed) / f64::from(sender_count);
+            let told = if self.has_left() { 0.0 } else { self.told_pace(sender_count) };
             self.pace = Some(cut.max(least).max(PACE_SHARE * part).max(told));
             self.cut_at = Some(now);
             self.next_at = now + wait;
--- /dev/null
+++ b/crates/delivery-control/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decision logic of message delivery: which message goes to which endpoint, when, and how it ends.
+//!
+//! [`Controller`] is pure: it has no clock, no I/O and no threads. Its host reports [`Event`]s and carries out
+//! the [`Action`]s that it returns. See the README for an embedding example.
+#![warn(missing_docs)]
+#![doc = include_str!("../../../README.md")]
+
+mod action;
+mod control;
+mod event;
+mod ids;
+mod settings;
+
+pub use action::Action;
+pub use control::Controller;
+pub use event::{
+    AmbiguousAttempt, AttemptEnd, AttemptOutcome, EndpointEntry, Event, ListingState, LoadReport,
+    MaintenanceCommand, MessageSubmission, UpdateKind,
+};
+pub use ids::{DestinationId, EndpointId, MessageId, Micros};
+pub use settings::{
+    DestinationKind, DiscoveryMode, Idempotency, IdempotencyScope, Limits, MessageClass, Prices, Rules,
+    Settings, SettingsError, Tenant, ValueDecay, Zone,
+};
--- a/tests/common/mod.rs
+++ b/crates/delivery-control/tests/common/mod.rs
@@ -3,23 +3,23 @@
 
 use std::collections::BTreeMap;
 
-use roadshift::interface::*;
-use roadshift::Controller;
+use delivery_control::Controller;
+use delivery_control::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
 
 /// A class that aims at 2 s and is given up at 20 s.
-pub fn class(effect: Effect) -> Class {
-    Class {
-        effect,
-        scope: Scope::All,
-        window: 15 * SECOND,
-        aim: 2 * SECOND,
-        aim_stretch: 0.0,
+pub fn class(idempotency: Idempotency) -> MessageClass {
+    MessageClass {
+        idempotency,
+        idempotency_scope: IdempotencyScope::All,
+        idempotency_window: 15 * SECOND,
+        latency_objective: 2 * SECOND,
+        latency_objective_stretch: 0.0,
         deadline: 20 * SECOND,
-        worth: 1.0,
-        late_share: 0.3,
+        value: 1.0,
+        residual_value: 0.3,
         ordered: false,
         stream: false,
     }
@@ -27,54 +27,63 @@
 
 /// Classes 0 safe, 1 keyed, 2 unsafe, 3 keyed in a zone and ordered; kinds 0 shared, 1 routes apart, 2 bundles.
 pub fn settings() -> Settings {
-    let zoned = Class { scope: Scope::Zone, ordered: true, ..class(Effect::Keyed) };
-    let kind = |own_limits, bundle_max| Kind { own_limits, bundle_max };
+    let zoned = MessageClass {
+        idempotency_scope: IdempotencyScope::Zone,
+        ordered: true,
+        ..class(Idempotency::WithKey)
+    };
+    let kind = |per_endpoint_limits, max_batch_size| DestinationKind { per_endpoint_limits, max_batch_size };
     Settings {
-        classes: vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe), zoned],
+        classes: vec![
+            class(Idempotency::Always),
+            class(Idempotency::WithKey),
+            class(Idempotency::Never),
+            zoned,
+        ],
         kinds: vec![kind(false, 1), kind(true, 1), kind(false, 5)],
         zones: vec![Zone { fee: 0.0 }, Zone { fee: 0.02 }],
-        tenants: vec![Tenant { allowance: 100.0 }, Tenant { allowance: 0.5 }],
-        over_share_worth: 0.1,
-        decay: Decay::Line,
-        discovery: Discovery::Push,
-        rates_listed: false,
-        senders: 2,
+        tenants: vec![Tenant { quota: 100.0 }, Tenant { quota: 0.5 }],
+        over_quota_value: 0.1,
+        decay: ValueDecay::Linear,
+        discovery: DiscoveryMode::Push,
+        rates_are_listed: false,
+        sender_count: 2,
         ordinal: 0,
         zone: 0,
-        resolution: 5 * MS,
+        turn_interval: 5 * MS,
         limits: Limits {
-            slots: 6,
-            held: 60,
-            attempts: 6,
-            cancel: true,
-            probe: true,
-            peers: false,
-            second_copies: false,
-            retry_after: true,
-            retry_after_max: 2 * SECOND,
+            max_in_flight: 6,
+            buffer_capacity: 60,
+            max_attempts: 6,
+            may_cancel: true,
+            may_probe: true,
+            may_send_notes: false,
+            may_hedge: false,
+            may_advise_retry: true,
+            max_retry_after: 2 * SECOND,
             connect_timeout: SECOND,
             connection_idle: 10 * SECOND,
         },
         rules: Rules {
             answer_slack: 20 * MS,
-            ask_within: 10 * SECOND,
+            poll_within: 10 * SECOND,
             drain_grace: SECOND,
-            fall: 2 * SECOND,
+            overload_tolerance: 2 * SECOND,
             overload_factor: 2.0,
-            start_capacity: 0.2,
-            warm_within: 10 * SECOND,
-            order_pause: SECOND,
+            initial_capacity: 0.2,
+            warm_up_time: 10 * SECOND,
+            quarantine_time: SECOND,
         },
         prices: Prices::default(),
-        notices: false,
+        notices_are_acknowledged: false,
     }
 }
 
-pub fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> Entry {
-    Entry {
+pub fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> EndpointEntry {
+    EndpointEntry {
         endpoint,
         destination,
-        listing: Listing::Live,
+        listing: ListingState::Live,
         rate: 0.0,
         kind,
         zone: endpoint as usize % 2,
@@ -82,12 +91,12 @@
     }
 }
 
-pub fn listed(entries: Vec<Entry>) -> Event {
-    Event::Listed { update: Update::Full, version: 1, entries }
+pub fn listed(entries: Vec<EndpointEntry>) -> Event {
+    Event::EndpointsUpdated { update: UpdateKind::Snapshot, version: 1, entries }
 }
 
 pub fn message(id: MessageId, class: usize, destination: DestinationId) -> Event {
-    Event::Message {
+    Event::MessageSubmitted(MessageSubmission {
         id,
         class,
         tenant: None,
@@ -98,33 +107,57 @@
         returned: false,
         repeat: false,
         write: false,
-    }
+    })
 }
 
 pub fn keyed(id: MessageId, destination: DestinationId, key: &str) -> Event {
-    let Event::Message { tenant, time_left, work, returned, repeat, write, .. } = message(id, 3, destination)
-    else {
-        unreachable!()
-    };
+    let Event::MessageSubmitted(submission) = message(id, 3, destination) else { unreachable!() };
     let order_key = Some(key.to_owned());
-    Event::Message { id, class: 3, tenant, destination, time_left, work, order_key, returned, repeat, write }
+    Event::MessageSubmitted(MessageSubmission { order_key, ..submission })
 }
 
-pub fn ended(id: MessageId, attempt: u32, endpoint: EndpointId, outcome: Outcome) -> Event {
-    let last = outcome == Outcome::Delivered;
-    Event::Ended { id, attempt, endpoint, outcome, elapsed: 0, last, wait: 0, load: None }
+pub fn ended(id: MessageId, attempt: u32, endpoint: EndpointId, outcome: AttemptOutcome) -> Event {
+    let last = outcome == AttemptOutcome::Delivered;
+    Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt,
+        endpoint,
+        outcome,
+        elapsed: 0,
+        is_final: last,
+        retry_after: 0,
+        load_report: None,
+    })
 }
 
 pub fn waiting(id: MessageId, attempt: u32, endpoint: EndpointId, wait: Micros) -> Event {
-    let outcome = Outcome::Full;
-    Event::Ended { id, attempt, endpoint, outcome, elapsed: 0, last: false, wait, load: None }
+    let outcome = AttemptOutcome::Rejected;
+    Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt,
+        endpoint,
+        outcome,
+        elapsed: 0,
+        is_final: false,
+        retry_after: wait,
+        load_report: None,
+    })
 }
 
 /// An outcome with a report of the share of the limit that is left, and of the limit.
-pub fn reported(id: MessageId, attempt: u32, outcome: Outcome, left: f64, limit: f64) -> Event {
-    let last = outcome == Outcome::Delivered;
-    let load = Some(Load { allowance_left: Some(left), limit: Some(limit), ..Load::default() });
-    Event::Ended { id, attempt, endpoint: 1, outcome, elapsed: 0, last, wait: 0, load }
+pub fn reported(id: MessageId, attempt: u32, outcome: AttemptOutcome, left: f64, limit: f64) -> Event {
+    let last = outcome == AttemptOutcome::Delivered;
+    let load = Some(LoadReport { limit_remaining: Some(left), limit: Some(limit), ..LoadReport::default() });
+    Event::AttemptEnded(AttemptEnd {
+        id,
+        attempt,
+        endpoint: 1,
+        outcome,
+        elapsed: 0,
+        is_final: last,
+        retry_after: 0,
+        load_report: load,
+    })
 }
 
 /// One controller with its clock and the timers it asked for.
@@ -139,11 +172,11 @@
 }
 
 impl Bench {
-    pub fn new(settings: Settings, entries: Vec<Entry>) -> Self {
+    pub fn new(settings: Settings, entries: Vec<EndpointEntry>) -> Self {
         Self::seeded(settings, entries, 7)
     }
 
-    pub fn seeded(settings: Settings, entries: Vec<Entry>, seed: u64) -> Self {
+    pub fn seeded(settings: Settings, entries: Vec<EndpointEntry>, seed: u64) -> Self {
         let controller = Controller::new(settings, seed).expect("settings are well formed");
         let mut bench = Self {
             controller,
@@ -165,7 +198,7 @@
         });
         self.timers.extend(timers);
         for event in events {
-            if let Event::Ended { id, .. } = event {
+            if let Event::AttemptEnded(AttemptEnd { id, .. }) = event {
                 self.calls.remove(id);
             }
         }
@@ -182,7 +215,7 @@
         while let Some(at) = self.timers.iter().copied().filter(|at| *at <= until).min() {
             self.timers.retain(|other| *other > at);
             self.now = self.now.max(at);
-            let actions = self.turn(&[Event::Timer { token: 0 }]);
+            let actions = self.turn(&[Event::TimerFired { token: 0 }]);
             all.extend(actions.into_iter().map(|action| (self.now, action)));
         }
         self.now = until;
--- a/tests/decisions.rs
+++ b/crates/delivery-control/tests/decisions.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::*;
-use roadshift::interface::*;
-use roadshift::Controller;
+use delivery_control::Controller;
+use delivery_control::*;
 
-fn shared() -> Vec<Entry> {
+fn shared() -> Vec<EndpointEntry> {
     vec![entry(1, 10, 0), entry(2, 20, 0)]
 }
 
@@ -14,7 +14,7 @@
 fn answer(
     bench: &mut Bench,
     endpoint: EndpointId,
-    outcome: Outcome,
+    outcome: AttemptOutcome,
     after: Micros,
     until: Micros,
 ) -> Vec<Micros> {
@@ -42,13 +42,13 @@
         let mut actions = Vec::new();
         // A destination that delivers: one failure there is not yet an outage.
         controller.turn(now, &[listed(shared()), message(9, 1, 10)], &mut actions);
-        controller.turn(now, &[ended(9, 0, 1, Outcome::Delivered)], &mut actions);
+        controller.turn(now, &[ended(9, 0, 1, AttemptOutcome::Delivered)], &mut actions);
         actions.clear();
         controller.turn(now, &[message(1, 1, 10)], &mut actions);
         assert_eq!(sends(&actions), [(1, 1)]);
         for attempt in 0..2 {
             let outcome = now + 50 * MS;
-            let mut events = vec![ended(1, attempt, 1, Outcome::Error)];
+            let mut events = vec![ended(1, attempt, 1, AttemptOutcome::Error)];
             now = outcome;
             loop {
                 let mut actions = Vec::new();
@@ -56,7 +56,7 @@
                 if !sends(&actions).is_empty() {
                     break;
                 }
-                events = vec![Event::Timer { token: 0 }];
+                events = vec![Event::TimerFired { token: 0 }];
                 now += 5 * MS;
             }
             gaps.push(now - outcome);
@@ -83,7 +83,7 @@
 /// Settings whose keyed class drops repeats for a second only, and whose safe one ends after five.
 fn short() -> Settings {
     let mut settings = settings();
-    settings.classes[1].window = SECOND;
+    settings.classes[1].idempotency_window = SECOND;
     settings.classes[0].deadline = 5 * SECOND;
     settings
 }
@@ -92,7 +92,7 @@
 fn short_bench() -> Bench {
     let mut bench = Bench::new(short(), shared());
     bench.turn(&[message(9, 1, 10)]);
-    bench.turn(&[ended(9, 0, 1, Outcome::Delivered)]);
+    bench.turn(&[ended(9, 0, 1, AttemptOutcome::Delivered)]);
     bench
 }
 
@@ -104,15 +104,17 @@
     let actions = bench.turn(&[message(1, 1, 10)]);
     let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
     bench.now += timeout;
-    let mut later = bench.turn(&[ended(1, 0, 1, Outcome::Timeout)]);
+    let mut later = bench.turn(&[ended(1, 0, 1, AttemptOutcome::Timeout)]);
     later.extend(bench.pass(begun + 20 * SECOND).into_iter().map(|(_, action)| action));
     assert_eq!(sends(&later), [(1, 1)], "repeated once: {later:?}");
     let (at, _) = bench.calls[&1];
     assert!(at - begun < SECOND, "inside the window: {}", at - begun);
     // A class of five seconds gets a second try as well.
     let mut bench = short_bench();
-    let Event::Message { id, class, destination, .. } = message(2, 0, 10) else { unreachable!() };
-    let event = Event::Message {
+    let Event::MessageSubmitted(MessageSubmission { id, class, destination, .. }) = message(2, 0, 10) else {
+        unreachable!()
+    };
+    let event = Event::MessageSubmitted(MessageSubmission {
         id,
         class,
         destination,
@@ -123,7 +125,7 @@
         returned: false,
         repeat: false,
         write: false,
-    };
+    });
     let actions = bench.turn(&[event]);
     let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
     assert!(*timeout <= 2_500 * MS, "{timeout}");
@@ -138,7 +140,7 @@
         let begun = bench.now;
         bench.turn(&[message(1, 1, 10)]);
         bench.now += after;
-        let mut actions = bench.turn(&[ended(1, 0, 1, Outcome::Reset)]);
+        let mut actions = bench.turn(&[ended(1, 0, 1, AttemptOutcome::Reset)]);
         assert_eq!(actions.contains(&Action::Fail { id: 1 }), !repeated, "{after}");
         actions = bench.pass(begun + 20 * SECOND).into_iter().map(|(_, action)| action).collect();
         assert_eq!(sends(&actions).len(), usize::from(repeated), "{after}");
@@ -147,7 +149,11 @@
     for (ago, repeated) in [(300 * MS, true), (960 * MS, false), (30 * SECOND, false), (-SECOND, false)] {
         let mut bench = short_bench();
         let start = bench.now;
-        let resumed = Event::Resumed { id: 1, attempts: 1, ran: Some((start - ago, 1)) };
+        let resumed = Event::MessageRecovered {
+            id: 1,
+            attempts: 1,
+            first_ambiguous: Some(AmbiguousAttempt { sent_at: start - ago, zone: 1 }),
+        };
         let first = bench.turn(&[message(1, 1, 10), resumed]);
         assert_eq!(first.contains(&Action::Fail { id: 1 }), !repeated, "{ago}: {first:?}");
         let mut sent: Vec<_> = sends(&first).into_iter().map(|_| start).collect();
@@ -161,7 +167,8 @@
 fn unsafe_messages_fail_after_an_unknown_outcome_and_go_again_after_a_refusal() {
     let mut bench = Bench::new(settings(), shared());
     bench.turn(&[message(1, 2, 10), message(2, 2, 20)]);
-    let actions = bench.turn(&[ended(1, 0, 1, Outcome::Reset), ended(2, 0, 2, Outcome::ConnectFailed)]);
+    let actions =
+        bench.turn(&[ended(1, 0, 1, AttemptOutcome::Reset), ended(2, 0, 2, AttemptOutcome::ConnectFailed)]);
     assert!(actions.contains(&Action::Fail { id: 1 }));
     let later = bench.pass(bench.now + SECOND);
     assert_eq!(sends_in_time(&later).iter().map(|send| send.1).collect::<Vec<_>>(), [2]);
@@ -192,7 +199,7 @@
     let actions = bench.turn(&[message(1, 1, 10), message(2, 1, 10)]);
     assert_eq!(sends(&actions).len(), 2);
     let told = bench.now;
-    bench.turn(&[waiting(1, 0, 1, 3 * SECOND), ended(2, 0, 1, Outcome::Full), message(3, 0, 10)]);
+    bench.turn(&[waiting(1, 0, 1, 3 * SECOND), ended(2, 0, 1, AttemptOutcome::Rejected), message(3, 0, 10)]);
     let later = sends_in_time(&bench.pass(told + 6 * SECOND));
     assert!(!later.is_empty());
     assert!(later.iter().all(|(at, ..)| *at >= told + 3 * SECOND), "{later:?}");
@@ -212,28 +219,28 @@
     let mut bench = Bench::new(settings(), shared());
     let burst: Vec<_> = (1..=3).map(|id| message(id, 1, 10)).collect();
     bench.turn(&burst);
-    let fails: Vec<_> = (1..=3).map(|id| ended(id, 0, 1, Outcome::Error)).collect();
+    let fails: Vec<_> = (1..=3).map(|id| ended(id, 0, 1, AttemptOutcome::Error)).collect();
     bench.now += 50 * MS;
     bench.turn(&fails);
     let more: Vec<_> = (4..=20).map(|id| message(id, 1, 10)).collect();
     let actions = bench.turn(&more);
     assert!(sends(&actions).is_empty(), "held, not spent: {actions:?}");
     let until = bench.now + 12 * SECOND;
-    let trials = answer(&mut bench, 1, Outcome::Error, 50 * MS, until);
+    let trials = answer(&mut bench, 1, AttemptOutcome::Error, 50 * MS, until);
     assert!((3..=9).contains(&trials.len()), "{trials:?}");
     let gaps: Vec<_> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
     assert!(gaps[0] < gaps[2], "gaps grow: {gaps:?}");
 }
 
 /// A destination that fails for a while and comes back, with plenty waiting for it: sends in its first seconds.
-fn return_after(outcome: Outcome, outage: Micros, senders: u32) -> usize {
-    let settings = Settings { senders, rates_listed: true, ..settings() };
-    let entries = vec![Entry { rate: 6.0, ..entry(1, 10, 0) }, entry(2, 20, 0)];
+fn return_after(outcome: AttemptOutcome, outage: Micros, sender_count: u32) -> usize {
+    let settings = Settings { sender_count, rates_are_listed: true, ..settings() };
+    let entries = vec![EndpointEntry { rate: 6.0, ..entry(1, 10, 0) }, entry(2, 20, 0)];
     let mut bench = Bench::new(settings, entries);
     let burst: Vec<_> = (1..=40).map(|id| message(id, 1, 10)).collect();
     bench.turn(&burst[..4]);
     bench.now += 50 * MS;
-    let events: Vec<_> = (1..=4).map(|id| ended(id, 0, 1, Outcome::Delivered)).collect();
+    let events: Vec<_> = (1..=4).map(|id| ended(id, 0, 1, AttemptOutcome::Delivered)).collect();
     bench.turn(&events);
     bench.turn(&burst[4..]);
     let before: Vec<_> = (5..=8).map(|id| ended(id, 0, 1, outcome)).collect();
@@ -243,12 +250,12 @@
     answer(&mut bench, 1, outcome, 50 * MS, until);
     // A trial comes 4.5 s after the last one at the latest.
     let until = bench.now + 6 * SECOND;
-    answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until).len()
+    answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, until).len()
 }
 
 #[test]
 fn a_destination_back_from_an_outage_is_not_pushed_over() {
-    let outages = [Outcome::Error, Outcome::ConnectFailed, Outcome::Full];
+    let outages = [AttemptOutcome::Error, AttemptOutcome::ConnectFailed, AttemptOutcome::Rejected];
     let sent = outages.map(|outcome| return_after(outcome, 6 * SECOND, 2));
     assert!(sent.iter().all(|sent| (1..=14).contains(sent)), "{sent:?} sends in the first 6 s");
     // Several senders at once: each keeps to its own part of the budget.
@@ -256,7 +263,7 @@
         let (two, six) = (return_after(outcome, 6 * SECOND, 2), return_after(outcome, 6 * SECOND, 6));
         assert!(six < two || six <= 2, "{outcome:?}: {two} with two senders, {six} with six");
     }
-    let hasty = return_after(Outcome::Error, 600 * MS, 2);
+    let hasty = return_after(AttemptOutcome::Error, 600 * MS, 2);
     assert!(hasty > sent[0], "a false alarm is no outage: {hasty} against {sent:?}");
 }
 
@@ -267,26 +274,26 @@
     bench.turn(&burst);
     // Served well, then refused for long: the pace is cut to the least.
     let until = bench.now + SECOND;
-    let served = answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until).len();
+    let served = answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, until).len();
     assert!(served >= 10, "{served}");
     let more: Vec<_> = (101..=150).map(|id| message(id, 0, 10)).collect();
     bench.turn(&more);
     let until = bench.now + 7 * SECOND;
-    answer(&mut bench, 1, Outcome::Full, 50 * MS, until);
+    answer(&mut bench, 1, AttemptOutcome::Rejected, 50 * MS, until);
     let until = bench.now + 5 * SECOND;
-    let sent = answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until).len();
+    let sent = answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, until).len();
     assert!(sent >= 25, "back at strength within the warm time: {sent}");
 }
 
 #[test]
 fn many_senders_ask_a_refusing_destination_more_rarely() {
-    let asked = |senders| {
-        let settings = Settings { senders, ..settings() };
+    let asked = |sender_count| {
+        let settings = Settings { sender_count, ..settings() };
         let mut bench = Bench::new(settings, shared());
         let burst: Vec<_> = (1..=40).map(|id| message(id, 0, 10)).collect();
         bench.turn(&burst);
         let until = bench.now + 18 * SECOND;
-        answer(&mut bench, 1, Outcome::Full, 50 * MS, until).len()
+        answer(&mut bench, 1, AttemptOutcome::Rejected, 50 * MS, until).len()
     };
     assert!(asked(12) < asked(2), "{} against {}", asked(12), asked(2));
 }
@@ -310,7 +317,7 @@
     bench.pass(bench.now + 200 * MS);
     bench.turn(&[message(2, 0, 10)]);
     bench.pass(bench.now + 100 * MS);
-    bench.turn(&[ended(2, 0, 1, Outcome::Delivered)]);
+    bench.turn(&[ended(2, 0, 1, AttemptOutcome::Delivered)]);
     bench.pass(bench.now + 3 * SECOND);
     let burst: Vec<_> = (10..=30).map(|id| message(id, 1, 10 + 10 * (id % 2))).collect();
     let actions = bench.turn(&burst);
@@ -323,13 +330,16 @@
     for id in 1..=20 {
         bench.turn(&[message(id, 1, 10), message(100 + id, 1, 20)]);
         bench.now += 20 * MS;
-        bench.turn(&[ended(id, 0, 1, Outcome::Delivered), ended(100 + id, 0, 2, Outcome::Delivered)]);
+        bench.turn(&[
+            ended(id, 0, 1, AttemptOutcome::Delivered),
+            ended(100 + id, 0, 2, AttemptOutcome::Delivered),
+        ]);
     }
     let start = bench.now;
     bench.turn(&[message(201, 1, 20), message(202, 1, 20), message(203, 1, 20)]);
     bench.turn(&[message(21, class, 10), message(22, 1, 10)]);
     bench.now += 20 * MS;
-    bench.turn(&[ended(22, 0, 1, Outcome::Delivered), message(23, 1, 10), message(24, 1, 10)]);
+    bench.turn(&[ended(22, 0, 1, AttemptOutcome::Delivered), message(23, 1, 10), message(24, 1, 10)]);
     bench.turn(&[message(25, 1, 10)]);
     let later: Vec<_> = (0..300).flat_map(|_| bench.pass(bench.now + 5 * MS)).collect();
     let cancel =
@@ -352,7 +362,7 @@
     let mut bench = Bench::new(settings(), shared());
     let burst: Vec<_> = (1..=3).map(|id| message(id, 0, 10)).collect();
     bench.turn(&burst);
-    let fails: Vec<_> = (1..=3).map(|id| ended(id, 0, 1, Outcome::ConnectFailed)).collect();
+    let fails: Vec<_> = (1..=3).map(|id| ended(id, 0, 1, AttemptOutcome::ConnectFailed)).collect();
     bench.turn(&fails);
     bench.pass(bench.now + 4 * SECOND);
     let healthy: Vec<_> = (100..=120).map(|id| message(id, 1, 20)).collect();
@@ -361,7 +371,7 @@
     let refused: Vec<_> = bench
         .turn(&more)
         .into_iter()
-        .filter_map(|action| if let Action::Refuse { id, .. } = action { Some(id) } else { None })
+        .filter_map(|action| if let Action::Reject { id, .. } = action { Some(id) } else { None })
         .collect();
     assert!(!refused.is_empty());
     assert!(refused.iter().all(|id| *id < 100), "{refused:?}");
@@ -370,8 +380,8 @@
 #[test]
 fn drains_are_kept_at_once_and_homeless_messages_are_refused_in_time() {
     let mut bench = Bench::new(settings(), shared());
-    let gone = Entry { listing: Listing::Draining, ..entry(1, 10, 0) };
-    let list = Event::Listed { update: Update::Changes, version: 2, entries: vec![gone] };
+    let gone = EndpointEntry { listing: ListingState::Draining, ..entry(1, 10, 0) };
+    let list = Event::EndpointsUpdated { update: UpdateKind::Delta, version: 2, entries: vec![gone] };
     let actions = bench.turn(&[list, message(1, 1, 10), message(2, 1, 99)]);
     assert!(sends(&actions).is_empty());
     let start = bench.now;
@@ -379,7 +389,7 @@
     for id in [1, 2] {
         let end = later
             .iter()
-            .find(|(_, action)| matches!(action, Action::Refuse { id: other, .. } if *other == id));
+            .find(|(_, action)| matches!(action, Action::Reject { id: other, .. } if *other == id));
         let (at, _) = end.expect("refused");
         assert!(*at > start + 15 * SECOND && *at <= start + 20 * SECOND);
     }
@@ -390,12 +400,13 @@
     let mut bench = Bench::new(settings(), shared());
     bench.turn(&[message(1, 0, 10), message(2, 0, 10)]);
     bench.now += 100 * MS;
-    let actions = bench.turn(&[ended(1, 0, 1, Outcome::Delivered), ended(2, 0, 1, Outcome::Full)]);
+    let actions =
+        bench.turn(&[ended(1, 0, 1, AttemptOutcome::Delivered), ended(2, 0, 1, AttemptOutcome::Rejected)]);
     assert!(sends(&actions).is_empty());
     let burst: Vec<_> = (3..=30).map(|id| message(id, 0, 10)).collect();
     bench.turn(&burst);
     let start = bench.now;
-    let sent = answer(&mut bench, 1, Outcome::Delivered, 50 * MS, start + 10 * SECOND);
+    let sent = answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, start + 10 * SECOND);
     let early = sent.iter().filter(|at| **at < start + 2 * SECOND).count();
     let late = sent.iter().filter(|at| **at >= start + 3 * SECOND && **at < start + 5 * SECOND).count();
     assert!(early <= 6, "paced: {early}");
@@ -407,37 +418,37 @@
 #[test]
 fn a_pace_that_holds_nothing_back_does_not_grow() {
     let mut settings = settings();
-    settings.limits.held = 200;
+    settings.limits.buffer_capacity = 200;
     let mut bench = Bench::new(settings, shared());
     bench.turn(&[message(1, 0, 10)]);
     bench.now += 50 * MS;
-    bench.turn(&[ended(1, 0, 1, Outcome::Full)]);
+    bench.turn(&[ended(1, 0, 1, AttemptOutcome::Rejected)]);
     // Five a second for a minute, each delivered.
     for id in 2..300 {
         bench.turn(&[message(id, 0, 10)]);
         let until = bench.now + 200 * MS;
-        answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until);
+        answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, until);
     }
     let burst: Vec<_> = (300..400).map(|id| message(id, 0, 10)).collect();
     bench.turn(&burst);
     let until = bench.now + SECOND;
-    let sent = answer(&mut bench, 1, Outcome::Delivered, 5 * MS, until).len();
+    let sent = answer(&mut bench, 1, AttemptOutcome::Delivered, 5 * MS, until).len();
     assert!((5..=60).contains(&sent), "{sent} calls in a second after five a second");
 }
 
 #[test]
 fn a_listed_rate_bounds_how_far_single_refusals_cut() {
     let sent = |listed: bool| {
-        let settings = Settings { rates_listed: listed, ..settings() };
-        let mut bench = Bench::new(settings, vec![Entry { rate: 8.0, ..entry(1, 10, 0) }]);
+        let settings = Settings { rates_are_listed: listed, ..settings() };
+        let mut bench = Bench::new(settings, vec![EndpointEntry { rate: 8.0, ..entry(1, 10, 0) }]);
         bench.turn(&[message(1, 0, 10)]);
         bench.now += 50 * MS;
-        bench.turn(&[ended(1, 0, 1, Outcome::Full)]);
+        bench.turn(&[ended(1, 0, 1, AttemptOutcome::Rejected)]);
         // Few enough for the listed rate to tell more than what is asked.
         let burst: Vec<_> = (2..=10).map(|id| message(id, 0, 10)).collect();
         bench.turn(&burst);
         let until = bench.now + 3 * SECOND;
-        answer(&mut bench, 1, Outcome::Delivered, 50 * MS, until).len()
+        answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, until).len()
     };
     assert!(sent(true) > sent(false) + 2, "{} against {}", sent(true), sent(false));
 }
@@ -448,14 +459,14 @@
     let actions = bench.turn(&[keyed(1, 10, "k"), keyed(2, 10, "k"), keyed(3, 10, "other")]);
     assert_eq!(sends(&actions), [(1, 1), (3, 1)]);
     bench.pass(bench.now + 5 * SECOND);
-    bench.turn(&[ended(1, 0, 1, Outcome::Timeout)]);
+    bench.turn(&[ended(1, 0, 1, AttemptOutcome::Timeout)]);
     let later = sends_in_time(&bench.pass(bench.now + 900 * MS));
     assert!(later.iter().all(|(_, id, _)| *id == 1), "only the one whose turn it is: {later:?}");
 }
 
 #[test]
 fn an_unanswering_directory_is_asked_again_with_growing_gaps() {
-    let settings = Settings { discovery: Discovery::Subscribe, ..settings() };
+    let settings = Settings { discovery: DiscoveryMode::Subscribe, ..settings() };
     let mut controller = Controller::new(settings, 1).expect("well formed");
     let mut actions = Vec::new();
     let mut now = 10 * SECOND;
@@ -464,12 +475,12 @@
     let mut gaps = Vec::new();
     for _ in 0..4 {
         let mut actions = Vec::new();
-        let failed = Event::Listed { update: Update::Failed, version: 0, entries: Vec::new() };
+        let failed = Event::EndpointsUpdated { update: UpdateKind::Failed, version: 0, entries: Vec::new() };
         controller.turn(now, &[failed], &mut actions);
         let start = now;
         while !actions.contains(&Action::Subscribe { on: true }) {
             now += 50 * MS;
-            controller.turn(now, &[Event::Timer { token: 0 }], &mut actions);
+            controller.turn(now, &[Event::TimerFired { token: 0 }], &mut actions);
         }
         gaps.push(now - start);
     }
@@ -480,16 +491,17 @@
 fn events_on_what_is_not_held_do_nothing() {
     let mut bench = Bench::new(settings(), shared());
     bench.turn(&[message(1, 1, 10)]);
-    bench.turn(&[ended(1, 0, 1, Outcome::Delivered)]);
-    let probe = Event::Probed { endpoint: 77, outcome: Outcome::Timeout, elapsed: 0, load: None };
+    bench.turn(&[ended(1, 0, 1, AttemptOutcome::Delivered)]);
+    let probe =
+        Event::ProbeEnded { endpoint: 77, outcome: AttemptOutcome::Timeout, elapsed: 0, load_report: None };
     let odd = [
-        ended(1, 0, 1, Outcome::Timeout),
-        ended(9, 3, 77, Outcome::Error),
+        ended(1, 0, 1, AttemptOutcome::Timeout),
+        ended(9, 3, 77, AttemptOutcome::Error),
         waiting(9, 0, 77, SECOND),
-        Event::Withdrawn { id: 9 },
-        Event::Started { id: 9, attempt: 0 },
-        Event::Timer { token: 99 },
-        Event::Note { from: 3, bytes: vec![1] },
+        Event::MessageWithdrawn { id: 9 },
+        Event::ResponseStarted { id: 9, attempt: 0 },
+        Event::TimerFired { token: 99 },
+        Event::NoteReceived { from: 3, bytes: vec![1] },
         probe,
     ];
     let actions = bench.turn(&odd);
@@ -500,7 +512,7 @@
 fn a_started_stream_is_left_alone_past_its_deadline() {
     let mut bench = Bench::new(settings(), shared());
     bench.turn(&[message(1, 1, 10)]);
-    bench.turn(&[Event::Started { id: 1, attempt: 0 }]);
+    bench.turn(&[Event::ResponseStarted { id: 1, attempt: 0 }]);
     let later = bench.pass(bench.now + 30 * SECOND);
     assert!(later.iter().all(|(_, action)| matches!(action, Action::SetTimer { .. })), "{later:?}");
 }
@@ -509,12 +521,12 @@
 fn impossible_settings_are_typed_errors() {
     let none = Settings { classes: Vec::new(), ..settings() };
     assert_eq!(Controller::new(none, 1).err(), Some(SettingsError::NoClasses));
-    let late = Class { deadline: -1, ..class(Effect::Safe) };
+    let late = MessageClass { deadline: -1, ..class(Idempotency::Always) };
     let negative = Settings { classes: vec![late], ..settings() };
     assert_eq!(Controller::new(negative, 1).err(), Some(SettingsError::Negative("deadline")));
-    let slotless = Settings { limits: Limits { slots: 0, ..settings().limits }, ..settings() };
+    let slotless = Settings { limits: Limits { max_in_flight: 0, ..settings().limits }, ..settings() };
     assert_eq!(Controller::new(slotless, 1).err(), Some(SettingsError::OutOfRange("slots")));
-    assert_eq!("odd".parse::<Effect>(), Err(SettingsError::UnknownEffect("odd".to_owned())));
+    assert_eq!("odd".parse::<Idempotency>(), Err(SettingsError::UnknownEffect("odd".to_owned())));
 }
 
 /// Times at which the messages that `events` hand in are sent, each call delivered at once.
@@ -522,7 +534,7 @@
     let start = bench.now;
     let mut actions: Vec<_> = bench.turn(events).into_iter().map(|action| (start, action)).collect();
     actions.extend(
-        answer(bench, 1, Outcome::Delivered, 0, start + 8 * SECOND)
+        answer(bench, 1, AttemptOutcome::Delivered, 0, start + 8 * SECOND)
             .into_iter()
             .map(|at| (at, Action::Send { id: 0, endpoint: 1, timeout: 0, begin_by: 0 })),
     );
@@ -532,7 +544,8 @@
 /// Guards against a burst of a restarted sender's messages at a destination that may be cold.
 #[test]
 fn resumed_messages_of_a_destination_go_one_by_one() {
-    let resumed = |id| [message(id, 1, 10), Event::Resumed { id, attempts: 0, ran: None }];
+    let resumed =
+        |id| [message(id, 1, 10), Event::MessageRecovered { id, attempts: 0, first_ambiguous: None }];
     let events: Vec<_> = (1..=4).flat_map(resumed).collect();
     let sent = sent_after(&mut Bench::new(settings(), shared()), &events);
     assert_eq!((sent.len(), sent[0]), (4, 0), "{sent:?}");
@@ -542,11 +555,13 @@
 /// Guards against a restart that makes what is held late, however fast its destination is.
 #[test]
 fn resumed_messages_go_at_the_rate_that_a_cold_destination_is_listed_to_take() {
-    let resumed = |id| [message(id, 1, 10), Event::Resumed { id, attempts: 0, ran: None }];
+    let resumed =
+        |id| [message(id, 1, 10), Event::MessageRecovered { id, attempts: 0, first_ambiguous: None }];
     let events: Vec<_> = (1..=20).flat_map(resumed).collect();
     // Two senders share a fifth of it: five a second for this one, less for the jitter.
-    let listed = vec![Entry { rate: 50.0, ..entry(1, 10, 0) }];
-    let sent = sent_after(&mut Bench::new(Settings { rates_listed: true, ..settings() }, listed), &events);
+    let listed = vec![EndpointEntry { rate: 50.0, ..entry(1, 10, 0) }];
+    let sent =
+        sent_after(&mut Bench::new(Settings { rates_are_listed: true, ..settings() }, listed), &events);
     let in_4_s = sent.iter().filter(|at| **at < 4 * SECOND).count();
     assert!((13..=21).contains(&in_4_s), "{sent:?}");
 }
@@ -556,18 +571,18 @@
 fn what_was_resumed_untried_goes_before_what_came_later() {
     let timed = |id, left: Micros| {
         let mut message = message(id, 1, 10);
-        if let Event::Message { time_left, .. } = &mut message {
+        if let Event::MessageSubmitted(MessageSubmission { time_left, .. }) = &mut message {
             *time_left = left;
         }
         message
     };
     let first_of = |attempts| {
-        let limits = Limits { slots: 1, ..settings().limits };
-        let terms = Settings { limits, decay: Decay::Halves, ..settings() };
-        let Class { aim, deadline, .. } = terms.classes[1].clone();
+        let limits = Limits { max_in_flight: 1, ..settings().limits };
+        let terms = Settings { limits, decay: ValueDecay::Exponential, ..settings() };
+        let MessageClass { latency_objective, deadline, .. } = terms.classes[1].clone();
         // Long past its aim, the old one loses nothing by waiting; the new one loses more each moment.
-        let (old, new) = (timed(1, 5 * SECOND), timed(2, deadline - aim));
-        let resumed = Event::Resumed { id: 1, attempts, ran: None };
+        let (old, new) = (timed(1, 5 * SECOND), timed(2, deadline - latency_objective));
+        let resumed = Event::MessageRecovered { id: 1, attempts, first_ambiguous: None };
         sends(&Bench::new(terms, shared()).turn(&[old, resumed, new]))[0].0
     };
     assert_eq!(first_of(0), 1);
@@ -578,23 +593,23 @@
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_key_window() {
     let mut bench = Bench::new(settings(), shared());
-    let long_ago = Some((bench.now - 16 * SECOND, 0));
-    let just_now = Some((bench.now - SECOND, 0));
+    let long_ago = Some(AmbiguousAttempt { sent_at: bench.now - 16 * SECOND, zone: 0 });
+    let just_now = Some(AmbiguousAttempt { sent_at: bench.now - SECOND, zone: 0 });
     let actions = bench.turn(&[
         message(1, 1, 10),
-        Event::Resumed { id: 1, attempts: 2, ran: long_ago },
+        Event::MessageRecovered { id: 1, attempts: 2, first_ambiguous: long_ago },
         message(2, 2, 10),
-        Event::Resumed { id: 2, attempts: 1, ran: just_now },
+        Event::MessageRecovered { id: 2, attempts: 1, first_ambiguous: just_now },
         message(3, 1, 20),
-        Event::Resumed { id: 3, attempts: 6, ran: None },
+        Event::MessageRecovered { id: 3, attempts: 6, first_ambiguous: None },
         message(4, 1, 20),
-        Event::Resumed { id: 4, attempts: 1, ran: None },
+        Event::MessageRecovered { id: 4, attempts: 1, first_ambiguous: None },
     ]);
     let ends: Vec<_> = actions.iter().filter(|action| !matches!(action, Action::SetTimer { .. })).collect();
     let failed = |id| ends.contains(&&Action::Fail { id });
     assert!(failed(1) && failed(2), "the key window is over, or a repeat may take effect twice: {ends:?}");
     assert!(
-        ends.iter().any(|end| matches!(end, Action::Refuse { id: 3, .. })),
+        ends.iter().any(|end| matches!(end, Action::Reject { id: 3, .. })),
         "no attempt is left: {ends:?}"
     );
     let later = bench.pass(bench.now + 2 * SECOND);
@@ -606,11 +621,11 @@
 #[test]
 fn a_refusal_after_a_restart_leaves_a_pace_for_what_waits() {
     let mut settings = settings();
-    settings.limits.held = 200;
+    settings.limits.buffer_capacity = 200;
     let mut bench = Bench::new(settings, vec![entry(1, 10, 0)]);
     for id in 1..=80 {
         bench.turn(&[
-            Event::Message {
+            Event::MessageSubmitted(MessageSubmission {
                 id,
                 class: 1,
                 tenant: None,
@@ -621,13 +636,13 @@
                 returned: false,
                 repeat: false,
                 write: false,
-            },
-            Event::Resumed { id, attempts: 0, ran: None },
+            }),
+            Event::MessageRecovered { id, attempts: 0, first_ambiguous: None },
         ]);
     }
     let back = bench.now + SECOND;
-    answer(&mut bench, 1, Outcome::Full, 50 * MS, back);
-    let sent = answer(&mut bench, 1, Outcome::Delivered, 50 * MS, back + 6 * SECOND);
+    answer(&mut bench, 1, AttemptOutcome::Rejected, 50 * MS, back);
+    let sent = answer(&mut bench, 1, AttemptOutcome::Delivered, 50 * MS, back + 6 * SECOND);
     assert!(sent.len() >= 20, "{} calls in 6 s for 80 messages", sent.len());
 }
 
@@ -638,7 +653,7 @@
         let mut bench = Bench::new(settings(), vec![entry(1, 10, 0)]);
         bench.turn(&[message(1, 0, 10)]);
         bench.now += 50 * MS;
-        bench.turn(&[ended(1, 0, 1, Outcome::ConnectFailed)]);
+        bench.turn(&[ended(1, 0, 1, AttemptOutcome::ConnectFailed)]);
         bench.turn(&[listed(Vec::new())]);
         bench.pass(bench.now + gone);
         bench.turn(&[listed(Vec::new())]);
@@ -655,15 +670,15 @@
 fn an_endpoint_out_by_hand_drains_until_it_is_put_back_once() {
     let mut bench = Bench::new(settings(), shared());
     assert_eq!(bench.controller.avoided(), 0);
-    let by_hand = |out| Event::ByHand { endpoint: 1, out };
-    bench.turn(&[by_hand(true), by_hand(true)]);
+    let maintenance = |command| Event::Maintenance { endpoint: 1, command };
+    bench.turn(&[maintenance(MaintenanceCommand::Drain), maintenance(MaintenanceCommand::Drain)]);
     assert!(sends(&bench.turn(&[message(1, 1, 10)])).is_empty());
     for list in [shared(), vec![entry(2, 20, 0)], shared()] {
         assert!(sends(&bench.turn(&[listed(list)])).is_empty());
         bench.pass(bench.now + SECOND);
     }
     assert_eq!(bench.controller.avoided(), 1);
-    let mut actions = bench.turn(&[by_hand(false)]);
+    let mut actions = bench.turn(&[maintenance(MaintenanceCommand::Restore)]);
     let until = bench.now + 12 * SECOND;
     actions.extend(bench.pass(until).into_iter().map(|(_, action)| action));
     assert_eq!(sends(&actions), [(1, 1)]);
@@ -675,10 +690,14 @@
 #[test]
 fn an_endpoint_put_back_while_not_listed_is_used_once_it_is() {
     let mut bench = Bench::new(settings(), shared());
-    bench.turn(&[Event::ByHand { endpoint: 1, out: true }, listed(vec![entry(2, 20, 0)])]);
-    bench.turn(&[Event::ByHand { endpoint: 1, out: false }, message(1, 1, 10)]);
+    bench.turn(&[
+        Event::Maintenance { endpoint: 1, command: MaintenanceCommand::Drain },
+        listed(vec![entry(2, 20, 0)]),
+    ]);
+    bench
+        .turn(&[Event::Maintenance { endpoint: 1, command: MaintenanceCommand::Restore }, message(1, 1, 10)]);
     assert!(sends(&bench.turn(&[])).is_empty());
-    let draining = Entry { listing: Listing::Draining, ..entry(2, 20, 0) };
+    let draining = EndpointEntry { listing: ListingState::Draining, ..entry(2, 20, 0) };
     bench.turn(&[listed(vec![entry(1, 10, 0), draining])]);
     assert_eq!(bench.controller.avoided(), 1);
     bench.pass(bench.now + 12 * SECOND);
@@ -688,19 +707,20 @@
 /// Guards against a restarted endpoint being pushed over: what an operator puts back is cold.
 #[test]
 fn an_endpoint_put_back_by_hand_starts_slowly() {
-    let rate = |to, rate| Entry { rate, ..entry(to, 10 * to, 0) };
-    let settings = Settings { rates_listed: true, ..settings() };
+    let rate = |to, rate| EndpointEntry { rate, ..entry(to, 10 * to, 0) };
+    let settings = Settings { rates_are_listed: true, ..settings() };
     let mut bench = Bench::new(settings, vec![rate(1, 40.0), rate(2, 40.0)]);
     let mut sent_of = |first: MessageId, events: &[Event]| {
         bench.turn(events);
         let messages: Vec<_> = (first..first + 50).map(|id| message(id, 1, 10)).collect();
         let at_once = sends(&bench.turn(&messages)).len();
         let until = bench.now + SECOND;
-        at_once + answer(&mut bench, 1, Outcome::Delivered, 5 * MS, until).len()
+        at_once + answer(&mut bench, 1, AttemptOutcome::Delivered, 5 * MS, until).len()
     };
     assert_eq!(sent_of(1, &[]), 50);
-    let by_hand = |out| Event::ByHand { endpoint: 1, out };
-    let cold = sent_of(101, &[by_hand(true), by_hand(false)]);
+    let maintenance = |command| Event::Maintenance { endpoint: 1, command };
+    let cold =
+        sent_of(101, &[maintenance(MaintenanceCommand::Drain), maintenance(MaintenanceCommand::Restore)]);
     assert!(cold > 0 && cold < 30, "{cold} in the first second");
 }
 
@@ -708,12 +728,12 @@
 #[test]
 fn an_endpoint_put_back_by_hand_is_tried_by_one_call() {
     let mut bench = Bench::new(settings(), shared());
-    let by_hand = |out| Event::ByHand { endpoint: 1, out };
-    bench.turn(&[by_hand(true), by_hand(false)]);
+    let maintenance = |command| Event::Maintenance { endpoint: 1, command };
+    bench.turn(&[maintenance(MaintenanceCommand::Drain), maintenance(MaintenanceCommand::Restore)]);
     assert_eq!(bench.controller.avoided(), 0, "nothing keeps the next message from it");
     let burst: Vec<_> = (1..=10).map(|id| message(id, 1, 10)).collect();
     assert_eq!(sends(&bench.turn(&burst)).len(), 1);
-    bench.turn(&[ended(1, 0, 1, Outcome::ConnectFailed)]);
+    bench.turn(&[ended(1, 0, 1, AttemptOutcome::ConnectFailed)]);
     assert_eq!(bench.controller.avoided(), 1);
 }
 
@@ -724,8 +744,8 @@
     for (others, tried_by) in [(vec![message(2, 1, 10)], 2), (Vec::new(), 1)] {
         let mut bench = Bench::new(settings(), shared());
         bench.turn(&[message(9, 1, 10)]);
-        bench.turn(&[ended(9, 0, 1, Outcome::Error)]);
-        bench.turn(&[Event::Withdrawn { id: 9 }]);
+        bench.turn(&[ended(9, 0, 1, AttemptOutcome::Error)]);
+        bench.turn(&[Event::MessageWithdrawn { id: 9 }]);
         assert_eq!(bench.controller.avoided(), 1);
         // Older, and so first in its line.
         assert!(sends(&bench.turn(&[message(1, 2, 10)])).is_empty());
@@ -739,16 +759,16 @@
 /// Guards against a key whose first message is late and so worth little: all behind it are lost with it.
 #[test]
 fn the_first_of_a_key_goes_before_what_holds_up_nothing() {
-    let slots = Limits { slots: 1, ..settings().limits };
+    let max_in_flight = Limits { max_in_flight: 1, ..settings().limits };
     let mut bench =
-        Bench::new(Settings { limits: slots, ..settings() }, vec![entry(1, 10, 0), entry(2, 20, 0)]);
+        Bench::new(Settings { limits: max_in_flight, ..settings() }, vec![entry(1, 10, 0), entry(2, 20, 0)]);
     // The only slot is taken while all come.
     bench.turn(&[message(1, 0, 20)]);
     bench.turn(&[message(2, 0, 10), keyed(3, 10, "k"), keyed(4, 10, "k"), keyed(5, 20, "k")]);
     // Past the aim, where waiting costs worth.
     bench.now += 3 * SECOND;
-    let freed = bench.turn(&[ended(1, 0, 2, Outcome::Delivered)]);
+    let freed = bench.turn(&[ended(1, 0, 2, AttemptOutcome::Delivered)]);
     assert_eq!(sends(&freed), [(3, 1)]);
-    let next = bench.turn(&[ended(3, 0, 1, Outcome::Delivered)]);
+    let next = bench.turn(&[ended(3, 0, 1, AttemptOutcome::Delivered)]);
     assert_eq!(sends(&next), [(4, 1)], "two are left of the key");
 }
--- a/tests/fleet.rs
+++ b/crates/delivery-control/tests/fleet.rs
@@ -5,22 +5,22 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use roadshift::interface::*;
+use delivery_control::*;
 
 /// How the destination answers at a time: an outcome, and a wait told with it.
-type Answers = fn(Micros) -> (Outcome, Micros);
+type Answers = fn(Micros) -> (AttemptOutcome, Micros);
 
 /// Lets `senders` controllers with one message each for the same destination run for `length`; gives the times of
 /// all their sends to it. Each is handed an average share of messages for other destinations too.
-fn together(senders: u32, length: Micros, rate: f64, answers: Answers) -> Vec<Micros> {
-    let settings = Settings { senders, rates_listed: rate > 0.0, ..settings() };
-    let entries = vec![Entry { rate, ..entry(1, 10, 0) }, entry(2, 20, 0)];
+fn together(sender_count: u32, length: Micros, rate: f64, answers: Answers) -> Vec<Micros> {
+    let settings = Settings { sender_count, rates_are_listed: rate > 0.0, ..settings() };
+    let entries = vec![EndpointEntry { rate, ..entry(1, 10, 0) }, entry(2, 20, 0)];
     let mut sends_at = Vec::new();
-    for seed in 0..senders {
+    for seed in 0..sender_count {
         let mut bench = Bench::seeded(settings.clone(), entries.clone(), u64::from(seed) + 1);
         let start = bench.now;
         // Spread over the first two seconds.
-        bench.now += Micros::from(seed) * 2 * SECOND / Micros::from(senders);
+        bench.now += Micros::from(seed) * 2 * SECOND / Micros::from(sender_count);
         let mut actions = vec![(bench.now, bench.turn(&[message(1, 0, 10)]))];
         let mut due: BTreeMap<Micros, (MessageId, u32)> = BTreeMap::new();
         let mut attempt = 0;
@@ -39,22 +39,22 @@
             if let Some(at) = bench.timers.iter().copied().filter(|at| *at < until).min() {
                 bench.timers.retain(|other| *other > at);
                 bench.now = bench.now.max(at);
-                actions.push((bench.now, bench.turn(&[Event::Timer { token: 0 }])));
+                actions.push((bench.now, bench.turn(&[Event::TimerFired { token: 0 }])));
                 continue;
             }
             let (_, (id, number)) = due.pop_first().expect("due");
             bench.now = until;
             let (outcome, wait) = answers(until - start);
-            let event = Event::Ended {
+            let event = Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt: number,
                 endpoint: 1,
                 outcome,
                 elapsed: 50 * MS,
-                last: outcome == Outcome::Delivered,
-                wait,
-                load: None,
-            };
+                is_final: outcome == AttemptOutcome::Delivered,
+                retry_after: wait,
+                load_report: None,
+            });
             actions.push((until, bench.turn(&[event])));
             // Idle senders still have their timers: run to the next one.
             while due.is_empty() && actions.iter().all(|(_, actions)| sends(actions).is_empty()) {
@@ -63,7 +63,7 @@
                 };
                 bench.timers.retain(|other| *other > at);
                 bench.now = bench.now.max(at);
-                actions.push((bench.now, bench.turn(&[Event::Timer { token: 0 }])));
+                actions.push((bench.now, bench.turn(&[Event::TimerFired { token: 0 }])));
             }
         }
     }
@@ -78,7 +78,7 @@
 #[test]
 fn many_senders_do_not_push_over_what_comes_back() {
     // Errors for 10 s, then back: 60 senders hold a message each; 6 calls a second is the capacity.
-    let answers = |at| (if at < 10 * SECOND { Outcome::Error } else { Outcome::Delivered }, 0);
+    let answers = |at| (if at < 10 * SECOND { AttemptOutcome::Error } else { AttemptOutcome::Delivered }, 0);
     let sends = together(60, 19 * SECOND, 6.0, answers);
     let first = between(&sends, 10 * SECOND, 12 * SECOND);
     // Twice a fifth of the capacity for 2 s would be 5 calls at the start, and grows from there.
@@ -89,7 +89,7 @@
 
 #[test]
 fn many_refused_senders_do_not_come_again_at_once() {
-    let sends = together(60, 12 * SECOND, 0.0, |_| (Outcome::Full, 0));
+    let sends = together(60, 12 * SECOND, 0.0, |_| (AttemptOutcome::Rejected, 0));
     let busiest = (2..10).map(|second| between(&sends, second * SECOND, (second + 1) * SECOND)).max();
     assert!(busiest <= Some(20), "at most a third of them in any second: {busiest:?}");
     assert!(between(&sends, 2 * SECOND, 12 * SECOND) >= 40, "but each comes again: {}", sends.len());
@@ -99,8 +99,8 @@
 fn senders_told_the_same_wait_do_not_return_in_step() {
     // Shut for 8 s; each is told to wait until then.
     let answers = |at| match 8 * SECOND - at {
-        left if left > 0 => (Outcome::Full, left),
-        _ => (Outcome::Delivered, 0),
+        left if left > 0 => (AttemptOutcome::Rejected, left),
+        _ => (AttemptOutcome::Delivered, 0),
     };
     let sends = together(60, 18 * SECOND, 0.0, answers);
     assert_eq!(between(&sends, 2 * SECOND + 50 * MS, 8 * SECOND), 0, "the wait is kept");
@@ -114,8 +114,9 @@
     bench.turn(&[message(1, 0, 10)]);
     bench.turn(&[waiting(1, 0, 1, 4 * SECOND)]);
     let told = bench.now;
-    let listed = |entry| Event::Listed { update: Update::Changes, version: 2, entries: vec![entry] };
-    bench.turn(&[listed(Entry { listing: Listing::Gone, ..entry(1, 10, 0) })]);
+    let listed =
+        |entry| Event::EndpointsUpdated { update: UpdateKind::Delta, version: 2, entries: vec![entry] };
+    bench.turn(&[listed(EndpointEntry { listing: ListingState::Removed, ..entry(1, 10, 0) })]);
     bench.now += SECOND;
     bench.turn(&[listed(entry(1, 30, 1)), message(2, 0, 30), message(3, 0, 10)]);
     let later = sends_in_time(&bench.pass(told + 8 * SECOND));
@@ -125,8 +126,8 @@
 
 /// One of a hundred senders, with a call out to a destination that it calls rarely.
 fn rare_caller() -> Bench {
-    let settings = Settings { senders: 100, rates_listed: true, ..settings() };
-    let mut bench = Bench::new(settings, vec![Entry { rate: 20.0, ..entry(1, 10, 0) }]);
+    let settings = Settings { sender_count: 100, rates_are_listed: true, ..settings() };
+    let mut bench = Bench::new(settings, vec![EndpointEntry { rate: 20.0, ..entry(1, 10, 0) }]);
     bench.turn(&[message(1, 0, 10)]);
     bench
 }
@@ -137,7 +138,7 @@
     while let Some(at) = bench.timers.iter().copied().filter(|at| *at <= until).min() {
         for (at, id, _) in sends_in_time(&bench.pass(at)) {
             sent.push(at);
-            bench.turn(&[reported(id, bench.attempts[&id], Outcome::Delivered, left, limit)]);
+            bench.turn(&[reported(id, bench.attempts[&id], AttemptOutcome::Delivered, left, limit)]);
         }
     }
     bench.now = until;
@@ -149,7 +150,7 @@
 fn a_report_of_little_left_paces_before_a_refusal() {
     let calls_of_ten = |left| {
         let mut bench = rare_caller();
-        bench.turn(&[reported(1, 0, Outcome::Delivered, left, 50.0)]);
+        bench.turn(&[reported(1, 0, AttemptOutcome::Delivered, left, 50.0)]);
         let now = sends(&bench.turn(&[message(2, 0, 10), message(3, 0, 10), message(4, 0, 10)])).len();
         let until = bench.now + 5 * SECOND;
         now + delivered(&mut bench, until, (left, 50.0)).len()
@@ -163,7 +164,7 @@
 #[test]
 fn a_lifted_limit_is_used_from_the_next_answer_on() {
     let mut bench = rare_caller();
-    bench.turn(&[reported(1, 0, Outcome::Full, 0.0, 20.0)]);
+    bench.turn(&[reported(1, 0, AttemptOutcome::Rejected, 0.0, 20.0)]);
     bench.turn(&[message(2, 0, 10), message(3, 0, 10), message(4, 0, 10)]);
     let start = bench.now;
     let sent = delivered(&mut bench, start + 30 * SECOND, (0.9, 200.0));
@@ -177,14 +178,14 @@
 fn two_refusals_with_most_of_the_limit_left_are_an_outage() {
     let avoided = |left| {
         let mut bench = rare_caller();
-        bench.turn(&[reported(1, 0, Outcome::Full, left, 20.0)]);
+        bench.turn(&[reported(1, 0, AttemptOutcome::Rejected, left, 20.0)]);
         bench.now += 3 * SECOND;
         bench.turn(&[message(2, 2, 10)]);
         while bench.calls.is_empty() {
             bench.pass(bench.now + 100 * MS);
         }
         let id = *bench.calls.first_key_value().expect("a second call").0;
-        bench.turn(&[reported(id, bench.attempts[&id], Outcome::Full, left, 20.0)]);
+        bench.turn(&[reported(id, bench.attempts[&id], AttemptOutcome::Rejected, left, 20.0)]);
         bench.controller.avoided()
     };
     assert_eq!((avoided(1.0), avoided(0.0)), (1, 0));
@@ -195,15 +196,15 @@
 #[test]
 fn a_refusal_brings_a_rare_caller_below_its_share_of_the_lowered_limit() {
     let mut bench = rare_caller();
-    bench.turn(&[reported(1, 0, Outcome::Delivered, 0.9, 20.0)]);
+    bench.turn(&[reported(1, 0, AttemptOutcome::Delivered, 0.9, 20.0)]);
     for id in 2..8 {
         bench.now += 3 * SECOND / 2;
         bench.turn(&[message(id, 0, 10)]);
-        bench.turn(&[reported(id, 0, Outcome::Delivered, 0.9, 20.0)]);
+        bench.turn(&[reported(id, 0, AttemptOutcome::Delivered, 0.9, 20.0)]);
     }
     bench.now += 3 * SECOND / 2;
     bench.turn(&[message(8, 0, 10)]);
-    bench.turn(&[reported(8, 0, Outcome::Full, 0.0, 5.0), message(9, 0, 10), message(10, 0, 10)]);
+    bench.turn(&[reported(8, 0, AttemptOutcome::Rejected, 0.0, 5.0), message(9, 0, 10), message(10, 0, 10)]);
     // A twentieth of a call a second is its share; more than one sender in eight would be too many.
     let until = bench.now + 8 * SECOND;
     let sent = sends_in_time(&bench.pass(until)).len();
@@ -217,7 +218,7 @@
         [(0.0, 0.0), (0.0, -5.0), (0.0, f64::NAN), (-1.0, 5.0), (f64::NAN, 5.0), (0.0, f64::INFINITY)]
     {
         let mut bench = rare_caller();
-        bench.turn(&[reported(1, 0, Outcome::Delivered, left, limit)]);
+        bench.turn(&[reported(1, 0, AttemptOutcome::Delivered, left, limit)]);
         let sent = sends(&bench.turn(&[message(2, 0, 10), message(3, 0, 10)])).len();
         assert_eq!(sent, 2, "left {left}, limit {limit}");
     }
--- a/tests/rules.rs
+++ b/crates/delivery-control/tests/rules.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use roadshift::interface::*;
-use roadshift::Controller;
+use delivery_control::Controller;
+use delivery_control::*;
 
 struct Held {
     class: usize,
@@ -37,7 +37,7 @@
 impl Referee {
     fn route(&self, endpoint: EndpointId) -> (DestinationId, Option<EndpointId>) {
         let (destination, kind, _) = self.live[&endpoint];
-        (destination, self.settings.kinds[kind].own_limits.then_some(endpoint))
+        (destination, self.settings.kinds[kind].per_endpoint_limits.then_some(endpoint))
     }
 
     fn send(&mut self, id: MessageId, endpoint: EndpointId, timeout: Micros) {
@@ -59,16 +59,19 @@
         let class = &self.settings.classes[mine.class];
         assert!(!mine.done, "{id} was sent after its end");
         assert!(mine.out.is_none(), "{id} has two attempts out");
-        assert!(mine.attempts < self.settings.limits.attempts, "{id} has too many attempts");
+        assert!(mine.attempts < self.settings.limits.max_attempts, "{id} has too many attempts");
         assert_eq!(destination, mine.destination);
         assert!(now < mine.deadline);
         if let Some((sent, zone)) = mine.ran {
-            match class.effect {
-                Effect::Safe => {}
-                Effect::Unsafe => panic!("{id} may have run and was sent again"),
-                Effect::Keyed => {
-                    assert!(now <= sent + class.window, "{id} was sent after its key window");
-                    assert!(class.scope == Scope::All || zone == endpoint % 2, "{id} left its zone");
+            match class.idempotency {
+                Idempotency::Always => {}
+                Idempotency::Never => panic!("{id} may have run and was sent again"),
+                Idempotency::WithKey => {
+                    assert!(now <= sent + class.idempotency_window, "{id} was sent after its key window");
+                    assert!(
+                        class.idempotency_scope == IdempotencyScope::All || zone == endpoint % 2,
+                        "{id} left its zone"
+                    );
                 }
             }
             self.repeats += 1;
@@ -85,10 +88,10 @@
         assert!(self.now <= mine.deadline + self.settings.rules.answer_slack, "{id} was ended late");
         let class = &self.settings.classes[mine.class];
         if refused && (mine.ran.is_some() || mine.out.is_some()) {
-            let lawful = match class.effect {
-                Effect::Safe => true,
-                Effect::Keyed => class.scope == Scope::All,
-                Effect::Unsafe => false,
+            let lawful = match class.idempotency {
+                Idempotency::Always => true,
+                Idempotency::WithKey => class.idempotency_scope == IdempotencyScope::All,
+                Idempotency::Never => false,
             };
             assert!(lawful, "{id} may have run and was refused");
         }
@@ -99,7 +102,7 @@
         for action in actions {
             match action {
                 Action::Send { id, endpoint, timeout, .. } => self.send(*id, *endpoint, *timeout),
-                Action::Refuse { id, .. } => self.end(*id, true),
+                Action::Reject { id, .. } => self.end(*id, true),
                 Action::Fail { id } => self.end(*id, false),
                 _ => {}
             }
@@ -109,25 +112,39 @@
     }
 
     /// Notes an outcome and makes the module's event of it.
-    fn outcome(&mut self, id: MessageId, outcome: Outcome, wait: Micros) -> Event {
+    fn outcome(&mut self, id: MessageId, outcome: AttemptOutcome, wait: Micros) -> Event {
         let route = self.held[&id].out.map(|(endpoint, _)| self.route(endpoint)).expect("out");
-        let pause = self.settings.rules.order_pause;
+        let pause = self.settings.rules.quarantine_time;
         let mine = self.held.get_mut(&id).expect("known");
         let (endpoint, sent) = mine.out.take().expect("out");
-        if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent) {
+        if !matches!(
+            outcome,
+            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        ) {
             mine.ran = mine.ran.or(Some((sent, endpoint % 2)));
         }
-        if let (Some(key), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (&mine.key, outcome) {
+        if let (Some(key), AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Cancelled) =
+            (&mine.key, outcome)
+        {
             self.rests.insert(key.clone(), (self.now + pause, id));
         }
-        mine.done |= outcome == Outcome::Delivered;
+        mine.done |= outcome == AttemptOutcome::Delivered;
         let (last, attempt, elapsed) = (mine.done, mine.attempts - 1, self.now - sent);
         if wait > 0 {
             let until = self.waits.entry(route).or_default();
             *until = (*until).max(self.now + wait);
             self.waits_told += 1;
         }
-        Event::Ended { id, attempt, endpoint, outcome, elapsed, last, wait, load: None }
+        Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            endpoint,
+            outcome,
+            elapsed,
+            is_final: last,
+            retry_after: wait,
+            load_report: None,
+        })
     }
 }
 
@@ -152,7 +169,7 @@
     }
     let entries = referee.live.iter().map(|(id, (to, kind, _))| entry(*id, *to, *kind)).collect();
     let mut events = vec![listed(entries)];
-    let mut outcomes: Vec<(Micros, MessageId, Outcome, Micros)> = Vec::new();
+    let mut outcomes: Vec<(Micros, MessageId, AttemptOutcome, Micros)> = Vec::new();
     let mut timers: Vec<Micros> = Vec::new();
     let end = referee.now + 60 * SECOND;
     let mut next = 0;
@@ -166,7 +183,7 @@
         }
         if timers.iter().any(|at| *at <= now) {
             timers.retain(|at| *at > now);
-            events.push(Event::Timer { token: 0 });
+            events.push(Event::TimerFired { token: 0 });
         }
         if now < end && random.f64() < 0.04 {
             next += 1;
@@ -175,7 +192,9 @@
                 3 => keyed(next, destination, ["a", "b"][random.usize(..2)]),
                 _ => message(next, class, destination),
             };
-            let Event::Message { order_key: key, .. } = &event else { unreachable!() };
+            let Event::MessageSubmitted(MessageSubmission { order_key: key, .. }) = &event else {
+                unreachable!()
+            };
             let held = Held {
                 class,
                 destination,
@@ -194,9 +213,9 @@
             let id = random.u64(..9);
             let (to, kind, live) = referee.live[&id];
             referee.live.insert(id, (to, kind, !live));
-            let listing = if live { Listing::Draining } else { Listing::Live };
-            let entries = vec![Entry { listing, ..entry(id, to, kind) }];
-            events.push(Event::Listed { update: Update::Changes, version: 2, entries });
+            let listing = if live { ListingState::Draining } else { ListingState::Live };
+            let entries = vec![EndpointEntry { listing, ..entry(id, to, kind) }];
+            events.push(Event::EndpointsUpdated { update: UpdateKind::Delta, version: 2, entries });
         }
         if !events.is_empty() {
             let mut actions = Vec::new();
@@ -208,25 +227,25 @@
                     Action::SetTimer { at, .. } => timers.push(at),
                     Action::Send { id, timeout, .. } => {
                         let bad = [
-                            Outcome::Error,
-                            Outcome::Full,
-                            Outcome::Timeout,
-                            Outcome::Reset,
-                            Outcome::ConnectFailed,
+                            AttemptOutcome::Error,
+                            AttemptOutcome::Rejected,
+                            AttemptOutcome::Timeout,
+                            AttemptOutcome::Reset,
+                            AttemptOutcome::ConnectFailed,
                         ];
                         let sour = random.f64() < sour;
-                        let outcome = if sour { bad[random.usize(..5)] } else { Outcome::Delivered };
+                        let outcome = if sour { bad[random.usize(..5)] } else { AttemptOutcome::Delivered };
                         let answer = 20 * MS + random.i64(..800 * MS);
-                        let timed_out = outcome == Outcome::Timeout || answer >= timeout;
+                        let timed_out = outcome == AttemptOutcome::Timeout || answer >= timeout;
                         let (at, outcome) =
-                            if timed_out { (timeout, Outcome::Timeout) } else { (answer, outcome) };
-                        let told = outcome == Outcome::Full && random.bool();
+                            if timed_out { (timeout, AttemptOutcome::Timeout) } else { (answer, outcome) };
+                        let told = outcome == AttemptOutcome::Rejected && random.bool();
                         let wait = if told { random.i64(100 * MS..3 * SECOND) } else { 0 };
                         outcomes.push((now + at, id, outcome, wait));
                     }
                     Action::Cancel { id, .. } => {
                         if let Some(call) = outcomes.iter_mut().find(|(_, other, ..)| *other == id) {
-                            *call = (now + 5 * MS, id, Outcome::Cancelled, 0);
+                            *call = (now + 5 * MS, id, AttemptOutcome::Cancelled, 0);
                         }
                     }
                     _ => {}
@@ -258,31 +277,32 @@
 /// hears of an end by a notice, which may be slow or have to be sent again.
 #[test]
 fn a_key_waits_until_the_platform_has_heard_of_an_end() {
-    let classes = vec![class(Effect::Safe), class(Effect::Keyed), class(Effect::Unsafe), {
-        Class { ordered: true, ..class(Effect::Unsafe) }
+    let classes = vec![class(Idempotency::Always), class(Idempotency::WithKey), class(Idempotency::Never), {
+        MessageClass { ordered: true, ..class(Idempotency::Never) }
     }];
     for notices in [false, true] {
-        let settings = Settings { notices, classes: classes.clone(), ..settings() };
+        let settings = Settings { notices_are_acknowledged: notices, classes: classes.clone(), ..settings() };
         let mut bench = Bench::new(settings, vec![entry(1, 10, 0), entry(2, 20, 0)]);
         bench.turn(&[keyed(1, 10, "k"), keyed(2, 20, "k"), keyed(3, 20, "other")]);
         // The other key's message is delivered: only the key may hold its destination's next one back.
-        let failed = bench.turn(&[ended(3, 0, 2, Outcome::Delivered), ended(1, 0, 1, Outcome::Error)]);
+        let failed =
+            bench.turn(&[ended(3, 0, 2, AttemptOutcome::Delivered), ended(1, 0, 1, AttemptOutcome::Error)]);
         assert!(failed.contains(&Action::Fail { id: 1 }), "{failed:?}");
         assert_eq!(sends(&failed), if notices { vec![] } else { vec![(2, 2)] });
         if notices {
             let until = bench.now + 5 * SECOND;
             assert!(sends_in_time(&bench.pass(until)).iter().all(|(_, id, _)| *id != 2));
             // Nor does an earlier process's message free it, or another key's end.
-            bench.turn(&[Event::Over { id: 9 }]);
-            assert_eq!(sends(&bench.turn(&[Event::Over { id: 1 }])), [(2, 2)]);
+            bench.turn(&[Event::NoticeAcknowledged { id: 9 }]);
+            assert_eq!(sends(&bench.turn(&[Event::NoticeAcknowledged { id: 1 }])), [(2, 2)]);
         }
     }
     // What an earlier process gave up holds its key up too; the next message ends in time all the same.
-    let settings = Settings { notices: true, classes, ..settings() };
+    let settings = Settings { notices_are_acknowledged: true, classes, ..settings() };
     let mut bench = Bench::new(settings, vec![entry(1, 10, 0)]);
-    let owed = Event::Owed { id: 1, order_key: "k".to_owned() };
+    let owed = Event::NoticePending { id: 1, order_key: "k".to_owned() };
     assert!(sends(&bench.turn(&[owed, keyed(2, 10, "k"), keyed(3, 10, "other")])) == [(3, 1)]);
     let until = bench.now + 20 * SECOND;
     let ends = bench.pass(until);
-    assert!(ends.iter().any(|(at, action)| matches!(action, Action::Refuse { id: 2, .. }) && *at < until));
+    assert!(ends.iter().any(|(at, action)| matches!(action, Action::Reject { id: 2, .. }) && *at < until));
 }
--- a/sender/src/clients.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -1,9 +1,12 @@
 //! The HTTP server that clients hand messages to.
 
+mod request;
+
 use std::convert::Infallible;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use delivery_control::Settings;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
@@ -11,51 +14,40 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use roadshift::interface::{Micros, Settings};
-use roadshift_adapter::wire::Names;
-use serde::{Deserialize, Serialize};
+use simulator_adapter::wire::Names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::admission::{Admission, Seat};
-use crate::driver::{Handed, Happening};
-use crate::management::Duty;
-use crate::observed::Observed;
-use crate::request::{body_length, decode, first_part, BODY_BYTES};
+use self::request::{body_length, decode, first_part, BODY_BYTES};
+use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
+use crate::event::SenderEvent;
+use crate::instrumented_stream::InstrumentedStream;
+use crate::serving_state::ServingState;
+use crate::submission::{Submission, SubmissionReply};
 
 const BUFFER_BYTES: usize = 32 * 1024;
 
-/// What a client hears.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Answer {
-    TakenOn,
-    /// Not taken on; for how long to stay away, 0 for no advice.
-    Refused(Micros),
-    /// No such destination.
-    Unknown,
-}
-
 /// What the handlers of all connections share.
-pub struct Clients {
+pub struct ClientApi {
     pub settings: Settings,
     pub names: Names,
-    pub inbox: mpsc::Sender<Happening>,
-    pub duty: watch::Receiver<Duty>,
-    pub admission: Rc<Admission>,
+    pub inbox: mpsc::Sender<SenderEvent>,
+    pub duty: watch::Receiver<ServingState>,
+    pub admission: Rc<ConnectionLimiter>,
 }
 
-impl Clients {
+impl ClientApi {
     /// Accepts connections for good, also while draining: the front notices only after a while.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         self.admission.clone().serve(listener, |stream, seat| self.clone().converse(stream, seat)).await;
     }
 
-    async fn converse(self: Rc<Self>, stream: TcpStream, seat: Rc<Seat>) {
+    async fn converse(self: Rc<Self>, stream: TcpStream, seat: Rc<ConnectionSlot>) {
         // Without it answers may wait for the client's acknowledgement; a socket that denies it is broken.
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let io = TokioIo::new(Observed { stream: Rc::new(stream), observer: seat.clone() });
+        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: seat.clone() });
         let this = self.clone();
         let taken = seat.clone();
         let service = service_fn(move |request| {
@@ -73,7 +65,7 @@
                 // One that comes while draining must be let read its first request; the answer closes it. So with
                 // a request that has come in part: the library takes that for an idle connection, and its client
                 // may have written all of it.
-                () = Duty::ends(&mut duty) => {
+                () = ServingState::ends(&mut duty) => {
                     if !seat.is_asked() {
                         connection.as_mut().graceful_shutdown();
                     }
@@ -86,7 +78,7 @@
     }
 
     /// Answers one request. Whoever breaks the protocol is not listened to any further.
-    async fn answer(&self, request: Request<Incoming>, seat: &Seat) -> Response<Empty<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, seat: &ConnectionSlot) -> Response<Empty<Bytes>> {
         let length = body_length(request.headers());
         let mut response = match self.route(request, &length, seat).await {
             Ok(status) => status.into_response(),
@@ -102,21 +94,21 @@
     }
 
     fn is_serving(&self) -> bool {
-        *self.duty.borrow() == Duty::Serving
+        *self.duty.borrow() == ServingState::Serving
     }
 
     async fn route(
         &self,
         request: Request<Incoming>,
         length: &Result<u64, StatusCode>,
-        seat: &Seat,
+        seat: &ConnectionSlot,
     ) -> Result<Reply, StatusCode> {
         let length = (*length)?;
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/healthz") => Ok(Reply::Status(match *self.duty.borrow() {
                 // One sender to its clients, whichever process answers.
-                Duty::Serving | Duty::Succeeded => StatusCode::OK,
-                Duty::Standby | Duty::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+                ServingState::Serving | ServingState::HandedOver => StatusCode::OK,
+                ServingState::Standby | ServingState::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             })),
             (_, "/healthz") => Err(StatusCode::METHOD_NOT_ALLOWED),
             (&Method::POST, _) => self.hand_in(request, length, seat).await,
@@ -131,7 +123,7 @@
         &self,
         request: Request<Incoming>,
         length: u64,
-        seat: &Seat,
+        seat: &ConnectionSlot,
     ) -> Result<Reply, StatusCode> {
         let (head, body) = request.into_parts();
         let mut handed = decode(&self.settings, &self.names, &head.uri, &head.headers)?;
@@ -145,18 +137,18 @@
         self.ask(handed).await
     }
 
-    async fn ask(&self, handed: Handed) -> Result<Reply, StatusCode> {
+    async fn ask(&self, handed: Submission) -> Result<Reply, StatusCode> {
         // If the client goes away, this future is dropped, and the driver finds its end of `reply` closed.
         let (reply, answer) = oneshot::channel();
-        let happening = Happening::Handed(Box::new(handed), reply);
+        let happening = SenderEvent::Submitted(Box::new(handed), reply);
         self.inbox.send(happening).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-        answer.await.map(Reply::Answer).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
+        answer.await.map(Reply::SubmissionReply).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
     }
 }
 
 enum Reply {
     Status(StatusCode),
-    Answer(Answer),
+    SubmissionReply(SubmissionReply),
 }
 
 trait IntoResponse {
@@ -175,9 +167,11 @@
     fn into_response(self) -> Response<Empty<Bytes>> {
         match self {
             Self::Status(status) => status.into_response(),
-            Self::Answer(Answer::Unknown) => StatusCode::NOT_FOUND.into_response(),
-            Self::Answer(Answer::TakenOn) => StatusCode::ACCEPTED.into_response(),
-            Self::Answer(Answer::Refused(wait)) => {
+            Self::SubmissionReply(SubmissionReply::UnknownDestination) => {
+                StatusCode::NOT_FOUND.into_response()
+            }
+            Self::SubmissionReply(SubmissionReply::Accepted) => StatusCode::ACCEPTED.into_response(),
+            Self::SubmissionReply(SubmissionReply::Rejected(wait)) => {
                 let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
                 let seconds = format!("{:.3}", wait as f64 / 1e6);
                 if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/sender/src/request.rs
+++ b/crates/message-sender/src/client_api/request.rs
@@ -1,12 +1,12 @@
 //! Reads the head of a client's message. Nothing that is malformed gets past this.
 
 use bytes::Bytes;
+use delivery_control::{Idempotency, Micros, Settings};
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{StatusCode, Uri};
-use roadshift::interface::{Effect, Micros, Settings};
-use roadshift_adapter::wire::Names;
+use simulator_adapter::wire::Names;
 
-use crate::driver::Handed;
+use crate::submission::Submission;
 
 /// The longest body that the protocol allows.
 pub const BODY_BYTES: u64 = 64 * 1024;
@@ -32,7 +32,7 @@
     names: &Names,
     uri: &Uri,
     headers: &HeaderMap,
-) -> Result<Handed, StatusCode> {
+) -> Result<Submission, StatusCode> {
     let bad = StatusCode::BAD_REQUEST;
     let name = first_part(uri.path());
     let class = names.class(name).ok_or(StatusCode::NOT_FOUND)?;
@@ -41,7 +41,7 @@
     }
     let rules = &settings.classes[class];
     let key = text(headers, "idempotency-key")?.filter(|key| !key.is_empty()).map(str::to_owned);
-    if rules.effect == Effect::Keyed && key.is_none() {
+    if rules.idempotency == Idempotency::WithKey && key.is_none() {
         return Err(bad);
     }
     let call_id = text(headers, "x-call-id")?.filter(|id| !id.is_empty()).ok_or(bad)?.to_owned();
@@ -56,7 +56,7 @@
     }
     let again = text(headers, "x-again")?;
     let budget = Micros::try_from(budget_ms.saturating_mul(1000)).unwrap_or(Micros::MAX);
-    Ok(Handed {
+    Ok(Submission {
         call_id,
         key,
         class,
--- a/sender/src/config.rs
+++ b/crates/message-sender/src/config.rs
@@ -4,12 +4,12 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
-use roadshift::interface::Settings;
-use roadshift_adapter::wire::{self, Names};
+use delivery_control::Settings;
 use serde::Deserialize;
+use simulator_adapter::wire::{self, Names};
 
-use crate::discovery::List;
-use crate::management;
+use crate::endpoint_list::EndpointList;
+use crate::operator_api;
 
 /// A sender's configuration, with the settings in the module's terms.
 pub struct Config {
@@ -21,7 +21,7 @@
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
-    pub known: Option<List>,
+    pub known: Option<EndpointList>,
     pub settings: Settings,
     pub names: Names,
 }
@@ -45,7 +45,7 @@
 
 /// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners, a handover and the log,
 /// and those of operators' calls.
-const OWN_SOCKETS: usize = 28 + management::SEATS;
+const OWN_SOCKETS: usize = 28 + operator_api::SEATS;
 /// While an upgrade goes on, so many processes have them; the rest is the sender's as a whole.
 const PROCESSES: usize = 2;
 /// What a client's connection holds: its buffers. Few have a body in hand at the same time.
@@ -70,7 +70,7 @@
     discovery: SocketAddr,
     seed: Seed,
     limits: Limits,
-    known: Option<List>,
+    known: Option<EndpointList>,
     settings: wire::Config,
 }
 
@@ -125,7 +125,7 @@
         let file: File = serde_json::from_slice(text).context("the configuration is malformed")?;
         let settings = file.settings.settings().map_err(anyhow::Error::msg)?;
         // On sockets, the platform hears of an end by a notice, later than the module decides on it.
-        let settings = Settings { notices: true, ..settings };
+        let settings = Settings { notices_are_acknowledged: true, ..settings };
         Ok(Self {
             name: file.name,
             listen: file.listen,
--- a/sender/src/admission.rs
+++ b/crates/message-sender/src/connection_limiter.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
-use crate::observed::Observer;
+use crate::instrumented_stream::StreamObserver;
 
 /// One span for a request's head and body, from the connection's start or from the request's first byte on. A
 /// client is owed an answer or a close within 3 s, and may have waited in the backlog before.
@@ -36,7 +36,7 @@
 }
 
 /// The place of one connection.
-pub struct Seat {
+pub struct ConnectionSlot {
     phase: Cell<Phase>,
     since: Cell<Instant>,
     /// No request has been answered on it yet.
@@ -51,7 +51,7 @@
     unwanted: Notify,
 }
 
-impl Observer for Seat {
+impl StreamObserver for ConnectionSlot {
     fn read(&self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
@@ -72,7 +72,7 @@
     fn written(&self, _: usize) {}
 }
 
-impl Seat {
+impl ConnectionSlot {
     fn new() -> Self {
         Self {
             phase: Cell::new(Phase::Idle),
@@ -143,25 +143,25 @@
 }
 
 /// The seats of all connections from clients.
-pub struct Admission {
+pub struct ConnectionLimiter {
     most: usize,
     /// Of these, those that another process of this sender still holds.
     elsewhere: Cell<usize>,
     /// Those whose connections have been told to go, and hold their descriptors until they have.
     leaving: Cell<usize>,
-    seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
+    seats: RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>,
     counter: Cell<u64>,
     changed: Notify,
 }
 
 /// A seat that is taken until this is dropped.
-pub struct Taken {
-    admission: Rc<Admission>,
+pub struct OccupiedSlot {
+    admission: Rc<ConnectionLimiter>,
     number: u64,
-    pub seat: Rc<Seat>,
+    pub seat: Rc<ConnectionSlot>,
 }
 
-impl Drop for Taken {
+impl Drop for OccupiedSlot {
     fn drop(&mut self) {
         self.admission.seats.borrow_mut().remove(&self.number);
         let left = usize::from(self.seat.leaves.get());
@@ -170,7 +170,7 @@
     }
 }
 
-impl Admission {
+impl ConnectionLimiter {
     pub fn new(most: usize) -> Rc<Self> {
         let (elsewhere, leaving, counter) = (Cell::new(0), Cell::new(0), Cell::new(0));
         let (seats, changed) = (RefCell::default(), Notify::new());
@@ -178,8 +178,11 @@
     }
 
     /// Accepts connections for good, and serves each in a task of its own until it or its seat ends that.
-    pub async fn serve<F>(self: Rc<Self>, listener: TcpListener, converse: impl Fn(TcpStream, Rc<Seat>) -> F)
-    where
+    pub async fn serve<F>(
+        self: Rc<Self>,
+        listener: TcpListener,
+        converse: impl Fn(TcpStream, Rc<ConnectionSlot>) -> F,
+    ) where
         F: Future<Output = ()> + 'static,
     {
         loop {
@@ -241,7 +244,7 @@
 
     /// Gives a new connection its seat. Where none is free, the connection that has been without a request for
     /// longest is closed.
-    pub fn take(self: &Rc<Self>) -> Taken {
+    pub fn take(self: &Rc<Self>) -> OccupiedSlot {
         if self.is_full() {
             if let Some(seat) = self.dispensable() {
                 // It may not be chosen again until it has gone.
@@ -251,20 +254,20 @@
                 seat.unwanted.notify_one();
             }
         }
-        let (number, seat) = (self.counter.get(), Rc::new(Seat::new()));
+        let (number, seat) = (self.counter.get(), Rc::new(ConnectionSlot::new()));
         self.counter.set(number + 1);
         self.seats.borrow_mut().insert(number, seat.clone());
-        Taken { admission: self.clone(), number, seat }
+        OccupiedSlot { admission: self.clone(), number, seat }
     }
 
     /// The request on this seat has been answered.
-    pub fn answered(&self, seat: &Seat) {
+    pub fn answered(&self, seat: &ConnectionSlot) {
         seat.answered();
         self.changed.notify_one();
     }
 
     /// A silent connection before one on which a request is coming, and the oldest of each.
-    fn dispensable(&self) -> Option<Rc<Seat>> {
+    fn dispensable(&self) -> Option<Rc<ConnectionSlot>> {
         let seats = self.seats.borrow();
         let closable = seats.values().filter(|seat| seat.phase.get() != Phase::Open);
         closable.min_by_key(|seat| (seat.phase.get() == Phase::Reading, seat.since.get())).cloned()
@@ -290,7 +293,7 @@
     fn what_stands_behind_a_request_is_seen() {
         let text = b"POST / HTTP/1.1\r\nA: b\r\n\r\nbody";
         for cut in 0..text.len() {
-            let seat = Seat::new();
+            let seat = ConnectionSlot::new();
             seat.read(&text[..cut]);
             seat.read(&text[cut..]);
             assert!(seat.holds_one_request(4), "cut at {cut}");
@@ -303,7 +306,7 @@
     /// Guards against a request that is cut off for one that is only idle.
     #[test]
     fn the_longest_without_a_request_goes_first() {
-        let admission = Admission::new(3);
+        let admission = ConnectionLimiter::new(3);
         let (open, reading, idle) = (admission.take(), admission.take(), admission.take());
         open.seat.open();
         reading.seat.read(b"P");
@@ -317,7 +320,7 @@
     /// Guards against two processes that together hold more connections than one may.
     #[test]
     fn seats_that_another_process_holds_are_left_free() {
-        let admission = Admission::new(3);
+        let admission = ConnectionLimiter::new(3);
         let _first = admission.take();
         assert!(!admission.is_full());
         admission.leave_free(2);
--- a/sender/src/endpoints.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -7,17 +7,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use delivery_control::{AttemptOutcome, DestinationId, EndpointId, Limits, LoadReport, Micros};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Method, Request, Response, StatusCode};
-use roadshift::interface::{DestinationId, EndpointId, Limits, Load, Micros, Outcome};
-use roadshift_adapter::wire::load;
 use serde::{Deserialize, Serialize};
+use simulator_adapter::wire::load;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::connection::{Connection, Rest, SendError};
+use crate::http_connection::{Connection, Rest, SendError};
+use crate::time::duration;
 
 const PATH: &str = "/receive";
 /// The body of an answer means nothing, but must be read before its connection can carry another call.
@@ -64,16 +65,16 @@
     /// Later than this, nothing of it may be sent: a repeat would come outside its window.
     pub begin_by: Instant,
     /// Keeps how far it has come, for the time after the process's death; false where it must not go on.
-    pub keep: Box<dyn Fn(Step) -> bool>,
+    pub keep: Box<dyn Fn(AttemptPhase) -> bool>,
 }
 
 /// A step of a call that outlasts the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
+pub enum AttemptPhase {
     /// Its connection is up, and its first byte goes out next.
-    Begins,
+    Starting,
     /// None went out.
-    Unsent,
+    NotStarted,
 }
 
 impl Call {
@@ -84,14 +85,14 @@
 
 /// How a call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Ending {
-    pub outcome: Outcome,
+pub struct AttemptResult {
+    pub outcome: AttemptOutcome,
     /// A wait that was told, from now on.
     pub wait: Micros,
     /// The message is over.
     pub last: bool,
     /// The report that came with the answer, if any.
-    pub load: Option<Load>,
+    pub load: Option<LoadReport>,
     /// Bytes of it have gone out, and the journal tells so. Earlier versions, which do not say, wrote that of each.
     #[serde(default = "begun")]
     pub begun: bool,
@@ -101,9 +102,9 @@
     true
 }
 
-impl From<Outcome> for Ending {
-    fn from(outcome: Outcome) -> Self {
-        Self { outcome, wait: 0, last: outcome == Outcome::Delivered, load: None, begun: true }
+impl From<AttemptOutcome> for AttemptResult {
+    fn from(outcome: AttemptOutcome) -> Self {
+        Self { outcome, wait: 0, last: outcome == AttemptOutcome::Delivered, load: None, begun: true }
     }
 }
 
@@ -119,12 +120,12 @@
 /// the endpoint would close them, and without a word: it shows only in the reset of the next call, which may have
 /// run. All endpoints count together, since with each apart there would be a lost call to learn from for each.
 #[derive(Default)]
-struct Survival {
+struct IdleLifetimeEstimator {
     /// Calls, and those that were reset, by the step of the idle time.
     seen: [(f64, f64); IDLE_STEPS],
 }
 
-impl Survival {
+impl IdleLifetimeEstimator {
     fn step(idle_for: Duration) -> usize {
         let ms = u32::try_from(idle_for.as_millis()).unwrap_or(u32::MAX);
         (ms.max(1).ilog2() as usize).min(IDLE_STEPS - 1)
@@ -164,13 +165,13 @@
 }
 
 /// Connections to all endpoints, and the waits that they told.
-pub struct Endpoints {
+pub struct DeliveryClient {
     idle: RefCell<VecDeque<Idle>>,
     idle_most: usize,
     /// Answers that are still being read, of calls that are over.
     kept: Cell<usize>,
     idle_time: Duration,
-    survival: RefCell<Survival>,
+    survival: RefCell<IdleLifetimeEstimator>,
     connect_timeout: Duration,
     waits: RefCell<HashMap<Route, Instant>>,
     /// Endpoints to which nothing new may go, since when.
@@ -187,15 +188,15 @@
     breaks: RefCell<BTreeMap<(String, bool), u32>>,
 }
 
-impl Endpoints {
+impl DeliveryClient {
     pub fn new(limits: &Limits, idle_most: usize, tries: Rc<Cell<u64>>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
             idle_most,
             kept: Cell::new(0),
-            idle_time: span(limits.connection_idle).mul_f64(IDLE_SHARE),
+            idle_time: duration(limits.connection_idle).mul_f64(IDLE_SHARE),
             survival: RefCell::default(),
-            connect_timeout: span(limits.connect_timeout.max(1)),
+            connect_timeout: duration(limits.connect_timeout.max(1)),
             waits: RefCell::default(),
             left: RefCell::default(),
             crowded: RefCell::default(),
@@ -209,20 +210,25 @@
     /// Makes one call and says how it ended; `cancel` closes it. Unless the message was delivered, the answer
     /// has come in full or its connection is closed before this returns, so that two attempts of a message are
     /// never open together.
-    pub async fn call(self: Rc<Self>, call: Call, cancel: oneshot::Receiver<()>) -> Ending {
+    pub async fn call(self: Rc<Self>, call: Call, cancel: oneshot::Receiver<()>) -> AttemptResult {
         let request = Prepared::new(&call);
         let ending = self.make(&call, &request, cancel).await;
-        Ending { begun: request.begun.get(), ..ending }
+        AttemptResult { begun: request.begun.get(), ..ending }
     }
 
-    async fn make(self: &Rc<Self>, call: &Call, request: &Prepared, cancel: oneshot::Receiver<()>) -> Ending {
+    async fn make(
+        self: &Rc<Self>,
+        call: &Call,
+        request: &Prepared,
+        cancel: oneshot::Receiver<()>,
+    ) -> AttemptResult {
         let mut connection = None;
         let ended = tokio::select! {
             biased;
             // A dropped sender cancels too: nobody is left to hear the outcome.
-            _ = cancel => Err(Outcome::Cancelled),
+            _ = cancel => Err(AttemptOutcome::Cancelled),
             ending = self.attempt(call, request, &mut connection) => ending,
-            () = sleep(call.timeout) => Err(Outcome::Timeout),
+            () = sleep(call.timeout) => Err(AttemptOutcome::Timeout),
         };
         let outcome = match ended {
             Ok(ending) => return ending,
@@ -237,13 +243,13 @@
             connection.close().await;
         }
         match outcome {
-            Outcome::NotSent => outcome,
+            AttemptOutcome::NotSent => outcome,
             // True even where the rest of the answer is spoilt.
-            _ if delivered => Outcome::Delivered,
+            _ if delivered => AttemptOutcome::Delivered,
             // An endpoint begins a call with its last byte: this one was never made.
-            Outcome::Cancelled if !whole => Outcome::NotSent,
-            Outcome::Cancelled => outcome,
-            _ if !whole => Outcome::ConnectFailed,
+            AttemptOutcome::Cancelled if !whole => AttemptOutcome::NotSent,
+            AttemptOutcome::Cancelled => outcome,
+            _ if !whole => AttemptOutcome::ConnectFailed,
             _ => outcome,
         }
         .into()
@@ -256,11 +262,11 @@
         call: &Call,
         request: &Prepared,
         connection: &mut Option<Connection>,
-    ) -> Result<Ending, Outcome> {
+    ) -> Result<AttemptResult, AttemptOutcome> {
         let answer = self.exchange(call, request, connection).await?;
-        let Some(open) = connection.as_mut() else { return Err(Outcome::Error) };
+        let Some(open) = connection.as_mut() else { return Err(AttemptOutcome::Error) };
         let ending = ending(answer.status(), answer.headers());
-        if ending.outcome == Outcome::Delivered {
+        if ending.outcome == AttemptOutcome::Delivered {
             if let Some(open) = connection.take().filter(|_| self.has_room()) {
                 tokio::task::spawn_local(self.clone().keep(call.at(), open, answer));
             }
@@ -268,22 +274,23 @@
         }
         let rest = open.rest(answer.into_body(), ANSWER_BYTES).await;
         if rest == Rest::Spoilt {
-            return Err(Outcome::Error);
+            return Err(AttemptOutcome::Error);
         }
         self.heed(call.route, ending.wait);
         // A limit on calls, or a destination that is shut, would have said more, and kept the connection. It proves
         // nothing of either, so it must neither slow the others' pace nor count as an outage.
         let told_nothing = ending.wait == 0 && ending.load.is_none();
-        if rest == Rest::Last && ending.outcome == Outcome::Full && told_nothing && !open.is_reused {
+        if rest == Rest::Last && ending.outcome == AttemptOutcome::Rejected && told_nothing && !open.is_reused
+        {
             self.note_crowded(call.endpoint);
-            return Ok(Outcome::NotSent.into());
+            return Ok(AttemptOutcome::NotSent.into());
         }
         match (rest, connection.take()) {
             (Rest::Whole, Some(open)) => self.put_idle(call.at(), open),
             // The length may have been wrong: in doubt it may have run. A wait that was told is kept all the same.
             (Rest::Overfull, Some(open)) => {
                 open.close().await;
-                return Ok(Ending { wait: ending.wait, ..Outcome::Error.into() });
+                return Ok(AttemptResult { wait: ending.wait, ..AttemptOutcome::Error.into() });
             }
             _ => {}
         }
@@ -296,7 +303,7 @@
         call: &Call,
         request: &Prepared,
         connection: &mut Option<Connection>,
-    ) -> Result<Response<Incoming>, Outcome> {
+    ) -> Result<Response<Incoming>, AttemptOutcome> {
         loop {
             let reused = self.take_idle(call);
             let idle_for = reused.as_ref().map(|(_, idle_for)| *idle_for);
@@ -312,8 +319,8 @@
                 tracing::info!(?call.call_id, "its time to be sent had passed before a connection was up");
             }
             let held_back = left || late || self.retired.get() || self.must_wait(call.route);
-            if held_back || !(call.keep)(Step::Begins) {
-                return Err(Outcome::NotSent);
+            if held_back || !(call.keep)(AttemptPhase::Starting) {
+                return Err(AttemptOutcome::NotSent);
             }
             request.begun.set(true);
             open.count_whole(request.length, &self.tries);
@@ -325,7 +332,7 @@
                 // Where an endpoint had closed an idle connection before any byte was written, the call has not
                 // been made.
                 Err(SendError::Unsent) if idle_for.is_some() => {
-                    (call.keep)(Step::Unsent);
+                    (call.keep)(AttemptPhase::NotStarted);
                     request.begun.set(false);
                 }
                 Err(error) => {
@@ -333,7 +340,7 @@
                     let dead = !open.is_answered();
                     idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, dead));
                     self.count_break(error.to_string(), idle_for.is_some());
-                    return Err(Outcome::Reset);
+                    return Err(AttemptOutcome::Reset);
                 }
             }
         }
@@ -347,10 +354,10 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, Outcome> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptOutcome> {
         match timeout(self.connect_timeout, Connection::open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(_)) | Err(_) => Err(Outcome::ConnectFailed),
+            Ok(Err(_)) | Err(_) => Err(AttemptOutcome::ConnectFailed),
         }
     }
 
@@ -457,7 +464,7 @@
 
     fn heed(&self, route: Route, wait: Micros) {
         if wait > 0 {
-            let until = Instant::now() + span(wait);
+            let until = Instant::now() + duration(wait);
             let mut waits = self.waits.borrow_mut();
             let kept = waits.entry(route).or_insert(until);
             *kept = until.max(*kept);
@@ -508,41 +515,36 @@
 }
 
 /// What an answer means, by the protocol's table. What the table does not name may have run.
-fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
-    Ending { load: report(headers), ..meaning(status, headers) }
+fn ending(status: StatusCode, headers: &HeaderMap) -> AttemptResult {
+    AttemptResult { load: report(headers), ..meaning(status, headers) }
 }
 
 /// The report of an answer, as `x0=0.4,x1=25`. What cannot be read of it, or cannot be, is left out.
-fn report(headers: &HeaderMap) -> Option<Load> {
+fn report(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get("x-load-report")?.to_str().ok()?;
     let value = |name: &str| {
         let (_, value) =
             text.split(',').filter_map(|part| part.split_once('=')).find(|(key, _)| key.trim() == name)?;
         value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
     };
-    Some(load(value)).filter(|load| *load != Load::default())
+    Some(load(value)).filter(|load| *load != LoadReport::default())
 }
 
-fn meaning(status: StatusCode, headers: &HeaderMap) -> Ending {
+fn meaning(status: StatusCode, headers: &HeaderMap) -> AttemptResult {
     let number = |name| headers.get(name).and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     match status.as_u16() {
-        DELIVERED => Outcome::Delivered.into(),
-        503 if headers.contains_key("x-line-busy") => Outcome::NotSent.into(),
+        DELIVERED => AttemptOutcome::Delivered.into(),
+        503 if headers.contains_key("x-line-busy") => AttemptOutcome::NotSent.into(),
         429 | 503 => {
             let wait = number("x-come-back-ms").filter(|ms| ms.is_finite()).unwrap_or(0.0).clamp(0.0, 1e9);
-            Ending { wait: (wait * 1e3).ceil() as Micros, ..Outcome::Full.into() }
+            AttemptResult { wait: (wait * 1e3).ceil() as Micros, ..AttemptOutcome::Rejected.into() }
         }
-        504 => Outcome::NotSent.into(),
-        410 => Ending { last: true, ..Outcome::NotSent.into() },
-        _ => Outcome::Error.into(),
+        504 => AttemptOutcome::NotSent.into(),
+        410 => AttemptResult { last: true, ..AttemptOutcome::NotSent.into() },
+        _ => AttemptOutcome::Error.into(),
     }
 }
 
-/// A span of the module's as a duration.
-pub fn span(time: Micros) -> Duration {
-    Duration::from_micros(u64::try_from(time).unwrap_or(0))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -580,7 +582,7 @@
         let read = |text: &'static str| {
             let headers = [(HeaderName::from_static("x-load-report"), HeaderValue::from_static(text))];
             let ending = ending(StatusCode::SERVICE_UNAVAILABLE, &headers.into_iter().collect());
-            ending.load.map(|load| (load.allowance_left, load.limit))
+            ending.load.map(|load| (load.limit_remaining, load.limit))
         };
         assert_eq!(read("x0=0.4,x1=25"), Some((Some(0.4), Some(25.0))));
         assert_eq!(read(" x1 = 25 , y=3"), Some((None, Some(25.0))));
@@ -591,10 +593,10 @@
         assert_eq!(ending(StatusCode::OK, &HeaderMap::new()).load, None);
     }
 
-    fn endpoints() -> Rc<Endpoints> {
+    fn endpoints() -> Rc<DeliveryClient> {
         let second = 1_000_000;
         let limits = Limits { connect_timeout: second, connection_idle: 60 * second, ..Limits::default() };
-        Endpoints::new(&limits, 10, Rc::default())
+        DeliveryClient::new(&limits, 10, Rc::default())
     }
 
     fn call_to(address: SocketAddr) -> Call {
@@ -605,7 +607,7 @@
         Call { endpoint, address, route, call_id, key, body, timeout, made, begin_by, keep }
     }
 
-    async fn outcome(endpoints: &Rc<Endpoints>, address: SocketAddr) -> Outcome {
+    async fn outcome(endpoints: &Rc<DeliveryClient>, address: SocketAddr) -> AttemptOutcome {
         let (_kept, cancel) = oneshot::channel();
         endpoints.clone().call(call_to(address), cancel).await.outcome
     }
@@ -620,7 +622,7 @@
             let endpoints = endpoints();
             let mut lost = 0;
             for _ in 0..20 {
-                lost += u32::from(outcome(&endpoints, address).await == Outcome::Reset);
+                lost += u32::from(outcome(&endpoints, address).await == AttemptOutcome::Reset);
                 sleep(Duration::from_millis(20)).await;
             }
             // Ten without: one is borne in each step, and a loaded machine may touch a few steps.
@@ -633,7 +635,7 @@
     #[test]
     fn trust_in_idle_connections_is_lost_where_resets_are_and_comes_back() {
         let (soon, late) = (Duration::from_millis(5), Duration::from_millis(150));
-        let mut survival = Survival::default();
+        let mut survival = IdleLifetimeEstimator::default();
         for number in 0..40 {
             survival.note(soon, number == 20);
             survival.note(late, number % 3 == 0);
@@ -676,14 +678,14 @@
             let free = Rc::new(Cell::new(true));
             tokio::task::spawn_local(serve_one(listener, free.clone(), by_limit));
             let endpoints = endpoints();
-            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
             while endpoints.idle.borrow().is_empty() {
                 tokio::task::yield_now().await;
             }
             // One goes on the idle connection, the other on a new one.
             let both = tokio::join!(outcome(&endpoints, address), outcome(&endpoints, address));
-            let turned_away = if by_limit { Outcome::Full } else { Outcome::NotSent };
-            assert_eq!(both, (Outcome::Delivered, turned_away));
+            let turned_away = if by_limit { AttemptOutcome::Rejected } else { AttemptOutcome::NotSent };
+            assert_eq!(both, (AttemptOutcome::Delivered, turned_away));
             // Until both have been kept, or the one that has room is closed.
             while endpoints.idle.borrow().len() < 2 && !free.get() {
                 sleep(Duration::from_millis(1)).await;
@@ -731,12 +733,12 @@
             let address = listener.local_addr().unwrap();
             tokio::task::spawn_local(serve(listener));
             let endpoints = endpoints();
-            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
             while endpoints.idle.borrow().is_empty() {
                 tokio::task::yield_now().await;
             }
             endpoints.heed((7, None), 60_000_000);
-            assert_eq!(outcome(&endpoints, address).await, Outcome::NotSent);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::NotSent);
         };
         local.run_until(test).await;
     }
@@ -763,7 +765,7 @@
                 drop(kept);
             };
             let (ending, ()) = tokio::join!(call, called_off);
-            assert_eq!((ending.outcome, ending.begun), (Outcome::NotSent, false));
+            assert_eq!((ending.outcome, ending.begun), (AttemptOutcome::NotSent, false));
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
@@ -779,9 +781,9 @@
             let (_kept, cancel) = oneshot::channel();
             let made = Instant::now();
             let late = Call { begin_by: made, ..call_to(address) };
-            assert_eq!(endpoints.clone().call(late, cancel).await.outcome, Outcome::NotSent);
+            assert_eq!(endpoints.clone().call(late, cancel).await.outcome, AttemptOutcome::NotSent);
             assert_eq!(endpoints.tries.get(), 0);
-            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
             assert_eq!(endpoints.tries.get(), 1);
         };
         tokio::task::LocalSet::new().run_until(test).await;
@@ -799,15 +801,15 @@
             let (_kept, cancel) = oneshot::channel();
             let before = call_to(address);
             endpoints.leave(before.endpoint);
-            assert_eq!(endpoints.clone().call(before, cancel).await.outcome, Outcome::NotSent);
+            assert_eq!(endpoints.clone().call(before, cancel).await.outcome, AttemptOutcome::NotSent);
             sleep(Duration::from_millis(1)).await;
             // What the module sends later, it sends knowing better.
-            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
             endpoints.retire(true);
-            assert_eq!(outcome(&endpoints, address).await, Outcome::NotSent);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::NotSent);
             assert!(endpoints.idle.borrow().is_empty());
             endpoints.retire(false);
-            assert_eq!(outcome(&endpoints, address).await, Outcome::Delivered);
+            assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
--- a/sender/src/discovery.rs
+++ b/crates/message-sender/src/discovery/mod.rs
@@ -8,19 +8,20 @@
 
 use anyhow::{ensure, Context};
 use bytes::Bytes;
+use delivery_control::{DiscoveryMode, MessageId, Settings};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
-use roadshift::interface::{Discovery, MessageId, Settings};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::connection::Connection;
-use crate::driver::Happening;
-use crate::endpoints::span;
-use crate::journal::Notice;
+use crate::endpoint_list::EndpointList;
+use crate::event::SenderEvent;
+use crate::http_connection::Connection;
+use crate::notice::Notice;
+use crate::time::duration;
 
 /// A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls in between:
 /// from the start of a call that brings nothing to the answer of the next one, all below fits in that.
@@ -62,45 +63,13 @@
 /// Notices sent in one request.
 const NOTICES: usize = 64;
 
-/// A list of endpoints, or what changed in it.
-#[derive(Debug, Clone, Deserialize)]
-pub struct List {
-    pub index: u64,
-    pub snapshot: bool,
-    pub endpoints: Vec<Line>,
-}
-
-/// One line of a list.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Line {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: Option<String>,
-    #[serde(rename = "type")]
-    pub kind: Option<String>,
-    pub group: u64,
-    pub status: Status,
-    #[serde(default)]
-    pub weight: f64,
-    #[serde(default)]
-    pub since_ms: f64,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Status {
-    Up,
-    Draining,
-    Removed,
-}
-
 /// A connection to the agent that is made anew after any failure.
-struct Agent {
+struct DiscoveryClient {
     address: SocketAddr,
     connection: Option<Connection>,
 }
 
-impl Agent {
+impl DiscoveryClient {
     fn new(address: SocketAddr) -> Self {
         Self { address, connection: None }
     }
@@ -129,7 +98,7 @@
 
 /// How often discovery may be called, by what the settings say of it.
 #[derive(Debug, Clone, Copy)]
-pub struct Manner {
+pub struct PollPolicy {
     /// Longest pause before the first call of a process that knows a list.
     first: Duration,
     /// Longest pause after a failed call, doubled with each further one up to the utmost.
@@ -139,21 +108,21 @@
     renew: Duration,
 }
 
-impl Manner {
+impl PollPolicy {
     pub fn new(settings: &Settings) -> Self {
         match settings.discovery {
             // The agent is this sender's alone.
-            Discovery::Push => {
+            DiscoveryMode::Push => {
                 Self { first: Duration::ZERO, gap: ASK_GAP, gap_most: PUSHED_GAP_MOST, renew: RENEW_LEAST }
             }
             // One discovery answers all senders. What the settings allow an old list is less, if anything.
-            Discovery::Subscribe => {
-                let most = CYCLE.min(span(settings.rules.ask_within)).max(ASK_GAP);
+            DiscoveryMode::Subscribe => {
+                let most = CYCLE.min(duration(settings.rules.poll_within)).max(ASK_GAP);
                 Self {
-                    first: (ASK_GAP * settings.senders / 2).min(most),
-                    gap: (ASK_GAP * settings.senders).min(most),
+                    first: (ASK_GAP * settings.sender_count / 2).min(most),
+                    gap: (ASK_GAP * settings.sender_count).min(most),
                     gap_most: most,
-                    renew: (RENEW_PART * settings.senders).max(RENEW_LEAST),
+                    renew: (RENEW_PART * settings.sender_count).max(RENEW_LEAST),
                 }
             }
         }
@@ -164,7 +133,7 @@
 /// what refuses more calls than it can answer answers none: a refusal costs it as much.
 struct Backoff {
     random: fastrand::Rng,
-    manner: Manner,
+    manner: PollPolicy,
     failures: u32,
     /// A pause has spread the senders out since the last answer, which may have come to all of them at once.
     spread: bool,
@@ -174,7 +143,7 @@
 }
 
 impl Backoff {
-    fn new(manner: Manner, random: fastrand::Rng) -> Self {
+    fn new(manner: PollPolicy, random: fastrand::Rng) -> Self {
         Self { random, manner, failures: 0, spread: false, untold: 0, told: None }
     }
 
@@ -192,7 +161,7 @@
     /// After a failed call that took so long. Silence says nothing of discovery, but that the connection is dead:
     /// the first time, a new one is made soon, since changes go on to count as told.
     fn next(&mut self, is_silence: bool, took: Duration) -> Duration {
-        let Manner { gap, gap_most, renew, .. } = self.manner;
+        let PollPolicy { gap, gap_most, renew, .. } = self.manner;
         let longest = match self.failures {
             0 if is_silence => renew,
             failures => (gap * 2u32.pow(failures.min(ASK_DOUBLINGS))).min(gap_most),
@@ -217,14 +186,14 @@
 }
 
 /// Where discovery's agent is; the configuration may name another one while the process runs.
-pub type Addresses = watch::Receiver<SocketAddr>;
+pub type DiscoveryAddress = watch::Receiver<SocketAddr>;
 
 /// Watches the list for good. A new address ends the watch at the old one with its connection, so that no list
 /// of the old agent can follow one of the new agent.
 pub async fn watch(
-    mut addresses: Addresses,
-    inbox: mpsc::Sender<Happening>,
-    manner: Manner,
+    mut addresses: DiscoveryAddress,
+    inbox: mpsc::Sender<SenderEvent>,
+    manner: PollPolicy,
     mut known: Option<u64>,
 ) {
     let mut backoff = Backoff::new(manner, fastrand::Rng::new());
@@ -250,10 +219,10 @@
 async fn watch_at(
     address: SocketAddr,
     known: Option<u64>,
-    inbox: &mpsc::Sender<Happening>,
+    inbox: &mpsc::Sender<SenderEvent>,
     backoff: &mut Backoff,
 ) {
-    let mut agent = Agent::new(address);
+    let mut agent = DiscoveryClient::new(address);
     // The first answer comes at once: it settles that what is known is all there is.
     let (mut after, mut wait, mut patience) = (known, FIRST_WATCH, LIST_PATIENCE);
     loop {
@@ -269,7 +238,7 @@
                 tracing::info!(index, whole, lines, failures = backoff.failures, "discovery answers");
                 after = Some(list.index);
                 backoff.answered();
-                if inbox.send(Happening::Listed(list)).await.is_err() {
+                if inbox.send(SenderEvent::EndpointListReceived(list)).await.is_err() {
                     return;
                 }
             }
@@ -285,11 +254,11 @@
 }
 
 async fn next_list(
-    agent: &mut Agent,
+    agent: &mut DiscoveryClient,
     after: Option<u64>,
     wait: Duration,
     patience: Duration,
-) -> anyhow::Result<List> {
+) -> anyhow::Result<EndpointList> {
     let (path, patience) = match after {
         None => ("/v1/servers".to_owned(), patience),
         Some(after) => (format!("/v1/servers?after={after}&wait_ms={}", wait.as_millis()), patience + wait),
@@ -301,7 +270,7 @@
 
 /// Notices to be sent. The driver bounds how many there are by what it holds.
 #[derive(Default)]
-pub struct Notices {
+pub struct NoticeQueue {
     queue: RefCell<VecDeque<(MessageId, Notice)>>,
     added: Notify,
 }
@@ -315,7 +284,7 @@
     wait_ms: Option<i64>,
 }
 
-impl Notices {
+impl NoticeQueue {
     pub fn push(&self, id: MessageId, notice: Notice) {
         self.queue.borrow_mut().push_back((id, notice));
         self.added.notify_one();
@@ -327,8 +296,8 @@
 
     /// Sends notices for good, each again until it is taken. What the agent at an old address has not
     /// acknowledged goes to the new one: a notice that comes twice does no harm.
-    pub async fn send(self: Rc<Self>, mut addresses: Addresses, inbox: mpsc::Sender<Happening>) {
-        let mut agent = Agent::new(*addresses.borrow_and_update());
+    pub async fn send(self: Rc<Self>, mut addresses: DiscoveryAddress, inbox: mpsc::Sender<SenderEvent>) {
+        let mut agent = DiscoveryClient::new(*addresses.borrow_and_update());
         let mut patience = NOTICE_PATIENCE;
         loop {
             let batch: Vec<_> = self.queue.borrow().iter().take(NOTICES).cloned().collect();
@@ -339,7 +308,7 @@
             let answer = tokio::select! {
                 biased;
                 Ok(()) = addresses.changed() => {
-                    agent = Agent::new(*addresses.borrow_and_update());
+                    agent = DiscoveryClient::new(*addresses.borrow_and_update());
                     continue;
                 }
                 answer = timeout(patience, agent.ask(Method::POST, "/status", lines(&batch))) => answer,
@@ -349,7 +318,7 @@
                     patience = NOTICE_PATIENCE;
                     self.queue.borrow_mut().drain(..batch.len());
                     let sent = batch.into_iter().map(|(id, _)| id).collect();
-                    if inbox.send(Happening::Noticed(sent)).await.is_err() {
+                    if inbox.send(SenderEvent::NoticesAcknowledged(sent)).await.is_err() {
                         return;
                     }
                 }
@@ -384,18 +353,27 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use roadshift::interface::Rules;
+    use delivery_control::Rules;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
     /// So many senders that ask, and need not for 10 s.
-    fn asks(senders: u32) -> Manner {
-        let rules = Rules { ask_within: 10_000_000, ..Rules::default() };
-        Manner::new(&Settings { discovery: Discovery::Subscribe, senders, rules, ..Settings::default() })
+    fn asks(senders: u32) -> PollPolicy {
+        let rules = Rules { poll_within: 10_000_000, ..Rules::default() };
+        PollPolicy::new(&Settings {
+            discovery: DiscoveryMode::Subscribe,
+            sender_count: senders,
+            rules,
+            ..Settings::default()
+        })
     }
 
-    fn pushed(senders: u32) -> Manner {
-        Manner::new(&Settings { discovery: Discovery::Push, senders, ..Settings::default() })
+    fn pushed(senders: u32) -> PollPolicy {
+        PollPolicy::new(&Settings {
+            discovery: DiscoveryMode::Push,
+            sender_count: senders,
+            ..Settings::default()
+        })
     }
 
     /// Calls by the second of so many senders that discovery refuses from their common start on.
@@ -430,7 +408,7 @@
     async fn a_refused_call_for_the_list_keeps_its_connection() {
         let test = async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let mut agent = Agent::new(listener.local_addr().unwrap());
+            let mut agent = DiscoveryClient::new(listener.local_addr().unwrap());
             tokio::task::spawn_local(async move {
                 let (mut stream, _) = listener.accept().await.unwrap();
                 drop(listener);
@@ -489,7 +467,10 @@
             assert_eq!(lines, ["?after=7", "?after=9", "?after=9", ""]);
             assert_eq!(waits[0], 50);
             assert!(waits[1..3].iter().all(|wait| (1_400..=2_000).contains(wait)), "{waits:?}");
-            assert!(matches!(lists.recv().await, Some(Happening::Listed(List { index: 9, .. }))));
+            assert!(matches!(
+                lists.recv().await,
+                Some(SenderEvent::EndpointListReceived(EndpointList { index: 9, .. }))
+            ));
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
@@ -566,7 +547,7 @@
     /// after an answer, or in the middle of a list; after refusals; with one sender and with the most there are.
     #[tokio::test]
     async fn what_failed_is_asked_again_in_time() {
-        let test = |script: Vec<Does>, manner: Manner, versions: &'static [Option<u64>]| async move {
+        let test = |script: Vec<Does>, manner: PollPolicy, versions: &'static [Option<u64>]| async move {
             let (address, mut calls) = agent(script).await;
             let (_moved, addresses) = tokio::sync::watch::channel(address);
             let (inbox, _lists) = mpsc::channel(8);
@@ -608,7 +589,10 @@
             assert_eq!(named(&mut old_calls, 1).await, [None]);
             moved.send(new).unwrap();
             assert_eq!(named(&mut new_calls, 2).await, [None, Some(3)]);
-            assert!(matches!(lists.recv().await, Some(Happening::Listed(List { index: 3, .. }))));
+            assert!(matches!(
+                lists.recv().await,
+                Some(SenderEvent::EndpointListReceived(EndpointList { index: 3, .. }))
+            ));
         };
         let all = async {
             tokio::join!(test(Does::Refuses), test(Does::Nothing), test(Does::Half));
@@ -647,7 +631,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (_moved, addresses) = tokio::sync::watch::channel(listener.local_addr().unwrap());
             let (inbox, mut noticed) = mpsc::channel(8);
-            let notices = Rc::new(Notices::default());
+            let notices = Rc::new(NoticeQueue::default());
             tokio::task::spawn_local(notices.clone().send(addresses, inbox));
             notices.push(1, Notice { call_id: "m1".to_owned(), bounced: None });
             let (mut first, _) = listener.accept().await.unwrap();
@@ -658,7 +642,9 @@
             assert!(second.read(&mut [0; 4096]).await.unwrap() > 0);
             assert!(since.elapsed() < Duration::from_millis(1_500), "{:?}", since.elapsed());
             second.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.unwrap();
-            assert!(matches!(noticed.recv().await, Some(Happening::Noticed(ids)) if ids == [1]));
+            assert!(
+                matches!(noticed.recv().await, Some(SenderEvent::NoticesAcknowledged(ids)) if ids == [1])
+            );
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
--- a/sender/src/places.rs
+++ b/crates/message-sender/src/endpoint_registry.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use roadshift::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros, Update};
-use roadshift_adapter::wire::Names;
+use delivery_control::{
+    DestinationId, DestinationKind, EndpointEntry, EndpointId, ListingState, Micros, UpdateKind,
+};
 use serde::{Deserialize, Serialize};
+use simulator_adapter::wire::Names;
 use tokio::time::Instant;
 
-use crate::discovery::{Line, List, Status};
-use crate::endpoints::Route;
+use crate::delivery::Route;
+use crate::endpoint_list::{EndpointList, ListedEndpoint, ListedStatus};
 
 /// An endpoint that is gone keeps its id for so long, lest one that comes back be taken for a new one.
 const GONE_KEPT: Duration = Duration::from_secs(30);
@@ -18,7 +20,7 @@
 const DESTINATION_KEPT: Duration = Duration::from_secs(600);
 
 /// Where an endpoint is.
-pub struct Place {
+pub struct RegisteredEndpoint {
     pub address: SocketAddr,
     pub route: Route,
     pub zone: usize,
@@ -28,18 +30,18 @@
 
 /// Whether messages can be meant for a destination.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Existence {
+pub enum DestinationStatus {
     Known,
     Unknown,
     /// No whole list has come yet to tell.
-    Unsettled,
+    Undetermined,
 }
 
 /// All endpoints that are listed, or were of late.
-pub struct Places {
+pub struct EndpointRegistry {
     names: Names,
-    kinds: Vec<Kind>,
-    places: HashMap<EndpointId, Place>,
+    kinds: Vec<DestinationKind>,
+    places: HashMap<EndpointId, RegisteredEndpoint>,
     ids: HashMap<String, EndpointId>,
     next_id: EndpointId,
     destinations: HashMap<DestinationId, Instant>,
@@ -52,7 +54,7 @@
 
 /// What one process leaves to the next, so that ids stay what they are.
 #[derive(Serialize, Deserialize)]
-pub struct Saved {
+pub struct RegistrySnapshot {
     /// Each with its name, and whether it has gone.
     places: Vec<(EndpointId, SocketAddr, Route, usize, String, bool)>,
     ids: HashMap<String, EndpointId>,
@@ -62,14 +64,14 @@
 }
 
 /// What a list means to the module, and the endpoints whose idle connections are of no more use.
-pub struct Told {
-    pub update: Update,
-    pub entries: Vec<Entry>,
+pub struct RegistryUpdate {
+    pub update: UpdateKind,
+    pub entries: Vec<EndpointEntry>,
     pub left: Vec<EndpointId>,
 }
 
-impl Places {
-    pub fn new(names: Names, kinds: Vec<Kind>) -> Self {
+impl EndpointRegistry {
+    pub fn new(names: Names, kinds: Vec<DestinationKind>) -> Self {
         Self {
             names,
             kinds,
@@ -84,11 +86,11 @@
     }
 
     /// What the next process is to know. What an operator took out, the journal tells.
-    pub fn save(&self) -> Saved {
-        let place = |(id, place): (&EndpointId, &Place)| {
+    pub fn save(&self) -> RegistrySnapshot {
+        let place = |(id, place): (&EndpointId, &RegisteredEndpoint)| {
             (*id, place.address, place.route, place.zone, place.name.clone(), place.gone.is_some())
         };
-        Saved {
+        RegistrySnapshot {
             places: self.places.iter().map(place).collect(),
             ids: self.ids.clone(),
             next_id: self.next_id,
@@ -98,10 +100,10 @@
     }
 
     /// Goes on from what another process knew. What had gone is kept as if it went now.
-    pub fn go_on(&mut self, saved: Saved) {
+    pub fn go_on(&mut self, saved: RegistrySnapshot) {
         let now = Instant::now();
         let place = |(id, address, route, zone, name, gone): (_, _, _, _, _, bool)| {
-            (id, Place { address, route, zone, name, gone: gone.then_some(now) })
+            (id, RegisteredEndpoint { address, route, zone, name, gone: gone.then_some(now) })
         };
         self.places = saved.places.into_iter().map(place).collect();
         self.destinations = saved.destinations.into_iter().map(|destination| (destination, now)).collect();
@@ -141,31 +143,31 @@
         })
     }
 
-    pub fn get(&self, endpoint: EndpointId) -> Option<&Place> {
+    pub fn get(&self, endpoint: EndpointId) -> Option<&RegisteredEndpoint> {
         self.places.get(&endpoint)
     }
 
-    pub fn existence(&self, destination: DestinationId) -> Existence {
+    pub fn existence(&self, destination: DestinationId) -> DestinationStatus {
         match self.destinations.contains_key(&destination) {
-            true => Existence::Known,
-            false if self.settled => Existence::Unknown,
-            false => Existence::Unsettled,
+            true => DestinationStatus::Known,
+            false if self.settled => DestinationStatus::Unknown,
+            false => DestinationStatus::Undetermined,
         }
     }
 
     /// Takes in the list that an earlier process had, of unknown age.
-    pub fn recall(&mut self, list: &List) -> Told {
+    pub fn recall(&mut self, list: &EndpointList) -> RegistryUpdate {
         self.recalled = true;
-        Told { update: Update::Disk, ..self.take(list, true) }
+        RegistryUpdate { update: UpdateKind::Cached, ..self.take(list, true) }
     }
 
     /// Takes in a list from discovery. What has changed since a list that was known makes it whole.
-    pub fn list(&mut self, list: &List) -> Told {
+    pub fn list(&mut self, list: &EndpointList) -> RegistryUpdate {
         self.settled |= list.snapshot || self.recalled;
         self.take(list, list.snapshot)
     }
 
-    fn take(&mut self, list: &List, whole: bool) -> Told {
+    fn take(&mut self, list: &EndpointList, whole: bool) -> RegistryUpdate {
         let (now, mut left) = (Instant::now(), Vec::new());
         let entries: Vec<_> = list.endpoints.iter().map(|line| self.entry(line, now, &mut left)).collect();
         if whole {
@@ -178,30 +180,30 @@
             }
         }
         self.forget(now);
-        Told { update: if whole { Update::Full } else { Update::Changes }, entries, left }
+        RegistryUpdate { update: if whole { UpdateKind::Snapshot } else { UpdateKind::Delta }, entries, left }
     }
 
-    fn entry(&mut self, line: &Line, now: Instant, left: &mut Vec<EndpointId>) -> Entry {
+    fn entry(&mut self, line: &ListedEndpoint, now: Instant, left: &mut Vec<EndpointId>) -> EndpointEntry {
         let endpoint = self.id(&line.name);
         let kind = self.names.kind(line.kind.as_ref());
         let zone = self.names.zone(line.zone.as_ref());
-        let apart = self.kinds.get(kind).is_some_and(|kind| kind.own_limits);
+        let apart = self.kinds.get(kind).is_some_and(|kind| kind.per_endpoint_limits);
         let route = (line.group, apart.then_some(endpoint));
-        let gone = (line.status == Status::Removed).then_some(now);
-        let place = Place { address: line.address, route, zone, name: line.name.clone(), gone };
+        let gone = (line.status == ListedStatus::Removed).then_some(now);
+        let place = RegisteredEndpoint { address: line.address, route, zone, name: line.name.clone(), gone };
         let before = self.places.insert(endpoint, place);
         let moved = before.is_some_and(|before| before.address != line.address);
-        if moved || line.status != Status::Up {
+        if moved || line.status != ListedStatus::Up {
             left.push(endpoint);
         }
         self.destinations.insert(line.group, now);
-        Entry {
+        EndpointEntry {
             endpoint,
             destination: line.group,
             listing: match line.status {
-                Status::Up => Listing::Live,
-                Status::Draining => Listing::Draining,
-                Status::Removed => Listing::Gone,
+                ListedStatus::Up => ListingState::Live,
+                ListedStatus::Draining => ListingState::Draining,
+                ListedStatus::Removed => ListingState::Removed,
             },
             rate: line.weight,
             kind,
@@ -231,24 +233,33 @@
 mod tests {
     use super::*;
 
-    fn places() -> Places {
+    fn places() -> EndpointRegistry {
         let config = serde_json::json!({
             "balancers": 1, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
             "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
             "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
         });
-        let config: roadshift_adapter::wire::Config = serde_json::from_value(config).unwrap();
-        Places::new(config.names(), Vec::new())
+        let config: simulator_adapter::wire::Config = serde_json::from_value(config).unwrap();
+        EndpointRegistry::new(config.names(), Vec::new())
     }
 
-    fn line(name: &str, status: Status) -> Line {
+    fn line(name: &str, status: ListedStatus) -> ListedEndpoint {
         let address = "127.0.0.1:9".parse().unwrap();
         let (zone, kind) = (None, None);
-        Line { name: name.to_owned(), address, zone, kind, group: 7, status, weight: 1.0, since_ms: 0.0 }
+        ListedEndpoint {
+            name: name.to_owned(),
+            address,
+            zone,
+            kind,
+            group: 7,
+            status,
+            weight: 1.0,
+            since_ms: 0.0,
+        }
     }
 
-    fn list(snapshot: bool, endpoints: Vec<Line>) -> List {
-        List { index: 1, snapshot, endpoints }
+    fn list(snapshot: bool, endpoints: Vec<ListedEndpoint>) -> EndpointList {
+        EndpointList { index: 1, snapshot, endpoints }
     }
 
     /// Guards against growth under steady replacement, and against an id that is given twice.
@@ -257,13 +268,13 @@
         let mut places = places();
         let mut given = HashSet::new();
         for number in 0..100 {
-            let told = places.list(&list(false, vec![line(&format!("s-{number}"), Status::Up)]));
+            let told = places.list(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Up)]));
             assert!(given.insert(told.entries[0].endpoint));
-            places.list(&list(false, vec![line(&format!("s-{number}"), Status::Removed)]));
+            places.list(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Removed)]));
             tokio::time::advance(GONE_KEPT / 4).await;
         }
         assert!(places.places.len() <= 6 && places.ids.len() == places.places.len());
-        let (again, first) = (line("s-99", Status::Up), places.ids["s-99"]);
+        let (again, first) = (line("s-99", ListedStatus::Up), places.ids["s-99"]);
         assert_eq!(places.list(&list(false, vec![again])).entries[0].endpoint, first);
     }
 
@@ -271,15 +282,18 @@
     #[tokio::test(start_paused = true)]
     async fn a_whole_list_takes_away_what_it_leaves_out() {
         let mut places = places();
-        assert_eq!(places.existence(7), Existence::Unsettled);
-        let both = vec![line("s-1", Status::Up), line("s-2", Status::Up)];
+        assert_eq!(places.existence(7), DestinationStatus::Undetermined);
+        let both = vec![line("s-1", ListedStatus::Up), line("s-2", ListedStatus::Up)];
         let gone = places.list(&list(true, both)).entries[0].endpoint;
-        assert_eq!((places.existence(7), places.existence(8)), (Existence::Known, Existence::Unknown));
-        let told = places.list(&list(true, vec![line("s-2", Status::Up)]));
-        assert_eq!((told.update, told.left), (Update::Full, vec![gone]));
+        assert_eq!(
+            (places.existence(7), places.existence(8)),
+            (DestinationStatus::Known, DestinationStatus::Unknown)
+        );
+        let told = places.list(&list(true, vec![line("s-2", ListedStatus::Up)]));
+        assert_eq!((told.update, told.left), (UpdateKind::Snapshot, vec![gone]));
         tokio::time::advance(GONE_KEPT).await;
         places.list(&list(false, Vec::new()));
         assert!(places.get(gone).is_none());
-        assert_eq!(places.existence(7), Existence::Known);
+        assert_eq!(places.existence(7), DestinationStatus::Known);
     }
 }
