--- a/sender/src/driver.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -1,75 +1,48 @@
 //! The only owner of the controller: turns what happens on sockets into its events, and carries out its
 //! actions. It decides nothing.
 
+pub mod summary;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use hyper::header::HeaderValue;
-use roadshift::interface::{
-    Action, DestinationId, EndpointId, Event, MessageId, Micros, Outcome, Settings, SettingsError,
+use delivery_control::Controller;
+use delivery_control::{
+    Action, AmbiguousAttempt, AttemptEnd, AttemptOutcome, DestinationId, EndpointId, Event,
+    MaintenanceCommand, MessageId, MessageSubmission, Micros, Settings, SettingsError,
 };
-use roadshift::Controller;
-use roadshift_adapter::wire::Names;
-use serde::{Deserialize, Serialize};
+use hyper::header::HeaderValue;
+use simulator_adapter::wire::Names;
 use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
-use crate::admission::Admission;
-use crate::clients::Answer;
-use crate::discovery::{List, Notices};
-use crate::endpoints::{span, Call, Ending, Endpoints, Step};
-use crate::figures::{Fate, Figures};
-use crate::handover::{self, Lock, State, Successor};
-use crate::journal::{Body, Journal, JournalError, Kept, Notice, Past, Sent, Taken};
-use crate::management::{Command, Order, Verdict};
-use crate::places::{Existence, Places, Told};
-use crate::relay::Old;
-use crate::tally::{Cause, Tally};
-
-/// After SIGTERM, calls go out for so long, then those that are out are waited for, then the process ends:
-/// SIGKILL comes 3.7 s after SIGTERM at the soonest.
-const DRAIN_SENDS: Duration = Duration::from_millis(2400);
-pub const DRAIN_ENDS: Duration = Duration::from_millis(3300);
-/// And so long for the last answers to clients.
-pub const LAST_ANSWERS: Duration = Duration::from_millis(200);
-/// With nothing left to do, it stays so long for connections that still come.
-const DRAIN_LINGERS: Duration = Duration::from_millis(1000);
+use self::summary::{LogSummary, RejectionCause};
+use crate::connection_limiter::ConnectionLimiter;
+use crate::delivery::{AttemptPhase, AttemptResult, Call, DeliveryClient};
+use crate::discovery::NoticeQueue;
+use crate::drain::{DRAIN_ENDS, DRAIN_LINGERS, DRAIN_SENDS};
+use crate::endpoint_list::EndpointList;
+use crate::endpoint_registry::{DestinationStatus, EndpointRegistry, RegistryUpdate};
+use crate::event::SenderEvent;
+use crate::handover::relay::{Predecessor, RemoteCall};
+use crate::handover::{self, HandoverState, OwnershipLock, Successor};
+use crate::journal::{AcceptedMessage, AttemptHistory, Body, Journal, JournalEntry, JournalError, Sent};
+use crate::metrics::{MessageOutcome, Metrics};
+use crate::notice::Notice;
+use crate::operator_api::{CommandResult, OperatorCommand, Order};
+use crate::submission::{Submission, SubmissionReply};
+use crate::time::duration;
+
 /// Two processes' clocks differ by no more, unless somebody has set the time in between.
 const CLOCKS_DIFFER: Micros = 2_000_000;
 /// Told with a refusal of what cannot be held or kept.
 const NO_ROOM_WAIT: Micros = 1_000_000;
 
-/// A message that a client hands in.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Handed {
-    pub call_id: String,
-    pub key: Option<String>,
-    pub class: usize,
-    pub class_name: String,
-    pub destination: DestinationId,
-    pub tenant: Option<usize>,
-    /// What it is about, in a class that keeps its order.
-    pub order_key: Option<String>,
-    pub time_left: Micros,
-    pub returned: bool,
-    pub repeat: bool,
-    pub body: Bytes,
-}
-
-/// Something that happened on a socket.
-pub enum Happening {
-    Handed(Box<Handed>, oneshot::Sender<Answer>),
-    Called { id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, ending: Ending },
-    Listed(List),
-    Noticed(Vec<MessageId>),
-    Drain,
-}
-
 /// Unix time that never goes back: monotonic from the process's start on, so that times in the journal and
 /// in the module are the same.
 #[derive(Clone, Copy)]
@@ -97,12 +70,12 @@
     }
 
     fn instant(&self, at: Micros) -> Instant {
-        self.started + span(at - self.unix)
+        self.started + duration(at - self.unix)
     }
 }
 
 /// A message that is held.
-struct Open {
+struct OpenMessage {
     call_id: String,
     class: usize,
     key: Option<String>,
@@ -115,60 +88,58 @@
 }
 
 /// How a driver ends.
-pub enum End {
+pub enum LoopEnd {
     /// The process is to end.
     Over,
     /// Another process is the sender; this one still has calls out, and clients.
-    HandedOver(Old),
+    HandedOver(Predecessor),
 }
 
-/// A call of another process, which is called off when the driver drops its end.
-pub type Remote = ((MessageId, u32), oneshot::Receiver<()>);
-
-pub struct Driver {
-    lock: Lock,
+pub struct EventLoop {
+    lock: OwnershipLock,
     controller: Controller,
     settings: Settings,
     names: Names,
     clock: Clock,
     /// Shared with calls, which write when they begin to go out; nobody writes once the driver has gone.
     journal: Rc<RefCell<Journal>>,
-    endpoints: Rc<Endpoints>,
-    notices: Rc<Notices>,
-    outbox: mpsc::Sender<Happening>,
+    endpoints: Rc<DeliveryClient>,
+    notices: Rc<NoticeQueue>,
+    outbox: mpsc::Sender<SenderEvent>,
     /// For the next turn.
     events: Vec<Event>,
     timers: BTreeSet<(Micros, u64)>,
     next_id: MessageId,
-    open: BTreeMap<MessageId, Open>,
+    open: BTreeMap<MessageId, OpenMessage>,
     by_call_id: HashMap<String, MessageId>,
     /// Clients that wait for an answer, and whether the message came with them.
-    waiting: Vec<(MessageId, bool, oneshot::Sender<Answer>)>,
+    waiting: Vec<(MessageId, bool, oneshot::Sender<SubmissionReply>)>,
     /// Calls that are out; dropping one cancels it.
     calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
-    places: Places,
-    figures: Rc<Figures>,
+    places: EndpointRegistry,
+    figures: Rc<Metrics>,
     /// Operators whose command stands once the module has been told of it.
-    promised: Vec<oneshot::Sender<Verdict>>,
-    tally: Tally,
+    promised: Vec<oneshot::Sender<CommandResult>>,
+    tally: LogSummary,
     turned: Option<Instant>,
     drains: Option<Instant>,
 }
 
-impl Driver {
+impl EventLoop {
     pub fn new(
         controller: Controller,
         (settings, names): (Settings, Names),
-        (lock, journal): (Lock, Journal),
-        endpoints: Rc<Endpoints>,
-        notices: Rc<Notices>,
-        figures: Rc<Figures>,
-        outbox: mpsc::Sender<Happening>,
+        (lock, journal): (OwnershipLock, Journal),
+        endpoints: Rc<DeliveryClient>,
+        notices: Rc<NoticeQueue>,
+        figures: Rc<Metrics>,
+        outbox: mpsc::Sender<SenderEvent>,
     ) -> Self {
         let next_id = journal.next_id();
-        let mut places = Places::new(names.clone(), settings.kinds.clone());
+        let mut places = EndpointRegistry::new(names.clone(), settings.kinds.clone());
         let out = journal.out().iter().map(|name| places.take_out(name));
-        let events = out.map(|endpoint| Event::ByHand { endpoint, out: true }).collect();
+        let events =
+            out.map(|endpoint| Event::Maintenance { endpoint, command: MaintenanceCommand::Drain }).collect();
         Self {
             lock,
             controller,
@@ -189,37 +160,37 @@
             places,
             figures,
             promised: Vec::new(),
-            tally: Tally::new(),
+            tally: LogSummary::new(),
             turned: None,
             drains: None,
         }
     }
 
     /// Takes up what an earlier process left, under the list of endpoints as last known.
-    pub fn resume(&mut self, known: Option<List>) {
+    pub fn resume(&mut self, known: Option<EndpointList>) {
         if let Some(list) = known {
             let told = self.places.recall(&list);
             self.list(list.index, told);
         }
         let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
-        let count = |past: fn(&Past) -> bool| {
-            kept.iter().filter(|(_, kept)| matches!(kept, Kept::Open(_, of) if past(of))).count()
+        let count = |past: fn(&AttemptHistory) -> bool| {
+            kept.iter().filter(|(_, kept)| matches!(kept, JournalEntry::Open(_, of) if past(of))).count()
         };
         let (untried, tried) = (count(|past| past.attempts == 0), count(|past| past.attempts > 0));
         tracing::info!(untried, tried, owed = kept.len() - untried - tried, "resumes");
         for (id, kept) in kept {
             match kept {
-                Kept::Owed(notice, order_key) => {
+                JournalEntry::PendingNotice(notice, order_key) => {
                     self.notices.push(id, notice);
-                    self.events.extend(order_key.map(|order_key| Event::Owed { id, order_key }));
+                    self.events.extend(order_key.map(|order_key| Event::NoticePending { id, order_key }));
                 }
-                Kept::Open(taken, past) => self.resume_message(id, taken, past),
+                JournalEntry::Open(taken, past) => self.resume_message(id, taken, past),
             }
         }
     }
 
     /// Goes on from what another process left. Gives its calls that are out, each with the way to call it off.
-    pub fn go_on(&mut self, state: State, seed: u64) -> Result<Vec<Remote>, SettingsError> {
+    pub fn go_on(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteCall>, SettingsError> {
         self.controller = state.controller.go_on(self.settings.clone(), seed)?;
         self.places.go_on(state.places);
         self.clock.go_on(state.now);
@@ -227,10 +198,10 @@
         let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
-                Kept::Owed(notice, _) => self.notices.push(id, notice),
-                Kept::Open(taken, past) if self.controller.holds(id) => self.hold(id, taken, past),
+                JournalEntry::PendingNotice(notice, _) => self.notices.push(id, notice),
+                JournalEntry::Open(taken, past) if self.controller.holds(id) => self.hold(id, taken, past),
                 // Its end was not written; what is not known to have ended goes on.
-                Kept::Open(taken, past) => self.resume_message(id, taken, past),
+                JournalEntry::Open(taken, past) => self.resume_message(id, taken, past),
             }
         }
         let remote = |call| {
@@ -242,8 +213,8 @@
     }
 
     /// What the next process is to know, if this one can still tell it.
-    fn state(&self) -> Option<State> {
-        (!self.rests()).then(|| State {
+    fn state(&self) -> Option<HandoverState> {
+        (!self.rests()).then(|| HandoverState {
             now: self.clock.now(),
             names: self.names.clone(),
             controller: self.controller.clone(),
@@ -253,16 +224,18 @@
         })
     }
 
-    fn hold(&mut self, id: MessageId, taken: Taken, past: Past) {
+    fn hold(&mut self, id: MessageId, taken: AcceptedMessage, past: AttemptHistory) {
         let Some(class) = self.names.class(&taken.class) else { return };
-        let Taken { call_id, key, destination, body: Body(body), .. } = taken;
+        let AcceptedMessage { call_id, key, destination, body: Body(body), .. } = taken;
         self.by_call_id.insert(call_id.clone(), id);
         let (attempts, taken_at) = (past.attempts, self.clock.now());
-        self.open
-            .insert(id, Open { call_id, class, key, destination, body, attempts, taken_at, resumed: true });
+        self.open.insert(
+            id,
+            OpenMessage { call_id, class, key, destination, body, attempts, taken_at, resumed: true },
+        );
     }
 
-    fn resume_message(&mut self, id: MessageId, taken: Taken, past: Past) {
+    fn resume_message(&mut self, id: MessageId, taken: AcceptedMessage, past: AttemptHistory) {
         let Some(class) = self.names.class(&taken.class) else {
             // The class is no longer served: nobody can say whether a repeat would be harmless.
             return self.conclude(id, taken.call_id, None);
@@ -272,7 +245,7 @@
         // No tenant: its share was counted when it was taken on, and the whole backlog comes in one turn here.
         let (tenant, destination, order_key) = (None, taken.destination, taken.order_key.clone());
         let (work, returned, repeat, write) = (None, false, false, false);
-        self.events.push(Event::Message {
+        self.events.push(Event::MessageSubmitted(MessageSubmission {
             id,
             class,
             tenant,
@@ -283,22 +256,22 @@
             returned,
             repeat,
             write,
-        });
-        let ran = past.first_run().map(|(at, zone)| (at, zone as usize));
-        self.events.push(Event::Resumed { id, attempts: past.attempts, ran });
+        }));
+        let ran = past.first_run().map(|(sent_at, zone)| AmbiguousAttempt { sent_at, zone: zone as usize });
+        self.events.push(Event::MessageRecovered { id, attempts: past.attempts, first_ambiguous: ran });
         self.hold(id, taken, past);
     }
 
     /// Takes in what this process was told while another one was the sender. Of its calls the journal knows that
     /// they were out; what they have ended is over.
-    pub fn recall(&mut self, unheard: Vec<Happening>) {
+    pub fn recall(&mut self, unheard: Vec<SenderEvent>) {
         for happening in unheard {
             match happening {
-                Happening::Called { id, ending, .. } if ending.last => {
+                SenderEvent::AttemptEnded { id, result: ending, .. } if ending.last => {
                     self.withdraw(id, Some(fate(&ending)));
-                    self.events.push(Event::Withdrawn { id });
+                    self.events.push(Event::MessageWithdrawn { id });
                 }
-                Happening::Called { .. } => {}
+                SenderEvent::AttemptEnded { .. } => {}
                 other => self.note(other),
             }
         }
@@ -307,11 +280,11 @@
     /// Runs turns until the process is to end, or another one is the sender.
     pub async fn run(
         mut self,
-        inbox: &mut mpsc::Receiver<Happening>,
+        inbox: &mut mpsc::Receiver<SenderEvent>,
         orders: &mut mpsc::Receiver<Order>,
         successors: &mut mpsc::Receiver<Successor>,
-        admission: &Admission,
-    ) -> End {
+        admission: &ConnectionLimiter,
+    ) -> LoopEnd {
         let mut successor = None;
         self.gauge();
         while !self.is_done(inbox.is_empty() && !admission.is_asked()) {
@@ -324,7 +297,7 @@
                 }
             }
             if let Some(turned) = self.turned {
-                sleep_until(turned + span(self.settings.resolution)).await;
+                sleep_until(turned + duration(self.settings.turn_interval)).await;
             }
             while let Ok((command, reply)) = orders.try_recv() {
                 self.command(command, reply);
@@ -355,7 +328,7 @@
             }
         }
         self.tally.tell();
-        End::Over
+        LoopEnd::Over
     }
 
     /// Offers all to a new process. Nothing has changed for this one unless it gives the way to the new one.
@@ -377,14 +350,14 @@
     }
 
     /// From here on the other process is the sender. The journal is closed before it can be opened there.
-    async fn hand_over(self, mut stream: UnixStream) -> End {
+    async fn hand_over(self, mut stream: UnixStream) -> LoopEnd {
         let Self { lock, journal, endpoints, calls, drains, .. } = self;
         drop(journal);
         // Calls that have not begun to go out never will.
         endpoints.retire(true);
         handover::commit(&mut stream, lock).await;
         tracing::info!(out = calls.len(), "handed over");
-        End::HandedOver(Old::new(stream, calls, drains))
+        LoopEnd::HandedOver(Predecessor::new(stream, calls, drains))
     }
 
     fn wake(&self) -> Instant {
@@ -411,32 +384,32 @@
 
     // What happens.
 
-    fn note(&mut self, happening: Happening) {
+    fn note(&mut self, happening: SenderEvent) {
         match happening {
-            Happening::Handed(handed, reply) => self.handed(*handed, reply),
-            Happening::Called { id, attempt, endpoint, elapsed, ending } => {
+            SenderEvent::Submitted(handed, reply) => self.handed(*handed, reply),
+            SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result: ending } => {
                 self.called(id, attempt, endpoint, elapsed, ending);
             }
-            Happening::Listed(list) => {
+            SenderEvent::EndpointListReceived(list) => {
                 let told = self.places.list(&list);
                 self.list(list.index, told);
             }
-            Happening::Noticed(ids) => ids.into_iter().for_each(|id| self.noticed(id)),
-            Happening::Drain => self.drains = self.drains.or(Some(Instant::now())),
+            SenderEvent::NoticesAcknowledged(ids) => ids.into_iter().for_each(|id| self.noticed(id)),
+            SenderEvent::ShutdownRequested => self.drains = self.drains.or(Some(Instant::now())),
         }
     }
 
-    fn command(&mut self, command: Command, reply: oneshot::Sender<Verdict>) {
+    fn command(&mut self, command: OperatorCommand, reply: oneshot::Sender<CommandResult>) {
         if reply.is_closed() {
             return;
         }
         let (name, out) = match &command {
-            Command::TakeOut(name) => (name, true),
-            Command::PutBack(name) => (name, false),
+            OperatorCommand::Drain(name) => (name, true),
+            OperatorCommand::Restore(name) => (name, false),
         };
         if !self.places.is_known(name) {
             // If the caller is gone, nothing was promised; so below.
-            let _ = reply.send(Verdict::Unknown);
+            let _ = reply.send(CommandResult::UnknownEndpoint);
             return;
         }
         let kept = if out {
@@ -445,7 +418,7 @@
             self.journal.borrow_mut().put_back(name)
         };
         if kept.inspect_err(|error| tracing::error!(%error, "an operator's command is not kept")).is_err() {
-            let _ = reply.send(Verdict::NotKept);
+            let _ = reply.send(CommandResult::NotPersisted);
             return;
         }
         tracing::info!(?command, "an operator commands");
@@ -453,7 +426,10 @@
         if out {
             self.endpoints.leave(endpoint);
         }
-        self.events.push(Event::ByHand { endpoint, out });
+        self.events.push(Event::Maintenance {
+            endpoint,
+            command: if out { MaintenanceCommand::Drain } else { MaintenanceCommand::Restore },
+        });
         self.promised.push(reply);
     }
 
@@ -467,11 +443,11 @@
     /// Says yes to commands that the module has taken in.
     fn keep_promises(&mut self) {
         for reply in self.promised.drain(..) {
-            let _ = reply.send(Verdict::Done);
+            let _ = reply.send(CommandResult::Done);
         }
     }
 
-    fn handed(&mut self, handed: Handed, reply: oneshot::Sender<Answer>) {
+    fn handed(&mut self, handed: Submission, reply: oneshot::Sender<SubmissionReply>) {
         if reply.is_closed() {
             return;
         }
@@ -481,20 +457,24 @@
         }
         if self.rests() {
             // The next process would have to try it, some seconds from now: others are sooner.
-            self.tally.count(Cause::Ending, handed.destination);
-            self.figures.ended(handed.class, Fate::Dropped);
-            let _ = reply.send(Answer::Refused(NO_ROOM_WAIT));
+            self.tally.count(RejectionCause::AttemptResult, handed.destination);
+            self.figures.ended(handed.class, MessageOutcome::Rejected);
+            let _ = reply.send(SubmissionReply::Rejected(NO_ROOM_WAIT));
             return;
         }
         let unheard = match self.places.existence(handed.destination) {
-            Existence::Known => None,
-            Existence::Unknown => Some((Cause::UnknownDestination, Answer::Unknown)),
-            Existence::Unsettled => Some((Cause::Unsettled, Answer::Refused(NO_ROOM_WAIT))),
+            DestinationStatus::Known => None,
+            DestinationStatus::Unknown => {
+                Some((RejectionCause::UnknownDestination, SubmissionReply::UnknownDestination))
+            }
+            DestinationStatus::Undetermined => {
+                Some((RejectionCause::UndeterminedDestination, SubmissionReply::Rejected(NO_ROOM_WAIT)))
+            }
         };
         if let Some((cause, answer)) = unheard {
             self.tally.count(cause, handed.destination);
-            if matches!(answer, Answer::Refused(_)) {
-                self.figures.ended(handed.class, Fate::Dropped);
+            if matches!(answer, SubmissionReply::Rejected(_)) {
+                self.figures.ended(handed.class, MessageOutcome::Rejected);
             }
             // If the client is gone, all the better; so below.
             let _ = reply.send(answer);
@@ -503,7 +483,7 @@
         let id = self.next_id;
         let now = self.clock.now();
         let deadline = now.saturating_add(handed.time_left);
-        let taken = Taken {
+        let taken = AcceptedMessage {
             call_id: handed.call_id.clone(),
             key: handed.key.clone(),
             class: handed.class_name,
@@ -512,7 +492,7 @@
             deadline,
             body: Body(handed.body.clone()),
         };
-        let full = self.open.len() + self.notices.len() >= self.settings.limits.held;
+        let full = self.open.len() + self.notices.len() >= self.settings.limits.buffer_capacity;
         if full
             || self
                 .journal
@@ -521,13 +501,16 @@
                 .inspect_err(|error| tracing::warn!(%error))
                 .is_err()
         {
-            self.tally.count(if full { Cause::HoldFull } else { Cause::JournalFull }, handed.destination);
-            self.figures.ended(handed.class, Fate::Dropped);
-            let _ = reply.send(Answer::Refused(NO_ROOM_WAIT));
+            self.tally.count(
+                if full { RejectionCause::BufferFull } else { RejectionCause::JournalFull },
+                handed.destination,
+            );
+            self.figures.ended(handed.class, MessageOutcome::Rejected);
+            let _ = reply.send(SubmissionReply::Rejected(NO_ROOM_WAIT));
             return;
         }
         self.next_id += 1;
-        self.events.push(Event::Message {
+        self.events.push(Event::MessageSubmitted(MessageSubmission {
             id,
             class: handed.class,
             tenant: handed.tenant,
@@ -539,43 +522,71 @@
             returned: handed.returned,
             repeat: handed.repeat,
             write: false,
-        });
+        }));
         self.by_call_id.insert(handed.call_id.clone(), id);
-        let Handed { call_id, class, key, destination, body, .. } = handed;
+        let Submission { call_id, class, key, destination, body, .. } = handed;
         tracing::debug!(id, call_id, class, destination, time_left_us = handed.time_left, "is handed in");
         self.open.insert(
             id,
-            Open { call_id, class, key, destination, body, attempts: 0, taken_at: now, resumed: false },
+            OpenMessage {
+                call_id,
+                class,
+                key,
+                destination,
+                body,
+                attempts: 0,
+                taken_at: now,
+                resumed: false,
+            },
         );
         self.waiting.push((id, true, reply));
     }
 
-    fn called(&mut self, id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, ending: Ending) {
+    fn called(
+        &mut self,
+        id: MessageId,
+        attempt: u32,
+        endpoint: EndpointId,
+        elapsed: Micros,
+        ending: AttemptResult,
+    ) {
         self.calls.remove(&(id, attempt));
         if let Some(place) = self.places.get(endpoint) {
             self.tally.ended(place.route.0, elapsed, &ending);
         }
-        let Ending { outcome, wait, last, load, begun } = ending;
+        let AttemptResult { outcome, wait, last, load, begun } = ending;
         tracing::debug!(id, attempt, ?outcome, elapsed, wait, begun, ?load, "a call ends");
         if last {
             self.withdraw(id, Some(fate(&ending)));
         } else if self.open.contains_key(&id) {
-            let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
+            let never_ran = matches!(
+                outcome,
+                AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+            );
             if never_ran && begun {
                 log_failure(self.journal.borrow_mut().not_run(id));
             }
         }
-        self.events.push(Event::Ended { id, attempt, endpoint, outcome, elapsed, last, wait, load });
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            endpoint,
+            outcome,
+            elapsed,
+            is_final: last,
+            retry_after: wait,
+            load_report: load,
+        }));
     }
 
     fn noticed(&mut self, id: MessageId) {
         log_failure(self.journal.borrow_mut().noticed(id));
-        self.events.push(Event::Over { id });
+        self.events.push(Event::NoticeAcknowledged { id });
     }
 
-    fn list(&mut self, version: u64, told: Told) {
+    fn list(&mut self, version: u64, told: RegistryUpdate) {
         told.left.into_iter().for_each(|endpoint| self.endpoints.leave(endpoint));
-        self.events.push(Event::Listed { update: told.update, version, entries: told.entries });
+        self.events.push(Event::EndpointsUpdated { update: told.update, version, entries: told.entries });
     }
 
     // Turns.
@@ -588,13 +599,13 @@
         }
         while let Some((at, token)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, token));
-            self.events.push(Event::Timer { token });
+            self.events.push(Event::TimerFired { token });
         }
         self.events.iter().for_each(|event| self.tally.note(event));
         let mut actions = Vec::new();
         self.controller.turn(now, &std::mem::take(&mut self.events), &mut actions);
         let refused = actions.iter().filter_map(|action| match action {
-            Action::Refuse { id, retry_after } => Some((*id, *retry_after)),
+            Action::Reject { id, retry_after } => Some((*id, *retry_after)),
             _ => None,
         });
         // Before any call goes out: a client that is gone has withdrawn its message.
@@ -606,7 +617,8 @@
     fn answer(&mut self, refused: &BTreeMap<MessageId, Micros>) {
         let (mut gone, mut heard) = (BTreeSet::new(), BTreeSet::new());
         for (id, first, reply) in std::mem::take(&mut self.waiting) {
-            let answer = refused.get(&id).map_or(Answer::TakenOn, |wait| Answer::Refused(*wait));
+            let answer =
+                refused.get(&id).map_or(SubmissionReply::Accepted, |wait| SubmissionReply::Rejected(*wait));
             match reply.send(answer) {
                 Ok(()) => drop(heard.insert(id)),
                 Err(_) if first => drop(gone.insert(id)),
@@ -614,17 +626,17 @@
             }
             if refused.contains_key(&id) {
                 self.count_given_up(id, true);
-                self.withdraw(id, Some(Fate::Dropped));
+                self.withdraw(id, Some(MessageOutcome::Rejected));
             }
         }
         for id in gone.difference(&heard) {
             self.withdraw(*id, None);
-            self.events.push(Event::Withdrawn { id: *id });
+            self.events.push(Event::MessageWithdrawn { id: *id });
         }
     }
 
     /// Ends a message of which nothing is owed; it has no fate where no client heard of it.
-    fn withdraw(&mut self, id: MessageId, fate: Option<Fate>) {
+    fn withdraw(&mut self, id: MessageId, fate: Option<MessageOutcome>) {
         if self.close(id, fate).is_some() {
             log_failure(self.journal.borrow_mut().end(id, None));
         }
@@ -636,13 +648,14 @@
                 self.send(now, id, endpoint, (timeout, begin_by));
             }
             Action::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
-            Action::Refuse { id, retry_after } => self.give_up(id, Some(retry_after)),
+            Action::Reject { id, retry_after } => self.give_up(id, Some(retry_after)),
             Action::Fail { id } => self.give_up(id, None),
             Action::SetTimer { at, token } => drop(self.timers.insert((at, token))),
             Action::CloseIdle { endpoint } => self.endpoints.close_idle(endpoint),
             Action::Log { text } => tracing::info!("{text}"),
             // The watch runs all the time; the module neither probes nor sends notes.
-            Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::Tell { .. } => {}
+            Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::SendNote { .. } => {
+            }
         }
     }
 
@@ -653,18 +666,18 @@
                 open.attempts += 1;
                 open.attempts - 1
             });
-            let outcome = Outcome::NotSent;
+            let outcome = AttemptOutcome::NotSent;
             let (elapsed, wait, load, last) = (0, 0, None, false);
-            return self.events.push(Event::Ended {
+            return self.events.push(Event::AttemptEnded(AttemptEnd {
                 id,
                 attempt,
                 endpoint,
                 outcome,
                 elapsed,
-                last,
-                wait,
-                load,
-            });
+                is_final: last,
+                retry_after: wait,
+                load_report: load,
+            }));
         };
         tracing::debug!(id, attempt, endpoint, timeout_us = times.0, "a call is made");
         let (cancel, cancelled) = oneshot::channel();
@@ -675,7 +688,11 @@
             let ending = endpoints.call(call, cancelled).await;
             let elapsed = Micros::try_from(began.elapsed().as_micros()).unwrap_or(Micros::MAX);
             // The driver outlives its calls but at the process's end.
-            drop(outbox.send(Happening::Called { id, attempt, endpoint, elapsed, ending }).await);
+            drop(
+                outbox
+                    .send(SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result: ending })
+                    .await,
+            );
         });
     }
 
@@ -700,7 +717,7 @@
             call_id: HeaderValue::from_str(&open.call_id).ok()?,
             key: open.key.as_ref().and_then(|key| HeaderValue::from_str(key).ok()),
             body: open.body.clone(),
-            timeout: span(timeout),
+            timeout: duration(timeout),
             made: Instant::now(),
             begin_by: self.clock.instant(begin_by),
             keep,
@@ -713,15 +730,15 @@
     }
 
     /// How a call has the journal told how far it has come.
-    fn keep(&self, id: MessageId, sent: Sent) -> Box<dyn Fn(Step) -> bool> {
+    fn keep(&self, id: MessageId, sent: Sent) -> Box<dyn Fn(AttemptPhase) -> bool> {
         let journal = Rc::downgrade(&self.journal);
         Box::new(move |step| {
             let Some(journal) = journal.upgrade() else { return false };
             let written = match step {
                 // What has ended while the connection came up goes nowhere.
-                Step::Begins if !journal.borrow().is_open(id) => return false,
-                Step::Begins => journal.borrow_mut().attempt(id, sent),
-                Step::Unsent => journal.borrow_mut().unsent(id),
+                AttemptPhase::Starting if !journal.borrow().is_open(id) => return false,
+                AttemptPhase::Starting => journal.borrow_mut().attempt(id, sent),
+                AttemptPhase::NotStarted => journal.borrow_mut().unsent(id),
             };
             written.inspect_err(|error| tracing::warn!(%error)).is_ok()
         })
@@ -730,20 +747,20 @@
     /// Ends a message by a notice, unless its client has heard of the refusal already.
     fn give_up(&mut self, id: MessageId, bounced: Option<Micros>) {
         self.count_given_up(id, bounced.is_some());
-        let fate = if bounced.is_some() { Fate::Dropped } else { Fate::BadGateway };
+        let fate = if bounced.is_some() { MessageOutcome::Rejected } else { MessageOutcome::Failed };
         match self.close(id, Some(fate)) {
             Some(open) => self.conclude(id, open.call_id, bounced),
-            None => self.events.push(Event::Over { id }),
+            None => self.events.push(Event::NoticeAcknowledged { id }),
         }
     }
 
     fn count_given_up(&mut self, id: MessageId, refused: bool) {
         let Some(open) = self.open.get(&id) else { return };
         let cause = match refused {
-            true if open.attempts == 0 && open.resumed => Cause::ResumedUntried,
-            true if open.attempts == 0 => Cause::RefusedUntried,
-            true => Cause::RefusedTried,
-            false => Cause::Failed,
+            true if open.attempts == 0 && open.resumed => RejectionCause::RecoveredUnattempted,
+            true if open.attempts == 0 => RejectionCause::RejectedUnattempted,
+            true => RejectionCause::RejectedAttempted,
+            false => RejectionCause::Failed,
         };
         tracing::debug!(id, call_id = open.call_id, ?cause, attempts = open.attempts, "is given up");
         self.tally.count(cause, open.destination);
@@ -755,7 +772,7 @@
         self.notices.push(id, notice);
     }
 
-    fn close(&mut self, id: MessageId, fate: Option<Fate>) -> Option<Open> {
+    fn close(&mut self, id: MessageId, fate: Option<MessageOutcome>) -> Option<OpenMessage> {
         let open = self.open.remove(&id)?;
         fate.into_iter().for_each(|fate| self.figures.ended(open.class, fate));
         self.by_call_id.remove(&open.call_id);
@@ -764,11 +781,11 @@
 }
 
 /// What became of a message that is over by a call. What is not delivered is out of time, or given up by its client.
-fn fate(ending: &Ending) -> Fate {
-    if ending.outcome == Outcome::Delivered {
-        Fate::Passed
+fn fate(ending: &AttemptResult) -> MessageOutcome {
+    if ending.outcome == AttemptOutcome::Delivered {
+        MessageOutcome::Delivered
     } else {
-        Fate::BadGateway
+        MessageOutcome::Failed
     }
 }
 
--- a/sender/src/tally.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use roadshift::interface::{DestinationId, Event, Micros, Outcome};
+use delivery_control::{AttemptEnd, AttemptOutcome, DestinationId, Event, MessageSubmission, Micros};
 use tokio::time::Instant;
 
-use crate::endpoints::Ending;
+use crate::delivery::AttemptResult;
 
 /// A line is logged so often at most: a sender in trouble refuses hundreds a second.
 const EVERY: Duration = Duration::from_secs(1);
@@ -19,23 +19,23 @@
 
 /// Why a message was not delivered, or not even taken on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Cause {
+pub enum RejectionCause {
     /// As many messages as allowed are held.
-    HoldFull,
+    BufferFull,
     /// The journal did not take it.
     JournalFull,
     /// No whole list has come yet to tell whether its destination exists.
-    Unsettled,
+    UndeterminedDestination,
     /// Discovery lists no such destination.
     UnknownDestination,
     /// The process is about to end, and could not try it any more.
-    Ending,
+    AttemptResult,
     /// The module refused it before any attempt.
-    RefusedUntried,
+    RejectedUnattempted,
     /// So with one that another process had taken on and not tried.
-    ResumedUntried,
+    RecoveredUnattempted,
     /// The module refused it after attempts that never ran, or that may be repeated.
-    RefusedTried,
+    RejectedAttempted,
     /// The module gave it up after an attempt that may have run.
     Failed,
 }
@@ -50,7 +50,7 @@
     first_calls: u32,
     /// From being taken on to the first call, added up and at most.
     first_call_after: (Micros, Micros),
-    outcomes: BTreeMap<Outcome, u32>,
+    outcomes: BTreeMap<AttemptOutcome, u32>,
     by_destination: BTreeMap<DestinationId, Calls>,
 }
 
@@ -81,14 +81,14 @@
 }
 
 /// Counts since the last line.
-pub struct Tally {
-    counts: BTreeMap<Cause, BTreeMap<Option<DestinationId>, u32>>,
+pub struct LogSummary {
+    counts: BTreeMap<RejectionCause, BTreeMap<Option<DestinationId>, u32>>,
     told: Instant,
     traffic: Traffic,
     traffic_told: Instant,
 }
 
-impl Tally {
+impl LogSummary {
     pub fn new() -> Self {
         let (counts, traffic, now) = (BTreeMap::new(), Traffic::default(), Instant::now());
         Self { counts, told: now, traffic, traffic_told: now }
@@ -97,12 +97,14 @@
     /// Counts what the module is told.
     pub fn note(&mut self, event: &Event) {
         match event {
-            Event::Message { order_key, tenant, .. } => {
+            Event::MessageSubmitted(MessageSubmission { order_key, tenant, .. }) => {
                 self.traffic.taken += 1;
                 self.traffic.ordered += u32::from(order_key.is_some());
                 self.traffic.with_tenant += u32::from(tenant.is_some());
             }
-            Event::Ended { outcome, .. } => *self.traffic.outcomes.entry(*outcome).or_default() += 1,
+            Event::AttemptEnded(AttemptEnd { outcome, .. }) => {
+                *self.traffic.outcomes.entry(*outcome).or_default() += 1
+            }
             _ => {}
         }
     }
@@ -115,19 +117,19 @@
     }
 
     /// Counts a call that ended, and the time for which it held a slot.
-    pub fn ended(&mut self, destination: DestinationId, elapsed: Micros, ending: &Ending) {
+    pub fn ended(&mut self, destination: DestinationId, elapsed: Micros, ending: &AttemptResult) {
         let calls = self.traffic.by_destination.entry(destination).or_default();
         calls.held = calls.held.saturating_add(elapsed);
         match ending.outcome {
-            Outcome::Delivered => calls.delivered += 1,
-            Outcome::Full => {
+            AttemptOutcome::Delivered => calls.delivered += 1,
+            AttemptOutcome::Rejected => {
                 (calls.full, calls.told) = (calls.full + 1, calls.told + u32::from(ending.wait > 0))
             }
-            Outcome::NotSent | Outcome::Cancelled => {}
+            AttemptOutcome::NotSent | AttemptOutcome::Cancelled => {}
             _ => calls.failed += 1,
         }
         if let Some(load) = ending.load {
-            (calls.left, calls.limit) = (load.allowance_left, load.limit);
+            (calls.left, calls.limit) = (load.limit_remaining, load.limit);
         }
     }
 
@@ -165,9 +167,10 @@
         );
     }
 
-    pub fn count(&mut self, cause: Cause, destination: DestinationId) {
+    pub fn count(&mut self, cause: RejectionCause, destination: DestinationId) {
         // Clients may name any number of destinations that do not exist: those are counted together.
-        let listed = !matches!(cause, Cause::Unsettled | Cause::UnknownDestination);
+        let listed =
+            !matches!(cause, RejectionCause::UndeterminedDestination | RejectionCause::UnknownDestination);
         *self.counts.entry(cause).or_default().entry(listed.then_some(destination)).or_default() += 1;
     }
 
--- a/sender/src/handover.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -3,6 +3,8 @@
 //! when its holder dies, at whatever step; what passes beyond the journal only spares the new process the losses of
 //! a restart.
 
+pub mod relay;
+
 use std::fs::{File, OpenOptions};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -13,22 +15,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use roadshift::interface::{MessageId, Micros};
-use roadshift::Controller;
-use roadshift_adapter::wire::Names;
+use delivery_control::Controller;
+use delivery_control::{MessageId, Micros};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use simulator_adapter::wire::Names;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::management::Duty;
-use crate::places::Saved;
+use crate::endpoint_registry::RegistrySnapshot;
+use crate::serving_state::ServingState;
 
 const LOCK: &str = "lock";
 const SOCKET: &str = "handover";
@@ -76,9 +78,9 @@
 }
 
 /// The right to be the sender; freed when dropped.
-pub struct Lock(#[allow(dead_code)] File);
+pub struct OwnershipLock(#[allow(dead_code)] File);
 
-impl Lock {
+impl OwnershipLock {
     fn try_take(folder: &Path) -> io::Result<Option<Self>> {
         let file = OpenOptions::new().write(true).create(true).truncate(false).open(folder.join(LOCK))?;
         match file.try_lock() {
@@ -91,13 +93,13 @@
 
 /// What the journal does not tell of a sender between two turns.
 #[derive(Serialize, Deserialize)]
-pub struct State {
+pub struct HandoverState {
     /// The module's time must not go back.
     pub now: Micros,
     /// What indices stand for.
     pub names: Names,
     pub controller: Controller,
-    pub places: Saved,
+    pub places: RegistrySnapshot,
     pub timers: Vec<(Micros, u64)>,
     /// Calls that are out, by message and attempt; the old process sees them to their end.
     pub out: Vec<(MessageId, u32)>,
@@ -111,7 +113,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct Offer {
-    state: Option<State>,
+    state: Option<HandoverState>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -185,21 +187,21 @@
 }
 
 /// A process that has become the sender.
-pub struct Claim {
-    pub lock: Lock,
+pub struct Ownership {
+    pub lock: OwnershipLock,
     /// The clients' socket, where a predecessor passed it on.
     pub listener: Option<net::TcpListener>,
     /// What it knew, and the way to it: it still has calls out, and clients.
-    pub inherited: Option<(Box<State>, UnixStream)>,
+    pub inherited: Option<(Box<HandoverState>, UnixStream)>,
 }
 
 /// Becomes the sender: at once where there is none, else by a handover, or by the end of whoever is.
-pub async fn claim(folder: &Path, names: &Names) -> io::Result<Claim> {
+pub async fn claim(folder: &Path, names: &Names) -> io::Result<Ownership> {
     std::fs::create_dir_all(folder)?;
     let (mut reads_state, mut passed, mut said) = (true, None, String::new());
     loop {
-        if let Some(lock) = Lock::try_take(folder)? {
-            return Ok(Claim { lock, listener: passed, inherited: None });
+        if let Some(lock) = OwnershipLock::try_take(folder)? {
+            return Ok(Ownership { lock, listener: passed, inherited: None });
         }
         // Once the old process drains for it, only its end is left to wait for.
         if passed.is_none() {
@@ -207,9 +209,9 @@
                 Ok((listener, None)) => passed = Some(listener),
                 Ok((listener, Some(inherited))) => {
                     // Freed before the commit was said. Another that was quicker is the sender now.
-                    if let Some(lock) = Lock::try_take(folder)? {
+                    if let Some(lock) = OwnershipLock::try_take(folder)? {
                         let inherited = Some(inherited);
-                        return Ok(Claim { lock, listener: Some(listener), inherited });
+                        return Ok(Ownership { lock, listener: Some(listener), inherited });
                     }
                 }
                 Err(error) => {
@@ -228,18 +230,18 @@
 
 /// Becomes the sender again after the successor's death. `None` if somebody else is: two old versions must not
 /// pass the work to and fro.
-pub async fn reclaim(folder: &Path) -> io::Result<Option<Claim>> {
+pub async fn reclaim(folder: &Path) -> io::Result<Option<Ownership>> {
     let since = Instant::now();
     while since.elapsed() < RECLAIM_PATIENCE {
-        if let Some(lock) = Lock::try_take(folder)? {
-            return Ok(Some(Claim { lock, listener: None, inherited: None }));
+        if let Some(lock) = OwnershipLock::try_take(folder)? {
+            return Ok(Some(Ownership { lock, listener: None, inherited: None }));
         }
         sleep(PAUSE).await;
     }
     Ok(None)
 }
 
-type Passed = (net::TcpListener, Option<(Box<State>, UnixStream)>);
+type Passed = (net::TcpListener, Option<(Box<HandoverState>, UnixStream)>);
 
 async fn ask(folder: &Path, names: &Names, reads_state: bool) -> Result<Passed, HandoverError> {
     let (path, _folder) = socket(folder)?;
@@ -262,7 +264,7 @@
     stream: UnixStream,
     reads_state: bool,
     listener: Rc<net::TcpListener>,
-    duty: Rc<watch::Sender<Duty>>,
+    duty: Rc<watch::Sender<ServingState>>,
 }
 
 impl Successor {
@@ -273,7 +275,7 @@
 
     /// Offers it the state, and the listening socket. It has read both once this returns; until the commit nothing
     /// has changed. Without a state it waits for this process's end, and clients are sent away.
-    pub async fn offer(mut self, state: Option<State>) -> Result<UnixStream, HandoverError> {
+    pub async fn offer(mut self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
         let offered = async {
             send_listener(&self.stream, &self.listener).await?;
             let whole = state.is_some();
@@ -281,7 +283,7 @@
             if whole {
                 let Prepared = read(&mut self.stream).await?;
             } else {
-                self.duty.send_replace(Duty::Leaving);
+                self.duty.send_replace(ServingState::ShuttingDown);
             }
             Ok(self.stream)
         };
@@ -290,7 +292,7 @@
 }
 
 /// Gives up being the sender. Should the word not reach the new process, it is dead, and this one will know.
-pub async fn commit(stream: &mut UnixStream, lock: Lock) {
+pub async fn commit(stream: &mut UnixStream, lock: OwnershipLock) {
     drop(lock);
     if let Err(error) = write(stream, &Commit).await {
         tracing::warn!(%error, "the new process is gone");
@@ -298,9 +300,9 @@
 }
 
 /// Waits for successors, one at a time. Only the sender does.
-pub struct Heirs(UnixListener);
+pub struct HandoverListener(UnixListener);
 
-impl Heirs {
+impl HandoverListener {
     pub fn open(folder: &Path) -> io::Result<Self> {
         let (path, _folder) = socket(folder)?;
         match std::fs::remove_file(&path) {
@@ -313,7 +315,7 @@
     pub async fn serve(
         self,
         listener: Rc<net::TcpListener>,
-        duty: Rc<watch::Sender<Duty>>,
+        duty: Rc<watch::Sender<ServingState>>,
         successors: mpsc::Sender<Successor>,
     ) {
         loop {
--- a/sender/src/relay.rs
+++ b/crates/message-sender/src/handover/relay.rs
@@ -5,67 +5,71 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use roadshift::interface::{MessageId, Micros, Outcome};
+use delivery_control::{AttemptOutcome, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{interval, Instant};
 
-use crate::admission::Admission;
-use crate::clients::Answer;
-use crate::driver::{Handed, Happening, Remote, DRAIN_ENDS};
-use crate::endpoints::Ending;
+use crate::connection_limiter::ConnectionLimiter;
+use crate::delivery::AttemptResult;
+use crate::drain::DRAIN_ENDS;
+use crate::event::SenderEvent;
 use crate::handover::{read, write, HandoverError};
+use crate::submission::{Submission, SubmissionReply};
 
 /// Frames that wait to be written, or to be looked at.
 const FRAMES: usize = 256;
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
+/// A call of another process, which is called off when the driver drops its end.
+pub type RemoteCall = ((MessageId, u32), oneshot::Receiver<()>);
+
 /// What the old process tells.
 #[derive(Serialize, Deserialize)]
-enum Told {
+enum PredecessorFrame {
     /// A message that a client hands in.
-    Handed(u64, Box<Handed>),
-    Called {
+    Submitted(u64, Box<Submission>),
+    AttemptEnded {
         id: MessageId,
         attempt: u32,
         endpoint: u64,
         elapsed: Micros,
-        ending: Ending,
+        result: AttemptResult,
     },
     /// So many of the clients' connections are still its own.
-    Clients(usize),
+    ClientApi(usize),
 }
 
 /// What the new process tells.
 #[derive(Serialize, Deserialize)]
-enum Decided {
-    Answered(u64, Answer),
+enum SuccessorFrame {
+    Answered(u64, SubmissionReply),
     Cancel { id: MessageId, attempt: u32 },
 }
 
 /// How the old process's part ends.
-pub enum End {
+pub enum RelayEnd {
     /// Nothing is left to do.
     Over,
     /// The new process has died. This is what it may not have heard of.
-    Orphaned(Vec<Happening>),
+    Orphaned(Vec<SenderEvent>),
 }
 
 /// The old process's side.
-pub struct Old {
+pub struct Predecessor {
     to: OwnedWriteHalf,
-    decided: mpsc::Receiver<Decided>,
+    decided: mpsc::Receiver<SuccessorFrame>,
     calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
     /// Clients that wait for an answer, with what they handed in.
-    waiting: HashMap<u64, (Box<Handed>, oneshot::Sender<Answer>)>,
+    waiting: HashMap<u64, (Box<Submission>, oneshot::Sender<SubmissionReply>)>,
     handed: u64,
     told_to_end: Option<Instant>,
     cut_off: bool,
 }
 
-impl Old {
+impl Predecessor {
     pub fn new(
         stream: UnixStream,
         calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
@@ -86,7 +90,11 @@
     }
 
     /// Runs until clients and calls are gone, or the time after SIGTERM is up, or the new process has died.
-    pub async fn run(mut self, inbox: &mut mpsc::Receiver<Happening>, admission: &Admission) -> End {
+    pub async fn run(
+        mut self,
+        inbox: &mut mpsc::Receiver<SenderEvent>,
+        admission: &ConnectionLimiter,
+    ) -> RelayEnd {
         let (mut look, mut clients) = (interval(LOOK_EVERY), usize::MAX);
         loop {
             let told = tokio::select! {
@@ -100,10 +108,10 @@
                 },
                 _ = look.tick() => {
                     if self.is_over(admission) {
-                        return End::Over;
+                        return RelayEnd::Over;
                     }
                     let before = std::mem::replace(&mut clients, admission.taken());
-                    if before == clients { Ok(()) } else { write(&mut self.to, &Told::Clients(clients)).await }
+                    if before == clients { Ok(()) } else { write(&mut self.to, &PredecessorFrame::ClientApi(clients)).await }
                 }
             };
             if let Err(error) = told {
@@ -113,41 +121,41 @@
         }
     }
 
-    async fn tell(&mut self, happening: Happening) -> Result<(), HandoverError> {
+    async fn tell(&mut self, happening: SenderEvent) -> Result<(), HandoverError> {
         let told = match happening {
-            Happening::Handed(handed, reply) => {
+            SenderEvent::Submitted(handed, reply) => {
                 self.handed += 1;
                 self.waiting.insert(self.handed, (handed.clone(), reply));
-                Told::Handed(self.handed, handed)
+                PredecessorFrame::Submitted(self.handed, handed)
             }
-            Happening::Called { id, attempt, endpoint, elapsed, ending } => {
+            SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
                 self.calls.remove(&(id, attempt));
-                Told::Called { id, attempt, endpoint, elapsed, ending }
+                PredecessorFrame::AttemptEnded { id, attempt, endpoint, elapsed, result }
             }
-            Happening::Drain => {
+            SenderEvent::ShutdownRequested => {
                 self.told_to_end = self.told_to_end.or(Some(Instant::now()));
                 return Ok(());
             }
             // The new process watches for itself, and sends again what nobody has told it to be known.
-            Happening::Listed(_) | Happening::Noticed(_) => return Ok(()),
+            SenderEvent::EndpointListReceived(_) | SenderEvent::NoticesAcknowledged(_) => return Ok(()),
         };
         write(&mut self.to, &told).await
     }
 
-    fn heed(&mut self, decided: Decided) {
+    fn heed(&mut self, decided: SuccessorFrame) {
         match decided {
-            Decided::Answered(number, answer) => {
+            SuccessorFrame::Answered(number, answer) => {
                 if let Some((_, reply)) = self.waiting.remove(&number) {
                     // A client that is gone by now hands its message in again, under another id.
                     let _ = reply.send(answer);
                 }
             }
-            Decided::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
+            SuccessorFrame::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
         }
     }
 
     /// Late after SIGTERM cuts off the calls that are out, and stays until the new process has heard so.
-    fn is_over(&mut self, admission: &Admission) -> bool {
+    fn is_over(&mut self, admission: &ConnectionLimiter) -> bool {
         if self.told_to_end.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
             if std::mem::replace(&mut self.cut_off, true) {
                 return true;
@@ -158,21 +166,21 @@
     }
 
     /// Ends the calls that are out, lest a message go twice at a time once the journal is read again.
-    async fn orphaned(mut self, inbox: &mut mpsc::Receiver<Happening>) -> End {
+    async fn orphaned(mut self, inbox: &mut mpsc::Receiver<SenderEvent>) -> RelayEnd {
         if self.told_to_end.is_some() {
-            return End::Over;
+            return RelayEnd::Over;
         }
         let mut unheard: Vec<_> =
-            self.waiting.into_values().map(|(handed, reply)| Happening::Handed(handed, reply)).collect();
+            self.waiting.into_values().map(|(handed, reply)| SenderEvent::Submitted(handed, reply)).collect();
         let mut out: BTreeSet<_> = self.calls.drain().map(|(call, _)| call).collect();
         while !out.is_empty() {
-            let Some(happening) = inbox.recv().await else { return End::Over };
-            if let Happening::Called { id, attempt, .. } = &happening {
+            let Some(happening) = inbox.recv().await else { return RelayEnd::Over };
+            if let SenderEvent::AttemptEnded { id, attempt, .. } = &happening {
                 out.remove(&(*id, *attempt));
             }
             unheard.push(happening);
         }
-        End::Orphaned(unheard)
+        RelayEnd::Orphaned(unheard)
     }
 }
 
@@ -180,9 +188,9 @@
 /// the driver's way to call it off.
 pub fn serve_old(
     stream: UnixStream,
-    out: Vec<Remote>,
-    inbox: mpsc::Sender<Happening>,
-    admission: Rc<Admission>,
+    out: Vec<RemoteCall>,
+    inbox: mpsc::Sender<SenderEvent>,
+    admission: Rc<ConnectionLimiter>,
 ) {
     let (from, to) = stream.into_split();
     let (post, decided) = mpsc::channel(FRAMES);
@@ -192,14 +200,14 @@
         tokio::task::spawn_local(async move {
             // The driver drops its end; also when the call has ended, which the old process then passes over.
             let _ = cancelled.await;
-            let _ = post.send(Decided::Cancel { id, attempt }).await;
+            let _ = post.send(SuccessorFrame::Cancel { id, attempt }).await;
         });
     }
     tokio::task::spawn_local(tell_old(to, decided));
     tokio::task::spawn_local(hear_old(from, calls, post, inbox, admission));
 }
 
-async fn tell_old(mut to: OwnedWriteHalf, mut decided: mpsc::Receiver<Decided>) {
+async fn tell_old(mut to: OwnedWriteHalf, mut decided: mpsc::Receiver<SuccessorFrame>) {
     while let Some(decided) = decided.recv().await {
         if write(&mut to, &decided).await.is_err() {
             return;
@@ -210,27 +218,27 @@
 async fn hear_old(
     mut from: OwnedReadHalf,
     mut out: BTreeSet<(MessageId, u32)>,
-    post: mpsc::Sender<Decided>,
-    inbox: mpsc::Sender<Happening>,
-    admission: Rc<Admission>,
+    post: mpsc::Sender<SuccessorFrame>,
+    inbox: mpsc::Sender<SenderEvent>,
+    admission: Rc<ConnectionLimiter>,
 ) {
     while let Ok(told) = read(&mut from).await {
         let happening = match told {
-            Told::Handed(number, handed) => {
+            PredecessorFrame::Submitted(number, handed) => {
                 let (reply, answer) = oneshot::channel();
                 let post = post.clone();
                 tokio::task::spawn_local(async move {
                     if let Ok(answer) = answer.await {
-                        let _ = post.send(Decided::Answered(number, answer)).await;
+                        let _ = post.send(SuccessorFrame::Answered(number, answer)).await;
                     }
                 });
-                Happening::Handed(handed, reply)
+                SenderEvent::Submitted(handed, reply)
             }
-            Told::Called { id, attempt, endpoint, elapsed, ending } => {
+            PredecessorFrame::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
                 out.remove(&(id, attempt));
-                Happening::Called { id, attempt, endpoint, elapsed, ending }
+                SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result }
             }
-            Told::Clients(clients) => {
+            PredecessorFrame::ClientApi(clients) => {
                 admission.leave_free(clients);
                 continue;
             }
@@ -243,7 +251,7 @@
     admission.leave_free(0);
     // Its connections ended with it.
     for (id, attempt) in out {
-        let (endpoint, elapsed, ending) = (0, 0, Outcome::Reset.into());
-        drop(inbox.send(Happening::Called { id, attempt, endpoint, elapsed, ending }).await);
+        let (endpoint, elapsed, result) = (0, 0, AttemptOutcome::Reset.into());
+        drop(inbox.send(SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result }).await);
     }
 }
--- a/sender/src/connection.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -1,5 +1,7 @@
 //! One outgoing HTTP/1.1 connection, which knows what has been on the wire for the request in hand.
 
+mod status_line;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
@@ -19,9 +21,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::figures::count;
-use crate::first_line::FirstLine;
-use crate::observed::{Observed, Observer};
+use self::status_line::StatusLineParser;
+use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
+use crate::metrics::count;
 
 /// What an answer's head may take at most: it may have no end.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -30,15 +32,15 @@
 
 /// What has passed since the last request was handed over.
 #[derive(Default)]
-struct Meter {
+struct ByteCounter {
     written: Cell<u64>,
     /// At so many bytes the request is whole, which is counted here.
     whole: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
-    first_line: RefCell<FirstLine>,
+    first_line: RefCell<StatusLineParser>,
     answer_begun: Notify,
 }
 
-impl Observer for Meter {
+impl StreamObserver for ByteCounter {
     fn read(&self, bytes: &[u8]) {
         let mut line = self.first_line.borrow_mut();
         line.read(bytes);
@@ -54,7 +56,7 @@
     }
 }
 
-impl Meter {
+impl ByteCounter {
     fn reset(&self) {
         self.written.set(0);
         self.first_line.take();
@@ -98,7 +100,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<hyper::Result<()>>,
     stream: Rc<TcpStream>,
-    meter: Rc<Meter>,
+    meter: Rc<ByteCounter>,
     /// It has carried a call before.
     pub is_reused: bool,
 }
@@ -107,8 +109,8 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
-        let meter = Rc::new(Meter::default());
-        let io = TokioIo::new(Observed { stream: stream.clone(), observer: meter.clone() });
+        let meter = Rc::new(ByteCounter::default());
+        let io = TokioIo::new(InstrumentedStream { stream: stream.clone(), observer: meter.clone() });
         let mut client = http1::Builder::new();
         client.max_buf_size(BUFFER_BYTES);
         let (sender, connection) = client.handshake(io).await.map_err(io::Error::other)?;
--- a/sender/src/first_line.rs
+++ b/crates/message-sender/src/http_connection/status_line.rs
@@ -6,7 +6,7 @@
 
 /// Reads bytes up to the end of the final answer's first line. Answers with 1xx ahead of it are passed over.
 #[derive(Debug, Default)]
-pub struct FirstLine {
+pub struct StatusLineParser {
     state: State,
     /// The start of the line that is coming.
     line: Vec<u8>,
@@ -22,7 +22,7 @@
     Known(Option<u16>),
 }
 
-impl FirstLine {
+impl StatusLineParser {
     /// Whether bytes of an answer have come.
     pub fn has_begun(&self) -> bool {
         self.state != State::Nothing
@@ -81,11 +81,11 @@
 
     fn told(text: &[u8]) -> Option<u16> {
         let whole = {
-            let mut line = FirstLine::default();
+            let mut line = StatusLineParser::default();
             line.read(text);
             line.status()
         };
-        let mut line = FirstLine::default();
+        let mut line = StatusLineParser::default();
         text.iter().for_each(|byte| line.read(std::slice::from_ref(byte)));
         assert_eq!(line.status(), whole, "however it is cut up");
         whole
--- a/sender/src/observed.rs
+++ b/crates/message-sender/src/instrumented_stream.rs
@@ -12,19 +12,19 @@
 use tokio::net::TcpStream;
 
 /// Sees the bytes of a stream as they pass.
-pub trait Observer {
+pub trait StreamObserver {
     fn read(&self, bytes: &[u8]);
     /// So many bytes were taken by the kernel.
     fn written(&self, bytes: usize);
 }
 
 /// A stream with its observer. The stream is shared, so that its owner can look at the socket.
-pub struct Observed<O> {
+pub struct InstrumentedStream<O> {
     pub stream: Rc<TcpStream>,
     pub observer: Rc<O>,
 }
 
-impl<O: Observer> Observed<O> {
+impl<O: StreamObserver> InstrumentedStream<O> {
     fn poll_try_write(
         &self,
         context: &mut Context<'_>,
@@ -45,7 +45,7 @@
     }
 }
 
-impl<O: Observer> AsyncRead for Observed<O> {
+impl<O: StreamObserver> AsyncRead for InstrumentedStream<O> {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -67,7 +67,7 @@
     }
 }
 
-impl<O: Observer> AsyncWrite for Observed<O> {
+impl<O: StreamObserver> AsyncWrite for InstrumentedStream<O> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_try_write(context, |stream| stream.try_write(bytes))
     }
--- a/sender/src/journal.rs
+++ b/crates/message-sender/src/journal/mod.rs
@@ -9,9 +9,11 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use roadshift::interface::{DestinationId, MessageId, Micros};
+use delivery_control::{DestinationId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 
+use crate::notice::Notice;
+
 const NAME: &str = "journal";
 const NEXT_NAME: &str = "journal.next";
 const FRAME: usize = 8;
@@ -41,7 +43,7 @@
 
 /// A message as it was taken on. Times are Unix time, since monotonic time dies with the process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Taken {
+pub struct AcceptedMessage {
     pub call_id: String,
     pub key: Option<String>,
     /// By name: a later configuration may number classes otherwise.
@@ -54,7 +56,7 @@
 
 /// A message as earlier versions wrote it: what they held must outlast an upgrade.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct TakenBefore {
+struct AcceptedMessageV1 {
     call_id: String,
     key: Option<String>,
     class: String,
@@ -63,9 +65,9 @@
     body: Body,
 }
 
-impl From<TakenBefore> for Taken {
-    fn from(before: TakenBefore) -> Self {
-        let TakenBefore { call_id, key, class, destination, deadline, body } = before;
+impl From<AcceptedMessageV1> for AcceptedMessage {
+    fn from(before: AcceptedMessageV1) -> Self {
+        let AcceptedMessageV1 { call_id, key, class, destination, deadline, body } = before;
         Self { call_id, key, class, destination, order_key: None, deadline, body }
     }
 }
@@ -90,29 +92,21 @@
 /// When and in which zone an attempt was sent.
 pub type Sent = (Micros, u64);
 
-/// The final answer that the platform is owed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
-    pub call_id: String,
-    /// For a refusal, when to come again; `None` for a failure.
-    pub bounced: Option<Micros>,
-}
-
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 enum Record {
     /// Ids up to this one have been used.
     Used(MessageId),
     /// Only read; now `Taken`. Variants are known by their place: new ones go to the end.
-    TakenBefore(MessageId, TakenBefore),
+    AcceptedMessageV1(MessageId, AcceptedMessageV1),
     Attempt(MessageId, Sent),
     /// The last attempt never ran.
     NotRun(MessageId),
     /// The attempts so far, in place of their records.
-    Past(MessageId, Past),
+    AttemptHistory(MessageId, AttemptHistory),
     Ended(MessageId, Option<Notice>),
     /// The platform has the notice.
     Noticed(MessageId),
-    Taken(MessageId, Taken),
+    AcceptedMessage(MessageId, AcceptedMessage),
     /// An operator has taken the endpoint of this name out, or put it back.
     Out(String),
     Back(String),
@@ -124,7 +118,7 @@
 
 /// The attempts of a message so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Past {
+pub struct AttemptHistory {
     pub attempts: u32,
     /// The first that may have run.
     ran: Option<Sent>,
@@ -132,7 +126,7 @@
     out: Option<Sent>,
 }
 
-impl Past {
+impl AttemptHistory {
     /// The first attempt that may have run. One that was out when the process died counts.
     pub fn first_run(&self) -> Option<Sent> {
         self.ran.or(self.out)
@@ -141,10 +135,10 @@
 
 /// What the journal holds of a message.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Kept {
-    Open(Taken, Past),
+pub enum JournalEntry {
+    Open(AcceptedMessage, AttemptHistory),
     /// With its order key: the next message of that waits for the platform's answer.
-    Owed(Notice, Option<String>),
+    PendingNotice(Notice, Option<String>),
 }
 
 /// The journal of one sender.
@@ -153,7 +147,7 @@
     file: File,
     length: u64,
     disk: u64,
-    live: BTreeMap<MessageId, Kept>,
+    live: BTreeMap<MessageId, JournalEntry>,
     open_bytes: u64,
     used: MessageId,
     out: BTreeSet<String>,
@@ -198,13 +192,13 @@
     }
 
     /// All that is open or owed.
-    pub fn kept(&self) -> impl Iterator<Item = (MessageId, &Kept)> {
+    pub fn kept(&self) -> impl Iterator<Item = (MessageId, &JournalEntry)> {
         self.live.iter().map(|(id, kept)| (*id, kept))
     }
 
     /// Whether a message is held that has not ended.
     pub fn is_open(&self, id: MessageId) -> bool {
-        matches!(self.live.get(&id), Some(Kept::Open(..)))
+        matches!(self.live.get(&id), Some(JournalEntry::Open(..)))
     }
 
     /// Names of the endpoints that operators have taken out.
@@ -238,11 +232,11 @@
     }
 
     /// Writes that a message is taken on; until then the client must not hear so.
-    pub fn take_on(&mut self, id: MessageId, taken: Taken) -> Result<(), JournalError> {
+    pub fn take_on(&mut self, id: MessageId, taken: AcceptedMessage) -> Result<(), JournalError> {
         if self.open_bytes + room(&taken) > share(self.disk, OPEN_SHARE) {
             return Err(JournalError::Full);
         }
-        self.append(Record::Taken(id, taken), FILE_SHARE)
+        self.append(Record::AcceptedMessage(id, taken), FILE_SHARE)
     }
 
     /// Writes that an attempt goes out; until then no byte of it may. Written before its connection is up, a call
@@ -301,11 +295,11 @@
         }
         for (id, kept) in &self.live {
             match kept {
-                Kept::Open(taken, past) => {
-                    text.extend(encode(&Record::Taken(*id, taken.clone()))?);
-                    text.extend(encode(&Record::Past(*id, *past))?);
+                JournalEntry::Open(taken, past) => {
+                    text.extend(encode(&Record::AcceptedMessage(*id, taken.clone()))?);
+                    text.extend(encode(&Record::AttemptHistory(*id, *past))?);
                 }
-                Kept::Owed(notice, key) => {
+                JournalEntry::PendingNotice(notice, key) => {
                     text.extend(encode(&Record::Ended(*id, Some(notice.clone())))?);
                     if let Some(key) = key {
                         text.extend(encode(&Record::Key(*id, key.clone()))?);
@@ -342,11 +336,11 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Used(id) => self.used = self.used.max(id),
-            Record::TakenBefore(id, before) => self.apply(Record::Taken(id, before.into())),
-            Record::Taken(id, taken) => {
+            Record::AcceptedMessageV1(id, before) => self.apply(Record::AcceptedMessage(id, before.into())),
+            Record::AcceptedMessage(id, taken) => {
                 self.used = self.used.max(id);
                 self.open_bytes += room(&taken);
-                self.live.insert(id, Kept::Open(taken, Past::default()));
+                self.live.insert(id, JournalEntry::Open(taken, AttemptHistory::default()));
             }
             Record::Attempt(id, sent) => self.with_past(id, |past| {
                 (past.ran, past.out) = (past.first_run(), Some(sent));
@@ -357,16 +351,16 @@
                 past.out = None;
                 past.attempts = past.attempts.saturating_sub(1);
             }),
-            Record::Past(id, now) => self.with_past(id, |past| *past = now),
+            Record::AttemptHistory(id, now) => self.with_past(id, |past| *past = now),
             Record::Ended(id, notice) => {
                 self.used = self.used.max(id);
                 let key = self.drop_open(id);
                 if let Some(notice) = notice {
-                    self.live.insert(id, Kept::Owed(notice, key));
+                    self.live.insert(id, JournalEntry::PendingNotice(notice, key));
                 }
             }
             Record::Key(id, key) => {
-                if let Some(Kept::Owed(_, kept)) = self.live.get_mut(&id) {
+                if let Some(JournalEntry::PendingNotice(_, kept)) = self.live.get_mut(&id) {
                     *kept = Some(key);
                 }
             }
@@ -376,15 +370,15 @@
         }
     }
 
-    fn with_past(&mut self, id: MessageId, change: impl FnOnce(&mut Past)) {
-        if let Some(Kept::Open(_, past)) = self.live.get_mut(&id) {
+    fn with_past(&mut self, id: MessageId, change: impl FnOnce(&mut AttemptHistory)) {
+        if let Some(JournalEntry::Open(_, past)) = self.live.get_mut(&id) {
             change(past);
         }
     }
 
     /// Gives the order key of what was open.
     fn drop_open(&mut self, id: MessageId) -> Option<String> {
-        let Some(Kept::Open(taken, _)) = self.live.remove(&id) else { return None };
+        let Some(JournalEntry::Open(taken, _)) = self.live.remove(&id) else { return None };
         self.open_bytes = self.open_bytes.saturating_sub(room(&taken));
         taken.order_key
     }
@@ -406,7 +400,7 @@
     Ok(framed)
 }
 
-fn room(taken: &Taken) -> u64 {
+fn room(taken: &AcceptedMessage) -> u64 {
     let optional = [&taken.key, &taken.order_key].into_iter().flatten().map(String::len).sum::<usize>();
     let texts = taken.call_id.len() * 2 + taken.class.len() + optional;
     (texts + taken.body.0.len()) as u64 + MESSAGE_ROOM
@@ -426,14 +420,22 @@
 
     const DISK: u64 = 3_000_000;
 
-    fn taken(call_id: &str, bytes: usize) -> Taken {
+    fn taken(call_id: &str, bytes: usize) -> AcceptedMessage {
         let (key, class) = (Some("key".to_owned()), "notice".to_owned());
         let body = Body(Bytes::from(vec![7; bytes]));
         let order_key = Some("card".to_owned());
-        Taken { call_id: call_id.to_owned(), key, class, destination: 7, order_key, deadline: 99, body }
+        AcceptedMessage {
+            call_id: call_id.to_owned(),
+            key,
+            class,
+            destination: 7,
+            order_key,
+            deadline: 99,
+            body,
+        }
     }
 
-    fn kept(journal: &Journal) -> Vec<(MessageId, Kept)> {
+    fn kept(journal: &Journal) -> Vec<(MessageId, JournalEntry)> {
         journal.kept().map(|(id, kept)| (id, kept.clone())).collect()
     }
 
@@ -457,12 +459,12 @@
         journal.end(3, Some(notice.clone())).unwrap();
         let again = Journal::open(folder.path(), DISK).unwrap();
         assert_eq!(kept(&again), kept(&journal));
-        let past = Past { attempts: 3, ran: Some((6, 0)), out: Some((7, 0)) };
+        let past = AttemptHistory { attempts: 3, ran: Some((6, 0)), out: Some((7, 0)) };
         // Its key is kept, also by compaction: what comes next of it waits for the notice to be answered.
-        let owed = Kept::Owed(notice, Some("card".to_owned()));
+        let owed = JournalEntry::PendingNotice(notice, Some("card".to_owned()));
         journal.compact().unwrap();
         assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()), kept(&again));
-        assert_eq!(kept(&again), [(1, Kept::Open(taken("m", 100), past)), (3, owed)]);
+        assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("m", 100), past)), (3, owed)]);
         assert_eq!((again.next_id(), past.first_run()), (4, Some((6, 0))));
     }
 
@@ -477,8 +479,8 @@
         fs::write(folder.path().join(NAME), bytes).unwrap();
         let journal = Journal::open(folder.path(), DISK).unwrap();
         let body = Body(Bytes::from_static(b"hi"));
-        let expected = Taken { order_key: None, body, ..taken("m1", 0) };
-        assert_eq!(kept(&journal), [(5, Kept::Open(expected, Past::default()))]);
+        let expected = AcceptedMessage { order_key: None, body, ..taken("m1", 0) };
+        assert_eq!(kept(&journal), [(5, JournalEntry::Open(expected, AttemptHistory::default()))]);
     }
 
     /// A process may die inside a write: what was whole before must survive, and what follows must be readable.
@@ -515,7 +517,7 @@
             bytes[at] ^= 0x55;
             fs::write(&path, &bytes).unwrap();
             let journal = Journal::open(folder.path(), DISK).unwrap();
-            let expected = Kept::Open(taken("m1", 40), Past::default());
+            let expected = JournalEntry::Open(taken("m1", 40), AttemptHistory::default());
             assert_eq!(kept(&journal), [(1, expected)], "corrupt at {at}");
         }
     }
@@ -534,8 +536,8 @@
             assert!(on_disk(folder.path()) <= disk);
         }
         let again = Journal::open(folder.path(), disk).unwrap();
-        let past = Past { attempts: 1, ran: None, out: Some((5, 0)) };
-        assert_eq!(kept(&again), [(1, Kept::Open(taken("stays", 20_000), past))]);
+        let past = AttemptHistory { attempts: 1, ran: None, out: Some((5, 0)) };
+        assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("stays", 20_000), past))]);
         assert_eq!(again.next_id(), 500);
     }
 
@@ -609,7 +611,7 @@
     fn an_attempt_of_which_nothing_went_out_is_none() {
         let folder = tempfile::tempdir().unwrap();
         let past = |journal: &Journal| match kept(journal).remove(0) {
-            (_, Kept::Open(_, past)) => (past.attempts, past.first_run()),
+            (_, JournalEntry::Open(_, past)) => (past.attempts, past.first_run()),
             owed => panic!("{owed:?}"),
         };
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
--- a/sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -6,41 +6,46 @@
 use std::rc::Rc;
 
 use anyhow::Context;
-use roadshift::Controller;
+use delivery_control::Controller;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::timeout;
 
-mod admission;
-mod clients;
+mod client_api;
 mod config;
-mod connection;
+mod connection_limiter;
+mod delivery;
 mod discovery;
-mod driver;
-mod endpoints;
-mod figures;
-mod first_line;
+mod drain;
+mod endpoint_list;
+mod endpoint_registry;
+mod event;
+mod event_loop;
 mod handover;
+mod http_connection;
+mod instrumented_stream;
 mod journal;
-mod management;
-mod observed;
-mod places;
-mod relay;
-mod request;
-mod tally;
+mod metrics;
+mod notice;
+mod operator_api;
+mod serving_state;
+mod submission;
+mod time;
 
-use admission::Admission;
-use clients::Clients;
+use client_api::ClientApi;
 use config::Config;
-use discovery::Notices;
-use driver::{Driver, Happening};
-use endpoints::Endpoints;
-use figures::Figures;
-use handover::{Claim, Heirs};
+use connection_limiter::ConnectionLimiter;
+use delivery::DeliveryClient;
+use discovery::NoticeQueue;
+use event::SenderEvent;
+use event_loop::EventLoop;
+use handover::{relay, HandoverListener, Ownership};
 use journal::Journal;
-use management::{Duty, Management};
+use metrics::Metrics;
+use operator_api::OperatorApi;
+use serving_state::ServingState;
 
 /// Happenings that wait for the driver; who brings more waits too.
 const INBOX: usize = 1024;
@@ -51,27 +56,27 @@
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
     let (inbox, mut happenings) = mpsc::channel(INBOX);
-    let (orders, mut ordered) = mpsc::channel(management::ORDERS);
+    let (orders, mut ordered) = mpsc::channel(operator_api::ORDERS);
     let (post, mut successors) = mpsc::channel(1);
     let (moved, discovery) = watch::channel(config.discovery);
-    let duty = Rc::new(watch::Sender::new(Duty::Serving));
-    let (ready, figures) = (Rc::new(Cell::new(false)), Rc::new(Figures::new(&config.names)));
-    let shares = config.limits.shares(config.settings.limits.slots);
+    let duty = Rc::new(watch::Sender::new(ServingState::Serving));
+    let (ready, figures) = (Rc::new(Cell::new(false)), Rc::new(Metrics::new(&config.names)));
+    let shares = config.limits.shares(config.settings.limits.max_in_flight);
     if let Some(address) = config.management {
         let listener = TcpListener::bind(address).await.context("the management address is not free")?;
         tracing::info!(management = %listener.local_addr()?, "listens for operators");
-        let admission = Admission::new(management::SEATS);
+        let admission = ConnectionLimiter::new(operator_api::SEATS);
         let (duty, ready, figures) = (duty.clone(), ready.clone(), figures.clone());
-        let management = Rc::new(Management { duty, ready, figures, orders });
+        let management = Rc::new(OperatorApi { duty, ready, figures, orders });
         tokio::task::spawn_local(admission.clone().tend());
         tokio::task::spawn_local(management.serve(listener, admission));
     }
     tokio::task::spawn_local(reload(hangup, moved));
     tokio::task::spawn_local(end(terminate, interrupt, duty.clone(), inbox.clone()));
 
-    let endpoints = Endpoints::new(&config.settings.limits, shares.idle, figures.tries.clone());
-    let admission = Admission::new(shares.clients);
-    let clients = Rc::new(Clients {
+    let endpoints = DeliveryClient::new(&config.settings.limits, shares.idle, figures.tries.clone());
+    let admission = ConnectionLimiter::new(shares.clients);
+    let clients = Rc::new(ClientApi {
         settings: config.settings.clone(),
         names: config.names.clone(),
         inbox: inbox.clone(),
@@ -85,11 +90,11 @@
     let mut claim = tokio::select! {
         claim = handover::claim(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
         // Told to end before it was the sender.
-        _ = told.wait_for(|duty| *duty == Duty::Leaving) => return Ok(()),
+        _ = told.wait_for(|duty| *duty == ServingState::ShuttingDown) => return Ok(()),
     };
     let mut unheard = Vec::new();
     loop {
-        let Claim { lock, listener, inherited } = claim;
+        let Ownership { lock, listener, inherited } = claim;
         // The address first: an older version that knows no lock would hold it, and write the journal.
         let listener = match listener {
             Some(listener) => listener,
@@ -100,10 +105,11 @@
         };
         let controller = Controller::new(config.settings.clone(), config.seed)?;
         let kept = (lock, Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?);
-        let notices = Rc::new(Notices::default());
+        let notices = Rc::new(NoticeQueue::default());
         let terms = (config.settings.clone(), config.names.clone());
         let (ends, counts) = (endpoints.clone(), figures.clone());
-        let mut driver = Driver::new(controller, terms, kept, ends, notices.clone(), counts, inbox.clone());
+        let mut driver =
+            EventLoop::new(controller, terms, kept, ends, notices.clone(), counts, inbox.clone());
         // Before the first connection is accepted: to answer at all means to be ready.
         match inherited {
             Some((state, stream)) => {
@@ -119,7 +125,7 @@
         let accepting = TcpListener::from_std(listener.try_clone()?)?;
         let listen = accepting.local_addr()?;
         let listener = Rc::new(listener);
-        match Heirs::open(&config.state) {
+        match HandoverListener::open(&config.state) {
             Ok(heirs) => drop(work.spawn_local(heirs.serve(listener.clone(), duty.clone(), post.clone()))),
             // It serves all the same; an upgrade is a restart then.
             Err(error) => tracing::error!(%error, "no new process can take over"),
@@ -127,7 +133,7 @@
         work.spawn_local(discovery::watch(
             discovery.clone(),
             inbox.clone(),
-            discovery::Manner::new(&config.settings),
+            discovery::PollPolicy::new(&config.settings),
             config.known.as_ref().map(|known| known.index),
         ));
         work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
@@ -136,14 +142,14 @@
         tracing::info!(name = config.name, %listen, "ready");
 
         let driven = driver.run(&mut happenings, &mut ordered, &mut successors, &admission).await;
-        let driver::End::HandedOver(old) = driven else { break };
+        let event_loop::LoopEnd::HandedOver(old) = driven else { break };
         // Clients go to the new process.
         ready.set(false);
-        duty.send_replace(Duty::Succeeded);
+        duty.send_replace(ServingState::HandedOver);
         work.shutdown().await;
         match old.run(&mut happenings, &admission).await {
-            relay::End::Over => break,
-            relay::End::Orphaned(left) => unheard = left,
+            relay::RelayEnd::Over => break,
+            relay::RelayEnd::Orphaned(left) => unheard = left,
         }
         let Some(again) =
             handover::reclaim(&config.state).await.context("the lasting folder is of no use")?
@@ -151,13 +157,13 @@
             break;
         };
         tracing::warn!("the new process has died: takes its work back");
-        claim = Claim { listener: Some(listener.try_clone()?), ..again };
+        claim = Ownership { listener: Some(listener.try_clone()?), ..again };
         endpoints.retire(false);
-        duty.send_replace(Duty::Serving);
+        duty.send_replace(ServingState::Serving);
     }
     // Whoever has handed in what nobody will decide on any more hears so.
     drop(happenings);
-    if timeout(driver::LAST_ANSWERS, admission.quiet()).await.is_err() {
+    if timeout(drain::LAST_ANSWERS, admission.quiet()).await.is_err() {
         tracing::warn!(connections = admission.taken(), "ends with a request on its way");
     }
     tracing::info!("ends");
@@ -182,8 +188,8 @@
 async fn end(
     mut terminate: Signal,
     mut interrupt: Signal,
-    duty: Rc<watch::Sender<Duty>>,
-    inbox: mpsc::Sender<Happening>,
+    duty: Rc<watch::Sender<ServingState>>,
+    inbox: mpsc::Sender<SenderEvent>,
 ) {
     tokio::select! {
         _ = terminate.recv() => {}
@@ -191,12 +197,12 @@
     }
     tracing::info!("draining");
     duty.send_modify(|duty| {
-        if *duty != Duty::Succeeded {
-            *duty = Duty::Leaving;
+        if *duty != ServingState::HandedOver {
+            *duty = ServingState::ShuttingDown;
         }
     });
     // Its receiver ends only with the process.
-    let _ = inbox.send(Happening::Drain).await;
+    let _ = inbox.send(SenderEvent::ShutdownRequested).await;
     std::future::pending::<()>().await;
 }
 
--- a/sender/src/figures.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -5,21 +5,21 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
-use roadshift_adapter::wire::Names;
+use simulator_adapter::wire::Names;
 
 /// How a message ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
+pub enum MessageOutcome {
     /// Delivered.
-    Passed,
+    Delivered,
     /// Refused, or handed back: handing it in again is harmless.
-    Dropped,
+    Rejected,
     /// Failed.
-    BadGateway,
+    Failed,
 }
 
 #[derive(Default)]
-struct Class {
+struct ClassMetrics {
     name: String,
     passed: Cell<u64>,
     dropped: Cell<u64>,
@@ -28,8 +28,8 @@
 
 /// Counts and gauges of this process.
 #[derive(Default)]
-pub struct Figures {
-    classes: Vec<Class>,
+pub struct Metrics {
+    classes: Vec<ClassMetrics>,
     /// Messages written whole to endpoints.
     pub tries: Rc<Cell<u64>>,
     pub in_progress: Cell<usize>,
@@ -42,19 +42,19 @@
     counter.set(counter.get() + 1);
 }
 
-impl Figures {
+impl Metrics {
     pub fn new(names: &Names) -> Self {
-        let class = |name: &String| Class { name: name.clone(), ..Class::default() };
+        let class = |name: &String| ClassMetrics { name: name.clone(), ..ClassMetrics::default() };
         Self { classes: names.classes().iter().map(class).collect(), ..Self::default() }
     }
 
     /// Counts a message's end.
-    pub fn ended(&self, class: usize, fate: Fate) {
+    pub fn ended(&self, class: usize, fate: MessageOutcome) {
         let Some(class) = self.classes.get(class) else { return };
         count(match fate {
-            Fate::Passed => &class.passed,
-            Fate::Dropped => &class.dropped,
-            Fate::BadGateway => &class.bad_gateway,
+            MessageOutcome::Delivered => &class.passed,
+            MessageOutcome::Rejected => &class.dropped,
+            MessageOutcome::Failed => &class.bad_gateway,
         });
     }
 
--- a/sender/src/management.rs
+++ b/crates/message-sender/src/operator_api/mod.rs
@@ -17,9 +17,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
-use crate::admission::{Admission, Seat};
-use crate::figures::Figures;
-use crate::observed::Observed;
+use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
+use crate::instrumented_stream::InstrumentedStream;
+use crate::metrics::Metrics;
+use crate::serving_state::ServingState;
 
 /// Callers at once; a silent one makes room for the next.
 pub const SEATS: usize = 16;
@@ -30,66 +31,50 @@
 /// A caller waits 1 s: later, a yes would not be heard.
 const PATIENCE: Duration = Duration::from_millis(900);
 
-/// What the process does for clients.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Duty {
-    Serving,
-    /// Drained by an operator, who may call it back.
-    Standby,
-    /// Another process is the sender, and serves the clients from now on.
-    Succeeded,
-    /// About to end: there is no way back.
-    Leaving,
-}
-
-impl Duty {
-    /// Waits until clients are to be sent away.
-    pub async fn ends(duty: &mut watch::Receiver<Duty>) {
-        // Without a sender the process ends, and so does whoever waits.
-        let _ = duty.wait_for(|duty| *duty == Self::Serving).await;
-        let _ = duty.wait_for(|duty| *duty != Self::Serving).await;
-    }
-}
-
 /// What an operator tells the driver.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Command {
-    TakeOut(String),
-    PutBack(String),
+pub enum OperatorCommand {
+    Drain(String),
+    Restore(String),
 }
 
 /// What the driver says to that.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum CommandResult {
     /// It stands.
     Done,
     /// Nobody has that name.
-    Unknown,
+    UnknownEndpoint,
     /// It could not be kept.
-    NotKept,
+    NotPersisted,
 }
 
-pub type Order = (Command, oneshot::Sender<Verdict>);
+pub type Order = (OperatorCommand, oneshot::Sender<CommandResult>);
 
 /// What all callers' connections share.
-pub struct Management {
-    pub duty: Rc<watch::Sender<Duty>>,
+pub struct OperatorApi {
+    pub duty: Rc<watch::Sender<ServingState>>,
     /// Messages can be taken on.
     pub ready: Rc<Cell<bool>>,
-    pub figures: Rc<Figures>,
+    pub figures: Rc<Metrics>,
     pub orders: mpsc::Sender<Order>,
 }
 
-impl Management {
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, admission: Rc<Admission>) {
+impl OperatorApi {
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, admission: Rc<ConnectionLimiter>) {
         admission
             .clone()
             .serve(listener, |stream, seat| self.clone().converse(stream, admission.clone(), seat))
             .await;
     }
 
-    async fn converse(self: Rc<Self>, stream: TcpStream, admission: Rc<Admission>, seat: Rc<Seat>) {
-        let io = TokioIo::new(Observed { stream: Rc::new(stream), observer: seat.clone() });
+    async fn converse(
+        self: Rc<Self>,
+        stream: TcpStream,
+        admission: Rc<ConnectionLimiter>,
+        seat: Rc<ConnectionSlot>,
+    ) {
+        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: seat.clone() });
         let service = service_fn(move |request| {
             let (this, admission, seat) = (self.clone(), admission.clone(), seat.clone());
             async move {
@@ -110,7 +95,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, seat: &Seat) -> Result<String, StatusCode> {
+    async fn answer(&self, request: Request<Incoming>, seat: &ConnectionSlot) -> Result<String, StatusCode> {
         let (head, body) = request.into_parts();
         let (wanted, path) = match head.uri.path() {
             path @ ("/status" | "/status/metrics") => (Method::GET, path),
@@ -128,20 +113,20 @@
             "/status/metrics" => Ok(self.figures.text()),
             "/status" if self.is_serving() => Ok("serving\n".to_owned()),
             "/status" => Err(StatusCode::SERVICE_UNAVAILABLE),
-            "/standby" => self.change_duty(Duty::Standby),
-            "/active" => self.change_duty(Duty::Serving),
-            "/maintenance/enter" => self.tell(Command::TakeOut(id(&body.to_bytes())?)).await,
-            _ => self.tell(Command::PutBack(id(&body.to_bytes())?)).await,
+            "/standby" => self.change_duty(ServingState::Standby),
+            "/active" => self.change_duty(ServingState::Serving),
+            "/maintenance/enter" => self.tell(OperatorCommand::Drain(id(&body.to_bytes())?)).await,
+            _ => self.tell(OperatorCommand::Restore(id(&body.to_bytes())?)).await,
         }
     }
 
     fn is_serving(&self) -> bool {
-        self.ready.get() && *self.duty.borrow() == Duty::Serving
+        self.ready.get() && *self.duty.borrow() == ServingState::Serving
     }
 
     /// Clients' connections and `/healthz` follow it at once.
-    fn change_duty(&self, to: Duty) -> Result<String, StatusCode> {
-        if !self.ready.get() || *self.duty.borrow() == Duty::Leaving {
+    fn change_duty(&self, to: ServingState) -> Result<String, StatusCode> {
+        if !self.ready.get() || *self.duty.borrow() == ServingState::ShuttingDown {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         if self.duty.send_replace(to) != to {
@@ -150,7 +135,7 @@
         Ok(format!("{to:?}\n").to_lowercase())
     }
 
-    async fn tell(&self, command: Command) -> Result<String, StatusCode> {
+    async fn tell(&self, command: OperatorCommand) -> Result<String, StatusCode> {
         let unavailable = StatusCode::SERVICE_UNAVAILABLE;
         if !self.ready.get() {
             return Err(unavailable);
@@ -162,9 +147,9 @@
         };
         // Whoever gives up here drops `verdict`: the driver then leaves undone what it has not begun.
         match timeout(PATIENCE, asked).await.map_err(|_| unavailable)?? {
-            Verdict::Done => Ok("done\n".to_owned()),
-            Verdict::Unknown => Err(StatusCode::NOT_FOUND),
-            Verdict::NotKept => Err(StatusCode::INSUFFICIENT_STORAGE),
+            CommandResult::Done => Ok("done\n".to_owned()),
+            CommandResult::UnknownEndpoint => Err(StatusCode::NOT_FOUND),
+            CommandResult::NotPersisted => Err(StatusCode::INSUFFICIENT_STORAGE),
         }
     }
 }
--- a/sender/tests/common/mod.rs
+++ b/crates/message-sender/tests/common/mod.rs
@@ -172,7 +172,7 @@
 }
 
 /// Discovery's agent: holds watches until something changes, and takes notices.
-pub struct Discovery {
+pub struct DiscoveryMode {
     pub address: SocketAddr,
     lists: Arc<(Mutex<Lists>, Condvar)>,
     pub notices: Receiver<Value>,
@@ -180,7 +180,7 @@
     pub asked: Receiver<String>,
 }
 
-impl Discovery {
+impl DiscoveryMode {
     pub fn start(lines: Vec<Value>) -> Self {
         Self::play(Lists { index: 1, lines, ..Lists::default() })
     }
@@ -325,14 +325,14 @@
 }
 
 impl Sender {
-    pub fn start(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
+    pub fn start(state: &Path, discovery: &DiscoveryMode, known: Vec<Value>, terms: &Terms) -> Self {
         let mut sender = Self::launch(state, discovery, known, terms);
         sender.await_ready();
         sender
     }
 
     /// Starts a process that need not become the sender at once; until then it has no address for clients.
-    pub fn launch(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
+    pub fn launch(state: &Path, discovery: &DiscoveryMode, known: Vec<Value>, terms: &Terms) -> Self {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(), "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": terms.sockets, "disk_mb": terms.disk_mb},
@@ -356,7 +356,7 @@
         // Held to its descriptors by the system too.
         let limited = format!("ulimit -n {} && exec \"$0\"", terms.sockets);
         let mut child = Command::new("sh")
-            .args(["-c", &limited, env!("CARGO_BIN_EXE_corkthread")])
+            .args(["-c", &limited, env!("CARGO_BIN_EXE_message-sender")])
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_STATE", state)
             .env("ROUTER_MANAGEMENT", "127.0.0.1:0")
@@ -393,7 +393,7 @@
     }
 
     /// Puts a configuration that names another discovery in the file's place, and says so.
-    pub fn move_discovery(&self, discovery: &Discovery) {
+    pub fn move_discovery(&self, discovery: &DiscoveryMode) {
         let text = std::fs::read(&self.config).unwrap();
         let mut config: Value = serde_json::from_slice(&text).unwrap();
         config["discovery"] = discovery.address.to_string().into();
@@ -403,8 +403,10 @@
 
     /// Waits for a line of the log with all these words.
     pub fn await_log(&self, words: &[&str]) {
-        let line = std::iter::from_fn(|| self.log.recv_timeout(LONG).ok());
-        let found = line.into_iter().any(|line| words.iter().all(|word| line.contains(word)));
+        let deadline = Instant::now() + LONG;
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let mut lines = std::iter::from_fn(|| self.log.recv_timeout(left()).ok());
+        let found = lines.any(|line| words.iter().all(|word| line.contains(word)));
         assert!(found, "{words:?} is logged");
     }
 
--- a/sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -7,13 +7,15 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
+use common::{
+    line, message, read_message, DiscoveryMode, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON,
+};
 use socket2::{Domain, Socket, Type};
 
 struct Stage {
     _folder: tempfile::TempDir,
     state: PathBuf,
-    discovery: Discovery,
+    discovery: DiscoveryMode,
     endpoint: Endpoint,
     terms: Terms,
 }
@@ -24,7 +26,7 @@
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
         let endpoint = Endpoint::start(script);
-        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { _folder: folder, state, discovery, endpoint, terms }
     }
 
@@ -118,8 +120,8 @@
     stage.endpoint.next();
     assert_eq!(sender.hand_in("m2", 1_500, "x"), TAKEN_ON);
     assert!(sender.hand_in("m3", 1_500, "x").contains("503"));
-    sender.await_log(&["not delivered", "cause=HoldFull", "messages=1", "{7: 1}"]);
-    sender.await_log(&["not delivered", "cause=Refused", "{7:"]);
+    sender.await_log(&["not delivered", "cause=BufferFull", "messages=1", "{7: 1}"]);
+    sender.await_log(&["not delivered", "cause=Rejected", "{7:"]);
 }
 
 /// Guards against refused attempts being taken for such as may have run once the process has died.
@@ -259,7 +261,7 @@
     let discovery = if discovery_is_up {
         &stage.discovery
     } else {
-        gone = Discovery::silent();
+        gone = DiscoveryMode::silent();
         &gone
     };
     let known = vec![line("s-1", stage.endpoint.address, 7, "up")];
--- a/adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -4,10 +4,10 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
-use roadshift::interface::{Action, Event, Micros, Settings};
-use roadshift::Controller;
+use delivery_control::Controller;
+use delivery_control::{Action, Event, Micros, Settings};
 
-use roadshift_adapter::wire::{self, Incoming, Names};
+use simulator_adapter::wire::{self, Incoming, Names};
 
 /// What is wrong with the input, and where.
 #[derive(Debug, thiserror::Error)]
--- a/adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts roadshift controllers behind the line-based JSON wire: reads batches, writes replies.
+//! Hosts delivery controllers behind the line-based JSON wire: reads batches, writes replies.
 #![forbid(unsafe_code)]
 
 use std::io::{self, BufRead, Write};
@@ -24,7 +24,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("roadshift-adapter: {fault}");
+            eprintln!("simulator-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use base64::prelude::{Engine, BASE64_STANDARD};
-use roadshift::interface::*;
+use delivery_control::*;
 use serde::{Deserialize, Serialize};
 
 /// Wire milliseconds as microseconds.
@@ -96,12 +96,12 @@
     N,
 }
 
-impl From<Code> for Outcome {
+impl From<Code> for AttemptOutcome {
     fn from(code: Code) -> Self {
         match code {
             Code::S => Self::Delivered,
             Code::E => Self::Error,
-            Code::F => Self::Full,
+            Code::F => Self::Rejected,
             Code::T => Self::Timeout,
             Code::C => Self::ConnectFailed,
             Code::R => Self::Reset,
@@ -271,25 +271,25 @@
 }
 
 impl Category {
-    fn class(&self) -> Result<Class, String> {
+    fn class(&self) -> Result<MessageClass, String> {
         let effect = match self.effect.as_str() {
             "pure" => "safe",
             "token" => "keyed",
             "side_effect" => "unsafe",
             other => other,
         };
-        Ok(Class {
-            effect: effect.parse().map_err(|error: SettingsError| error.to_string())?,
-            scope: match self.dedup_scope.as_deref() {
-                None | Some("all") => Scope::All,
-                Some(_) => Scope::Zone,
+        Ok(MessageClass {
+            idempotency: effect.parse().map_err(|error: SettingsError| error.to_string())?,
+            idempotency_scope: match self.dedup_scope.as_deref() {
+                None | Some("all") => IdempotencyScope::All,
+                Some(_) => IdempotencyScope::Zone,
             },
-            window: optional(self.window_ms),
-            aim: micros(self.aim_ms),
-            aim_stretch: self.aim_stretch.unwrap_or(0.0),
+            idempotency_window: optional(self.window_ms),
+            latency_objective: micros(self.aim_ms),
+            latency_objective_stretch: self.aim_stretch.unwrap_or(0.0),
             deadline: micros(self.deadline_ms),
-            worth: self.worth,
-            late_share: self.late_share.unwrap_or(0.0),
+            value: self.worth,
+            residual_value: self.late_share.unwrap_or(0.0),
             ordered: self.fifo_by_key.unwrap_or(false),
             stream: self.stream.unwrap_or(false),
         })
@@ -315,42 +315,37 @@
         let fees = info.carriage.as_deref().unwrap_or_default();
         Ok(Settings {
             // The simulator takes an end as it is decided.
-            notices: false,
+            notices_are_acknowledged: false,
             classes: self.categories.iter().map(Category::class).collect::<Result<_, _>>()?,
             kinds: kinds
-                .map(|kind| Kind {
-                    own_limits: apart.and_then(|apart| apart.get(kind)).copied().unwrap_or(false),
-                    bundle_max: bundles.and_then(|bundles| bundles.get(kind)).copied().unwrap_or(1),
+                .map(|kind| DestinationKind {
+                    per_endpoint_limits: apart.and_then(|apart| apart.get(kind)).copied().unwrap_or(false),
+                    max_batch_size: bundles.and_then(|bundles| bundles.get(kind)).copied().unwrap_or(1),
                 })
                 .collect(),
             zones: (0..self.zones.len()).map(|z| Zone { fee: fees.get(z).copied().unwrap_or(0.0) }).collect(),
-            tenants: self
-                .orgs
-                .iter()
-                .flatten()
-                .map(|org| Tenant { allowance: org.allowance_per_s })
-                .collect(),
-            over_share_worth: self.over_share_worth.unwrap_or(1.0),
+            tenants: self.orgs.iter().flatten().map(|org| Tenant { quota: org.allowance_per_s }).collect(),
+            over_quota_value: self.over_share_worth.unwrap_or(1.0),
             decay: match info.decay.as_deref() {
-                Some("halves") => Decay::Halves,
-                _ => Decay::Line,
+                Some("halves") => ValueDecay::Exponential,
+                _ => ValueDecay::Linear,
             },
             discovery: match self.membership_mode.as_str() {
-                "subscribe" => Discovery::Subscribe,
-                _ => Discovery::Push,
+                "subscribe" => DiscoveryMode::Subscribe,
+                _ => DiscoveryMode::Push,
             },
-            rates_listed: matches!(self.weights.as_deref(), Some("nominal" | "rough")),
-            senders: self.balancers,
+            rates_are_listed: matches!(self.weights.as_deref(), Some("nominal" | "rough")),
+            sender_count: self.balancers,
             ordinal: self.ordinal,
             zone: index(&self.zones, self.zone.as_ref()),
-            resolution: micros(self.resolution_ms),
+            turn_interval: micros(self.resolution_ms),
             limits: self.limits(),
             rules: self.rules(),
             prices: Prices {
                 cross_zone: self.deductions.cross_zone.unwrap_or(0.0),
                 handshake: self.deductions.handshake.unwrap_or(0.0),
                 probe: self.deductions.probe.unwrap_or(0.0),
-                refused: info.refusal_cost.unwrap_or(0.0),
+                rejection: info.refusal_cost.unwrap_or(0.0),
             },
         })
     }
@@ -358,15 +353,15 @@
     fn limits(&self) -> Limits {
         let limits = &self.limits;
         Limits {
-            slots: self.family_info.max_calls,
-            held: limits.most_held,
-            attempts: limits.send_cap,
-            cancel: limits.cancel.unwrap_or(false),
-            probe: limits.may_probe.unwrap_or(false),
-            peers: limits.peers.unwrap_or(false),
-            second_copies: limits.second_copies.unwrap_or(false),
-            retry_after: limits.retry_after.unwrap_or(false),
-            retry_after_max: optional(limits.max_retry_after_ms),
+            max_in_flight: self.family_info.max_calls,
+            buffer_capacity: limits.most_held,
+            max_attempts: limits.send_cap,
+            may_cancel: limits.cancel.unwrap_or(false),
+            may_probe: limits.may_probe.unwrap_or(false),
+            may_send_notes: limits.peers.unwrap_or(false),
+            may_hedge: limits.second_copies.unwrap_or(false),
+            may_advise_retry: limits.retry_after.unwrap_or(false),
+            max_retry_after: optional(limits.max_retry_after_ms),
             connect_timeout: optional(limits.connect_timeout_ms),
             connection_idle: optional(limits.conn_idle_ms),
         }
@@ -376,13 +371,13 @@
         let rules = &self.rules;
         Rules {
             answer_slack: optional(rules.answer_slack_ms),
-            ask_within: optional(rules.ask_within_ms),
+            poll_within: optional(rules.ask_within_ms),
             drain_grace: optional(rules.drain_grace_ms),
-            fall: optional(rules.fall_ms),
+            overload_tolerance: optional(rules.fall_ms),
             overload_factor: rules.overload_factor.unwrap_or(1.0),
-            start_capacity: rules.start_capacity.unwrap_or(1.0),
-            warm_within: optional(rules.warm_within_ms),
-            order_pause: optional(rules.order_pause_ms),
+            initial_capacity: rules.start_capacity.unwrap_or(1.0),
+            warm_up_time: optional(rules.warm_within_ms),
+            quarantine_time: optional(rules.order_pause_ms),
         }
     }
 }
@@ -390,31 +385,31 @@
 /// The event that a list update makes.
 pub fn listed(how: How, gen: Option<u64>, nodes: &[Node], names: &Names) -> Event {
     let update = match how {
-        How::Diff => Update::Changes,
-        How::Snapshot => Update::Full,
-        How::Disk => Update::Disk,
-        How::Error => Update::Failed,
+        How::Diff => UpdateKind::Delta,
+        How::Snapshot => UpdateKind::Snapshot,
+        How::Disk => UpdateKind::Cached,
+        How::Error => UpdateKind::Failed,
     };
-    let entries = nodes.iter().map(|node| Entry {
+    let entries = nodes.iter().map(|node| EndpointEntry {
         endpoint: node.endpoint,
         destination: node.destination,
         listing: match node.state {
-            State::Live => Listing::Live,
-            State::Quiescing => Listing::Draining,
-            State::Dead => Listing::Gone,
+            State::Live => ListingState::Live,
+            State::Quiescing => ListingState::Draining,
+            State::Dead => ListingState::Removed,
         },
         rate: node.capacity_hint.unwrap_or(0.0),
         kind: index(&names.kinds, node.model.as_ref()),
         zone: index(&names.zones, node.site.as_ref()),
         online_since: node.online_since_ms.filter(|ms| *ms > 0.0).map(micros),
     });
-    Event::Listed { update, version: gen.unwrap_or(0), entries: entries.collect() }
+    Event::EndpointsUpdated { update, version: gen.unwrap_or(0), entries: entries.collect() }
 }
 
 /// A report in the module's terms, by the names that the wire has for its values.
-pub fn load(value: impl Fn(&str) -> Option<f64>) -> Load {
-    Load {
-        allowance_left: value("x0"),
+pub fn load(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+    LoadReport {
+        limit_remaining: value("x0"),
         limit: value("x1"),
         in_flight: value("concurrent"),
         queue: value("depth"),
@@ -425,7 +420,7 @@
     }
 }
 
-fn telemetry(report: Option<Telemetry>) -> Option<Load> {
+fn telemetry(report: Option<Telemetry>) -> Option<LoadReport> {
     report.map(|values| load(|name| values.get(name).copied()))
 }
 
@@ -451,26 +446,26 @@
     pub fn event(self, names: &Names) -> Result<Event, String> {
         Ok(match self {
             Self::JobIn(job) => job.event(names)?,
-            Self::Completed(done) => Event::Ended {
+            Self::Completed(done) => Event::AttemptEnded(AttemptEnd {
                 id: done.req,
                 attempt: done.attempt,
                 endpoint: done.endpoint,
                 outcome: done.code.into(),
                 elapsed: optional(done.elapsed_ms),
-                last: done.last,
-                wait: if matches!(done.code, Code::F) { optional(done.hold_ms) } else { 0 },
-                load: telemetry(done.telemetry),
-            },
-            Self::AckFirst { req, attempt, .. } => Event::Started { id: req, attempt },
-            Self::Abandoned { req, .. } => Event::Withdrawn { id: req },
-            Self::Elapsed { ctx, .. } => Event::Timer { token: ctx },
-            Self::StatusBack { code, elapsed_ms, endpoint, telemetry: report, .. } => Event::Probed {
+                is_final: done.last,
+                retry_after: if matches!(done.code, Code::F) { optional(done.hold_ms) } else { 0 },
+                load_report: telemetry(done.telemetry),
+            }),
+            Self::AckFirst { req, attempt, .. } => Event::ResponseStarted { id: req, attempt },
+            Self::Abandoned { req, .. } => Event::MessageWithdrawn { id: req },
+            Self::Elapsed { ctx, .. } => Event::TimerFired { token: ctx },
+            Self::StatusBack { code, elapsed_ms, endpoint, telemetry: report, .. } => Event::ProbeEnded {
                 endpoint,
                 outcome: code.into(),
                 elapsed: optional(elapsed_ms),
-                load: telemetry(report),
+                load_report: telemetry(report),
             },
-            Self::Whisper { src_peer, blob, .. } => Event::Note {
+            Self::Whisper { src_peer, blob, .. } => Event::NoteReceived {
                 from: src_peer,
                 bytes: BASE64_STANDARD.decode(blob).map_err(|error| format!("field `blob`: {error}"))?,
             },
@@ -493,7 +488,7 @@
                 Some(tenant.ok_or_else(|| format!("unknown tenant {name:?}"))?)
             }
         };
-        Ok(Event::Message {
+        Ok(Event::MessageSubmitted(MessageSubmission {
             id: self.req,
             class,
             tenant,
@@ -504,7 +499,7 @@
             returned: self.returned.unwrap_or(false),
             repeat: self.resent.unwrap_or(false),
             write: self.mutates.unwrap_or(false),
-        })
+        }))
     }
 }
 
@@ -541,14 +536,14 @@
             Outgoing::Try { i, req: id, endpoint, within_ms: millis(timeout) }
         }
         Action::Cancel { id, attempt } => Outgoing::Retract { i, req: id, attempt },
-        Action::Refuse { id, retry_after } => {
+        Action::Reject { id, retry_after } => {
             Outgoing::Bounce { i, req: id, backoff_ms: millis(retry_after) }
         }
         Action::Fail { id } => Outgoing::ReportFailure { i, req: id },
         Action::SetTimer { at, token } => Outgoing::Timer { i, fire_at_ms: millis(at), ctx: token },
         Action::Probe { endpoint } => Outgoing::SoundOut { i, endpoint },
         Action::CloseIdle { endpoint } => Outgoing::ShutIdle { i, endpoint },
-        Action::Tell { to, bytes } => {
+        Action::SendNote { to, bytes } => {
             Outgoing::Tell { i, target: to.map_or(-1, i64::from), blob: BASE64_STANDARD.encode(bytes) }
         }
         Action::Subscribe { on } => Outgoing::Follow { i, on },
--- a/adapter/tests/transcripts.rs
+++ b/crates/simulator-adapter/tests/transcripts.rs
@@ -13,7 +13,7 @@
 "rules":{"answerSlackMs":20.0,"drainGraceMs":1000.0,"overloadFactor":2.0,"startCapacity":0.2,"warmWithinMs":9000.0}}"#;
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_roadshift-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
