--- a/crates/delivery-control/src/control.rs
+++ b/crates/delivery-control/src/control.rs
@@ -241,13 +241,13 @@
     }
 
     /// Goes on from what another process left, whose settings named the same classes, kinds and so on.
-    pub fn go_on(self, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+    pub fn restore(self, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         let Self { settings, random, .. } = Self::new(settings, seed)?;
         Ok(Self { settings, random, ..self })
     }
 
     /// Whether it has this message in hand.
-    pub fn holds(&self, id: MessageId) -> bool {
+    pub fn holds_message(&self, id: MessageId) -> bool {
         self.messages.contains_key(&id)
     }
 
@@ -408,7 +408,7 @@
     }
 
     /// How many of the listed endpoints nothing goes to: out by hand, draining, or held back as ill.
-    pub fn avoided(&self) -> usize {
+    pub fn avoided_endpoint_count(&self) -> usize {
         let ill = |health| matches!(health, Health::Out { trial_at, .. } if trial_at > self.now);
         let shunned = |to: &&Endpoint| !to.live || ill(to.health);
         self.endpoints.values().filter(|to| to.listing != ListingState::Removed).filter(shunned).count()
--- a/crates/delivery-control/tests/decisions.rs
+++ b/crates/delivery-control/tests/decisions.rs
@@ -669,7 +669,7 @@
 #[test]
 fn an_endpoint_out_by_hand_drains_until_it_is_put_back_once() {
     let mut bench = Bench::new(settings(), shared());
-    assert_eq!(bench.controller.avoided(), 0);
+    assert_eq!(bench.controller.avoided_endpoint_count(), 0);
     let maintenance = |command| Event::Maintenance { endpoint: 1, command };
     bench.turn(&[maintenance(MaintenanceCommand::Drain), maintenance(MaintenanceCommand::Drain)]);
     assert!(sends(&bench.turn(&[message(1, 1, 10)])).is_empty());
@@ -677,12 +677,12 @@
         assert!(sends(&bench.turn(&[listed(list)])).is_empty());
         bench.pass(bench.now + SECOND);
     }
-    assert_eq!(bench.controller.avoided(), 1);
+    assert_eq!(bench.controller.avoided_endpoint_count(), 1);
     let mut actions = bench.turn(&[maintenance(MaintenanceCommand::Restore)]);
     let until = bench.now + 12 * SECOND;
     actions.extend(bench.pass(until).into_iter().map(|(_, action)| action));
     assert_eq!(sends(&actions), [(1, 1)]);
-    assert_eq!(bench.controller.avoided(), 0);
+    assert_eq!(bench.controller.avoided_endpoint_count(), 0);
 }
 
 /// Guards against an endpoint that was put back while discovery did not list it being lost for good, and against
@@ -699,7 +699,7 @@
     assert!(sends(&bench.turn(&[])).is_empty());
     let draining = EndpointEntry { listing: ListingState::Draining, ..entry(2, 20, 0) };
     bench.turn(&[listed(vec![entry(1, 10, 0), draining])]);
-    assert_eq!(bench.controller.avoided(), 1);
+    assert_eq!(bench.controller.avoided_endpoint_count(), 1);
     bench.pass(bench.now + 12 * SECOND);
     assert_eq!(bench.attempts.get(&1), Some(&0));
 }
@@ -730,11 +730,11 @@
     let mut bench = Bench::new(settings(), shared());
     let maintenance = |command| Event::Maintenance { endpoint: 1, command };
     bench.turn(&[maintenance(MaintenanceCommand::Drain), maintenance(MaintenanceCommand::Restore)]);
-    assert_eq!(bench.controller.avoided(), 0, "nothing keeps the next message from it");
+    assert_eq!(bench.controller.avoided_endpoint_count(), 0, "nothing keeps the next message from it");
     let burst: Vec<_> = (1..=10).map(|id| message(id, 1, 10)).collect();
     assert_eq!(sends(&bench.turn(&burst)).len(), 1);
     bench.turn(&[ended(1, 0, 1, AttemptOutcome::ConnectFailed)]);
-    assert_eq!(bench.controller.avoided(), 1);
+    assert_eq!(bench.controller.avoided_endpoint_count(), 1);
 }
 
 /// Guards against payments spent on finding out whether a partner is back, while a message waits that may be
@@ -746,7 +746,7 @@
         bench.turn(&[message(9, 1, 10)]);
         bench.turn(&[ended(9, 0, 1, AttemptOutcome::Error)]);
         bench.turn(&[Event::MessageWithdrawn { id: 9 }]);
-        assert_eq!(bench.controller.avoided(), 1);
+        assert_eq!(bench.controller.avoided_endpoint_count(), 1);
         // Older, and so first in its line.
         assert!(sends(&bench.turn(&[message(1, 2, 10)])).is_empty());
         assert!(sends(&bench.turn(&others)).is_empty());
--- a/crates/delivery-control/tests/fleet.rs
+++ b/crates/delivery-control/tests/fleet.rs
@@ -186,7 +186,7 @@
         }
         let id = *bench.calls.first_key_value().expect("a second call").0;
         bench.turn(&[reported(id, bench.attempts[&id], AttemptOutcome::Rejected, left, 20.0)]);
-        bench.controller.avoided()
+        bench.controller.avoided_endpoint_count()
     };
     assert_eq!((avoided(1.0), avoided(0.0)), (1, 0));
 }
--- a/crates/message-sender/src/client_api/mod.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -32,41 +32,41 @@
     pub settings: Settings,
     pub names: Names,
     pub inbox: mpsc::Sender<SenderEvent>,
-    pub duty: watch::Receiver<ServingState>,
-    pub admission: Rc<ConnectionLimiter>,
+    pub serving_state: watch::Receiver<ServingState>,
+    pub limiter: Rc<ConnectionLimiter>,
 }
 
 impl ClientApi {
     /// Accepts connections for good, also while draining: the front notices only after a while.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        self.admission.clone().serve(listener, |stream, seat| self.clone().converse(stream, seat)).await;
+        self.limiter.clone().serve(listener, |stream, slot| self.clone().converse(stream, slot)).await;
     }
 
-    async fn converse(self: Rc<Self>, stream: TcpStream, seat: Rc<ConnectionSlot>) {
+    async fn converse(self: Rc<Self>, stream: TcpStream, slot: Rc<ConnectionSlot>) {
         // Without it answers may wait for the client's acknowledgement; a socket that denies it is broken.
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: seat.clone() });
+        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: slot.clone() });
         let this = self.clone();
-        let taken = seat.clone();
+        let taken = slot.clone();
         let service = service_fn(move |request| {
-            let (this, seat) = (this.clone(), taken.clone());
-            async move { Ok::<_, Infallible>(this.answer(request, &seat).await) }
+            let (this, slot) = (this.clone(), taken.clone());
+            async move { Ok::<_, Infallible>(this.answer(request, &slot).await) }
         });
         let mut server = http1::Builder::new();
         // The seat keeps the time, for head and body together.
         server.header_read_timeout(None).max_buf_size(BUFFER_BYTES);
         let mut connection = std::pin::pin!(server.serve_connection(io, service));
-        let mut duty = self.duty.clone();
+        let mut serving_state = self.serving_state.clone();
         let served = loop {
             tokio::select! {
                 served = &mut connection => break served,
                 // One that comes while draining must be let read its first request; the answer closes it. So with
                 // a request that has come in part: the library takes that for an idle connection, and its client
                 // may have written all of it.
-                () = ServingState::ends(&mut duty) => {
-                    if !seat.is_asked() {
+                () = ServingState::wait_until_not_serving(&mut serving_state) => {
+                    if !slot.has_pending_request() {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -78,40 +78,40 @@
     }
 
     /// Answers one request. Whoever breaks the protocol is not listened to any further.
-    async fn answer(&self, request: Request<Incoming>, seat: &ConnectionSlot) -> Response<Empty<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, slot: &ConnectionSlot) -> Response<Empty<Bytes>> {
         let length = body_length(request.headers());
-        let mut response = match self.route(request, &length, seat).await {
+        let mut response = match self.route(request, &length, slot).await {
             Ok(status) => status.into_response(),
             Err(status) => status.into_response(),
         };
         let astray =
-            response.status().is_client_error() || !length.is_ok_and(|length| seat.holds_one_request(length));
+            response.status().is_client_error() || !length.is_ok_and(|length| slot.holds_one_request(length));
         if astray || !self.is_serving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        self.admission.answered(seat);
+        self.limiter.answered(slot);
         response
     }
 
     fn is_serving(&self) -> bool {
-        *self.duty.borrow() == ServingState::Serving
+        *self.serving_state.borrow() == ServingState::Serving
     }
 
     async fn route(
         &self,
         request: Request<Incoming>,
         length: &Result<u64, StatusCode>,
-        seat: &ConnectionSlot,
+        slot: &ConnectionSlot,
     ) -> Result<Reply, StatusCode> {
         let length = (*length)?;
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/healthz") => Ok(Reply::Status(match *self.duty.borrow() {
+            (&Method::GET, "/healthz") => Ok(Reply::Status(match *self.serving_state.borrow() {
                 // One sender to its clients, whichever process answers.
                 ServingState::Serving | ServingState::HandedOver => StatusCode::OK,
                 ServingState::Standby | ServingState::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             })),
             (_, "/healthz") => Err(StatusCode::METHOD_NOT_ALLOWED),
-            (&Method::POST, _) => self.hand_in(request, length, seat).await,
+            (&Method::POST, _) => self.hand_in(request, length, slot).await,
             (_, path) => match self.names.class(first_part(path)) {
                 Some(_) => Err(StatusCode::METHOD_NOT_ALLOWED),
                 None => Err(StatusCode::NOT_FOUND),
@@ -123,17 +123,17 @@
         &self,
         request: Request<Incoming>,
         length: u64,
-        seat: &ConnectionSlot,
+        slot: &ConnectionSlot,
     ) -> Result<Reply, StatusCode> {
         let (head, body) = request.into_parts();
         let mut handed = decode(&self.settings, &self.names, &head.uri, &head.headers)?;
         let body = Limited::new(body, BODY_BYTES as usize).collect().await;
         // A copy: the bytes as read are a slice of a far larger buffer, which they would keep.
         handed.body = Bytes::copy_from_slice(&body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes());
-        if !seat.holds_one_request(length) {
+        if !slot.holds_one_request(length) {
             return Err(StatusCode::BAD_REQUEST);
         }
-        seat.open();
+        slot.open();
         self.ask(handed).await
     }
 
--- a/crates/message-sender/src/config.rs
+++ b/crates/message-sender/src/config.rs
@@ -45,7 +45,7 @@
 
 /// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners, a handover and the log,
 /// and those of operators' calls.
-const OWN_SOCKETS: usize = 28 + operator_api::SEATS;
+const OWN_SOCKETS: usize = 28 + operator_api::MAX_CONNECTIONS;
 /// While an upgrade goes on, so many processes have them; the rest is the sender's as a whole.
 const PROCESSES: usize = 2;
 /// What a client's connection holds: its buffers. Few have a body in hand at the same time.
--- a/crates/message-sender/src/connection_limiter.rs
+++ b/crates/message-sender/src/connection_limiter.rs
@@ -19,7 +19,7 @@
 /// A connection without a request may be closed after 2 s. While there is room it may stay a little longer:
 /// clients that ask often then need no new one.
 const IDLE_PATIENCE: Duration = Duration::from_secs(5);
-const TEND_GAP: Duration = Duration::from_millis(200);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// How often it is looked whether requests are on their way, once the process is to end.
 const LOOK_GAP: Duration = Duration::from_millis(5);
 /// Pause after a failed accept: the cause, such as no descriptor left, will not be gone at once.
@@ -123,12 +123,12 @@
     }
 
     /// Part of a request has come, or all of it, and it is not answered yet.
-    pub fn is_asked(&self) -> bool {
+    pub fn has_pending_request(&self) -> bool {
         self.phase.get() != Phase::Idle
     }
 
     /// Waits until the connection is to be closed.
-    pub async fn unwanted(&self) {
+    pub async fn wait_until_unwanted(&self) {
         self.unwanted.notified().await;
     }
 
@@ -149,32 +149,32 @@
     elsewhere: Cell<usize>,
     /// Those whose connections have been told to go, and hold their descriptors until they have.
     leaving: Cell<usize>,
-    seats: RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>,
+    slots: RefCell<BTreeMap<u64, Rc<ConnectionSlot>>>,
     counter: Cell<u64>,
     changed: Notify,
 }
 
 /// A seat that is taken until this is dropped.
 pub struct OccupiedSlot {
-    admission: Rc<ConnectionLimiter>,
+    limiter: Rc<ConnectionLimiter>,
     number: u64,
-    pub seat: Rc<ConnectionSlot>,
+    pub slot: Rc<ConnectionSlot>,
 }
 
 impl Drop for OccupiedSlot {
     fn drop(&mut self) {
-        self.admission.seats.borrow_mut().remove(&self.number);
-        let left = usize::from(self.seat.leaves.get());
-        self.admission.leaving.set(self.admission.leaving.get() - left);
-        self.admission.changed.notify_one();
+        self.limiter.slots.borrow_mut().remove(&self.number);
+        let left = usize::from(self.slot.leaves.get());
+        self.limiter.leaving.set(self.limiter.leaving.get() - left);
+        self.limiter.changed.notify_one();
     }
 }
 
 impl ConnectionLimiter {
     pub fn new(most: usize) -> Rc<Self> {
         let (elsewhere, leaving, counter) = (Cell::new(0), Cell::new(0), Cell::new(0));
-        let (seats, changed) = (RefCell::default(), Notify::new());
-        Rc::new(Self { most, elsewhere, leaving, seats, counter, changed })
+        let (slots, changed) = (RefCell::default(), Notify::new());
+        Rc::new(Self { most, elsewhere, leaving, slots, counter, changed })
     }
 
     /// Accepts connections for good, and serves each in a task of its own until it or its seat ends that.
@@ -186,16 +186,16 @@
         F: Future<Output = ()> + 'static,
     {
         loop {
-            self.vacancy().await;
+            self.wait_for_slot().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     // Before the next one is accepted, so that all that are open are counted.
-                    let taken = self.take();
-                    let conversation = converse(stream, taken.seat.clone());
+                    let taken = self.occupy();
+                    let conversation = converse(stream, taken.slot.clone());
                     tokio::task::spawn_local(async move {
                         tokio::select! {
                             () = conversation => {}
-                            () = taken.seat.unwanted() => {}
+                            () = taken.slot.wait_until_unwanted() => {}
                         }
                     });
                 }
@@ -208,35 +208,35 @@
     }
 
     fn is_full(&self) -> bool {
-        self.taken() >= self.most.saturating_sub(self.elsewhere.get()).max(1)
+        self.open_connections() >= self.most.saturating_sub(self.elsewhere.get()).max(1)
     }
 
     /// Connections that have a seat.
-    pub fn taken(&self) -> usize {
-        self.seats.borrow().len()
+    pub fn open_connections(&self) -> usize {
+        self.slots.borrow().len()
     }
 
     /// A request is on its way on some connection: one that was made to hand it in counts.
-    pub fn is_asked(&self) -> bool {
-        self.seats.borrow().values().any(|seat| seat.is_asked() || seat.fresh.get())
+    pub fn has_pending_request(&self) -> bool {
+        self.slots.borrow().values().any(|slot| slot.has_pending_request() || slot.fresh.get())
     }
 
     /// Waits until no request is on its way.
-    pub async fn quiet(&self) {
-        while self.is_asked() {
+    pub async fn wait_until_quiet(&self) {
+        while self.has_pending_request() {
             sleep(LOOK_GAP).await;
         }
     }
 
     /// So many seats are taken by connections of another process.
-    pub fn leave_free(&self, elsewhere: usize) {
+    pub fn reserve_for_predecessor(&self, elsewhere: usize) {
         self.elsewhere.set(elsewhere);
         self.changed.notify_one();
     }
 
     /// Waits until another connection can have a seat: always, unless requests are open on all, once those have gone
     /// that were told to. Otherwise a crowd that comes at once takes the descriptors of discovery and endpoints.
-    pub async fn vacancy(&self) {
+    pub async fn wait_for_slot(&self) {
         while self.leaving.get() > 0 || (self.is_full() && self.dispensable().is_none()) {
             self.changed.notified().await;
         }
@@ -244,41 +244,41 @@
 
     /// Gives a new connection its seat. Where none is free, the connection that has been without a request for
     /// longest is closed.
-    pub fn take(self: &Rc<Self>) -> OccupiedSlot {
+    pub fn occupy(self: &Rc<Self>) -> OccupiedSlot {
         if self.is_full() {
-            if let Some(seat) = self.dispensable() {
+            if let Some(slot) = self.dispensable() {
                 // It may not be chosen again until it has gone.
-                seat.open();
-                seat.leaves.set(true);
+                slot.open();
+                slot.leaves.set(true);
                 self.leaving.set(self.leaving.get() + 1);
-                seat.unwanted.notify_one();
+                slot.unwanted.notify_one();
             }
         }
-        let (number, seat) = (self.counter.get(), Rc::new(ConnectionSlot::new()));
+        let (number, slot) = (self.counter.get(), Rc::new(ConnectionSlot::new()));
         self.counter.set(number + 1);
-        self.seats.borrow_mut().insert(number, seat.clone());
-        OccupiedSlot { admission: self.clone(), number, seat }
+        self.slots.borrow_mut().insert(number, slot.clone());
+        OccupiedSlot { limiter: self.clone(), number, slot }
     }
 
     /// The request on this seat has been answered.
-    pub fn answered(&self, seat: &ConnectionSlot) {
-        seat.answered();
+    pub fn answered(&self, slot: &ConnectionSlot) {
+        slot.answered();
         self.changed.notify_one();
     }
 
     /// A silent connection before one on which a request is coming, and the oldest of each.
     fn dispensable(&self) -> Option<Rc<ConnectionSlot>> {
-        let seats = self.seats.borrow();
-        let closable = seats.values().filter(|seat| seat.phase.get() != Phase::Open);
-        closable.min_by_key(|seat| (seat.phase.get() == Phase::Reading, seat.since.get())).cloned()
+        let slots = self.slots.borrow();
+        let closable = slots.values().filter(|slot| slot.phase.get() != Phase::Open);
+        closable.min_by_key(|slot| (slot.phase.get() == Phase::Reading, slot.since.get())).cloned()
     }
 
     /// Closes what is overdue.
-    pub async fn tend(self: Rc<Self>) {
+    pub async fn run_maintenance(self: Rc<Self>) {
         loop {
-            sleep(TEND_GAP).await;
-            self.seats.borrow().values().filter(|seat| seat.is_overdue()).for_each(|seat| {
-                seat.unwanted.notify_one();
+            sleep(MAINTENANCE_INTERVAL).await;
+            self.slots.borrow().values().filter(|slot| slot.is_overdue()).for_each(|slot| {
+                slot.unwanted.notify_one();
             });
         }
     }
@@ -293,43 +293,43 @@
     fn what_stands_behind_a_request_is_seen() {
         let text = b"POST / HTTP/1.1\r\nA: b\r\n\r\nbody";
         for cut in 0..text.len() {
-            let seat = ConnectionSlot::new();
-            seat.read(&text[..cut]);
-            seat.read(&text[cut..]);
-            assert!(seat.holds_one_request(4), "cut at {cut}");
-            assert!(!seat.holds_one_request(3), "cut at {cut}");
-            seat.answered();
-            assert!(!seat.holds_one_request(4));
+            let slot = ConnectionSlot::new();
+            slot.read(&text[..cut]);
+            slot.read(&text[cut..]);
+            assert!(slot.holds_one_request(4), "cut at {cut}");
+            assert!(!slot.holds_one_request(3), "cut at {cut}");
+            slot.answered();
+            assert!(!slot.holds_one_request(4));
         }
     }
 
     /// Guards against a request that is cut off for one that is only idle.
     #[test]
     fn the_longest_without_a_request_goes_first() {
-        let admission = ConnectionLimiter::new(3);
-        let (open, reading, idle) = (admission.take(), admission.take(), admission.take());
-        open.seat.open();
-        reading.seat.read(b"P");
-        assert!(Rc::ptr_eq(&admission.dispensable().unwrap(), &idle.seat));
+        let limiter = ConnectionLimiter::new(3);
+        let (open, reading, idle) = (limiter.occupy(), limiter.occupy(), limiter.occupy());
+        open.slot.open();
+        reading.slot.read(b"P");
+        assert!(Rc::ptr_eq(&limiter.dispensable().unwrap(), &idle.slot));
         drop(idle);
-        assert!(Rc::ptr_eq(&admission.dispensable().unwrap(), &reading.seat));
-        reading.seat.open();
-        assert!(admission.dispensable().is_none());
+        assert!(Rc::ptr_eq(&limiter.dispensable().unwrap(), &reading.slot));
+        reading.slot.open();
+        assert!(limiter.dispensable().is_none());
     }
 
     /// Guards against two processes that together hold more connections than one may.
     #[test]
     fn seats_that_another_process_holds_are_left_free() {
-        let admission = ConnectionLimiter::new(3);
-        let _first = admission.take();
-        assert!(!admission.is_full());
-        admission.leave_free(2);
-        assert!(admission.is_full());
-        admission.leave_free(9);
+        let limiter = ConnectionLimiter::new(3);
+        let _first = limiter.occupy();
+        assert!(!limiter.is_full());
+        limiter.reserve_for_predecessor(2);
+        assert!(limiter.is_full());
+        limiter.reserve_for_predecessor(9);
         drop(_first);
-        assert!(!admission.is_full(), "one at least gets in");
-        admission.leave_free(0);
-        let (_first, _second) = (admission.take(), admission.take());
-        assert!(!admission.is_full());
+        assert!(!limiter.is_full(), "one at least gets in");
+        limiter.reserve_for_predecessor(0);
+        let (_first, _second) = (limiter.occupy(), limiter.occupy());
+        assert!(!limiter.is_full());
     }
 }
--- a/crates/message-sender/src/delivery/mod.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::http_connection::{Connection, Rest, SendError};
+use crate::http_connection::{Connection, RestOfAnswer, SendError};
 use crate::time::duration;
 
 const PATH: &str = "/receive";
@@ -46,7 +46,7 @@
 const PATIENCE_CUT: f64 = 0.5;
 const PATIENCE_REGAINS: f64 = 1.03;
 /// How often it is looked what has been idle for too long.
-const TEND_GAP: Duration = Duration::from_millis(250);
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A told wait holds for a destination, or for an endpoint that is a route apart.
 pub type Route = (DestinationId, Option<EndpointId>);
@@ -183,13 +183,13 @@
     /// Another process is the sender: no call begins, and no connection is kept.
     retired: Cell<bool>,
     /// Messages written whole.
-    tries: Rc<Cell<u64>>,
+    attempts: Rc<Cell<u64>>,
     /// Calls that broke since the last line of the log: why, and whether on a reused connection.
     breaks: RefCell<BTreeMap<(String, bool), u32>>,
 }
 
 impl DeliveryClient {
-    pub fn new(limits: &Limits, idle_most: usize, tries: Rc<Cell<u64>>) -> Rc<Self> {
+    pub fn new(limits: &Limits, idle_most: usize, attempts: Rc<Cell<u64>>) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
             idle_most,
@@ -202,7 +202,7 @@
             crowded: RefCell::default(),
             patience: Cell::new(1.0),
             retired: Cell::new(false),
-            tries,
+            attempts,
             breaks: RefCell::default(),
         })
     }
@@ -234,11 +234,11 @@
             Ok(ending) => return ending,
             Err(outcome) => outcome,
         };
-        let whole = connection.as_ref().is_some_and(|open| open.written() >= request.length);
-        if let Some(open) = connection.as_ref().filter(|open| whole && !open.is_answered()) {
+        let whole = connection.as_ref().is_some_and(|open| open.bytes_written() >= request.length);
+        if let Some(open) = connection.as_ref().filter(|open| whole && !open.has_answer()) {
             self.count_break("no answer".to_owned(), open.is_reused);
         }
-        let delivered = whole && connection.as_ref().and_then(Connection::first_line) == Some(DELIVERED);
+        let delivered = whole && connection.as_ref().and_then(Connection::answer_status) == Some(DELIVERED);
         if let Some(connection) = connection {
             connection.close().await;
         }
@@ -272,23 +272,26 @@
             }
             return Ok(ending);
         }
-        let rest = open.rest(answer.into_body(), ANSWER_BYTES).await;
-        if rest == Rest::Spoilt {
+        let rest = open.read_rest(answer.into_body(), ANSWER_BYTES).await;
+        if rest == RestOfAnswer::Spoilt {
             return Err(AttemptOutcome::Error);
         }
         self.heed(call.route, ending.wait);
         // A limit on calls, or a destination that is shut, would have said more, and kept the connection. It proves
         // nothing of either, so it must neither slow the others' pace nor count as an outage.
         let told_nothing = ending.wait == 0 && ending.load.is_none();
-        if rest == Rest::Last && ending.outcome == AttemptOutcome::Rejected && told_nothing && !open.is_reused
+        if rest == RestOfAnswer::Last
+            && ending.outcome == AttemptOutcome::Rejected
+            && told_nothing
+            && !open.is_reused
         {
             self.note_crowded(call.endpoint);
             return Ok(AttemptOutcome::NotSent.into());
         }
         match (rest, connection.take()) {
-            (Rest::Whole, Some(open)) => self.put_idle(call.at(), open),
+            (RestOfAnswer::Whole, Some(open)) => self.put_idle(call.at(), open),
             // The length may have been wrong: in doubt it may have run. A wait that was told is kept all the same.
-            (Rest::Overfull, Some(open)) => {
+            (RestOfAnswer::Overfull, Some(open)) => {
                 open.close().await;
                 return Ok(AttemptResult { wait: ending.wait, ..AttemptOutcome::Error.into() });
             }
@@ -323,7 +326,7 @@
                 return Err(AttemptOutcome::NotSent);
             }
             request.begun.set(true);
-            open.count_whole(request.length, &self.tries);
+            open.count_when_written(request.length, &self.attempts);
             match open.send(request.request()).await {
                 Ok(response) => {
                     idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, false));
@@ -337,7 +340,7 @@
                 }
                 Err(error) => {
                     // An answer that has begun, however spoilt, shows that the connection was alive.
-                    let dead = !open.is_answered();
+                    let dead = !open.has_answer();
                     idle_for.inspect(|idle_for| self.survival.borrow_mut().note(*idle_for, dead));
                     self.count_break(error.to_string(), idle_for.is_some());
                     return Err(AttemptOutcome::Reset);
@@ -385,9 +388,9 @@
         answer: Response<Incoming>,
     ) {
         self.kept.set(self.kept.get() + 1);
-        let rest = open.rest(answer.into_body(), ANSWER_BYTES).await;
+        let rest = open.read_rest(answer.into_body(), ANSWER_BYTES).await;
         self.kept.set(self.kept.get() - 1);
-        if rest == Rest::Whole {
+        if rest == RestOfAnswer::Whole {
             self.put_idle(at, open);
         }
     }
@@ -412,11 +415,13 @@
     }
 
     /// Closes what has been idle for too long, and logs why calls broke.
-    pub async fn tend(self: Rc<Self>) {
+    pub async fn run_maintenance(self: Rc<Self>) {
         let (mut told, mut faded) = (Instant::now(), Instant::now());
         loop {
-            sleep(TEND_GAP).await;
-            self.patience.set((self.patience.get() * PATIENCE_REGAINS.powf(TEND_GAP.as_secs_f64())).min(1.0));
+            sleep(MAINTENANCE_INTERVAL).await;
+            self.patience.set(
+                (self.patience.get() * PATIENCE_REGAINS.powf(MAINTENANCE_INTERVAL.as_secs_f64())).min(1.0),
+            );
             let idle_time = self.idle_time.mul_f64(self.patience.get());
             if told.elapsed() >= BREAKS_EVERY && !self.breaks.borrow().is_empty() {
                 told = Instant::now();
@@ -437,14 +442,20 @@
         }
     }
 
-    /// Leaves all to another process, or, if that died, takes it back.
-    pub fn retire(&self, retired: bool) {
-        self.retired.set(retired);
+    /// Starts no more calls and keeps no connection: a successor process is the sender.
+    pub fn suspend(&self) {
+        self.retired.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Starts calls again: the successor has died.
+    pub fn resume(&self) {
+        self.retired.set(false);
         self.idle.borrow_mut().clear();
     }
 
     /// Calls that were decided on before now do not go to the endpoint any more, unless they have begun to.
-    pub fn leave(&self, endpoint: EndpointId) {
+    pub fn drain(&self, endpoint: EndpointId) {
         self.left.borrow_mut().insert(endpoint, Instant::now());
         self.close_idle(endpoint);
     }
@@ -714,7 +725,7 @@
             let connection = Connection::open(address).await.unwrap();
             endpoints.put_idle((1, address), connection);
             assert_eq!(endpoints.idle.borrow().len(), 1, "the other's only");
-            tokio::task::spawn_local(endpoints.clone().tend());
+            tokio::task::spawn_local(endpoints.clone().run_maintenance());
             while !endpoints.idle.borrow().is_empty() {
                 sleep(Duration::from_millis(5)).await;
             }
@@ -782,9 +793,9 @@
             let made = Instant::now();
             let late = Call { begin_by: made, ..call_to(address) };
             assert_eq!(endpoints.clone().call(late, cancel).await.outcome, AttemptOutcome::NotSent);
-            assert_eq!(endpoints.tries.get(), 0);
+            assert_eq!(endpoints.attempts.get(), 0);
             assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
-            assert_eq!(endpoints.tries.get(), 1);
+            assert_eq!(endpoints.attempts.get(), 1);
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
@@ -800,15 +811,15 @@
             let endpoints = endpoints();
             let (_kept, cancel) = oneshot::channel();
             let before = call_to(address);
-            endpoints.leave(before.endpoint);
+            endpoints.drain(before.endpoint);
             assert_eq!(endpoints.clone().call(before, cancel).await.outcome, AttemptOutcome::NotSent);
             sleep(Duration::from_millis(1)).await;
             // What the module sends later, it sends knowing better.
             assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
-            endpoints.retire(true);
+            endpoints.suspend();
             assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::NotSent);
             assert!(endpoints.idle.borrow().is_empty());
-            endpoints.retire(false);
+            endpoints.resume();
             assert_eq!(outcome(&endpoints, address).await, AttemptOutcome::Delivered);
         };
         tokio::task::LocalSet::new().run_until(test).await;
--- a/crates/message-sender/src/discovery/mod.rs
+++ b/crates/message-sender/src/discovery/mod.rs
@@ -20,7 +20,7 @@
 use crate::endpoint_list::EndpointList;
 use crate::event::SenderEvent;
 use crate::http_connection::Connection;
-use crate::notice::Notice;
+use crate::notice::{Notice, NoticeResult};
 use crate::time::duration;
 
 /// A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls in between:
@@ -340,8 +340,11 @@
 fn lines(batch: &[(MessageId, Notice)]) -> Bytes {
     let mut text = Vec::new();
     for (_, notice) in batch {
-        let result = if notice.bounced.is_some() { "bounced" } else { "dead" };
-        let wait_ms = notice.bounced.map(|wait| wait / 1000).filter(|wait| *wait > 0);
+        let (result, retry_after) = match notice.result {
+            NoticeResult::Failed => ("dead", 0),
+            NoticeResult::Rejected { retry_after } => ("bounced", retry_after),
+        };
+        let wait_ms = Some(retry_after / 1000).filter(|wait| *wait > 0);
         let line = NoticeLine { call_id: &notice.call_id, result, wait_ms };
         // Plain texts and numbers always serialize.
         text.extend(serde_json::to_vec(&line).unwrap_or_default());
@@ -633,7 +636,7 @@
             let (inbox, mut noticed) = mpsc::channel(8);
             let notices = Rc::new(NoticeQueue::default());
             tokio::task::spawn_local(notices.clone().send(addresses, inbox));
-            notices.push(1, Notice { call_id: "m1".to_owned(), bounced: None });
+            notices.push(1, Notice { call_id: "m1".to_owned(), result: NoticeResult::Failed });
             let (mut first, _) = listener.accept().await.unwrap();
             assert!(first.read(&mut [0; 4096]).await.unwrap() > 0);
             let since = Instant::now();
--- a/crates/message-sender/src/endpoint_registry.rs
+++ b/crates/message-sender/src/endpoint_registry.rs
@@ -41,7 +41,7 @@
 pub struct EndpointRegistry {
     names: Names,
     kinds: Vec<DestinationKind>,
-    places: HashMap<EndpointId, RegisteredEndpoint>,
+    registry: HashMap<EndpointId, RegisteredEndpoint>,
     ids: HashMap<String, EndpointId>,
     next_id: EndpointId,
     destinations: HashMap<DestinationId, Instant>,
@@ -56,7 +56,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct RegistrySnapshot {
     /// Each with its name, and whether it has gone.
-    places: Vec<(EndpointId, SocketAddr, Route, usize, String, bool)>,
+    registry: Vec<(EndpointId, SocketAddr, Route, usize, String, bool)>,
     ids: HashMap<String, EndpointId>,
     next_id: EndpointId,
     destinations: Vec<DestinationId>,
@@ -67,7 +67,7 @@
 pub struct RegistryUpdate {
     pub update: UpdateKind,
     pub entries: Vec<EndpointEntry>,
-    pub left: Vec<EndpointId>,
+    pub departed: Vec<EndpointId>,
 }
 
 impl EndpointRegistry {
@@ -75,7 +75,7 @@
         Self {
             names,
             kinds,
-            places: HashMap::new(),
+            registry: HashMap::new(),
             ids: HashMap::new(),
             next_id: 0,
             destinations: HashMap::new(),
@@ -86,12 +86,12 @@
     }
 
     /// What the next process is to know. What an operator took out, the journal tells.
-    pub fn save(&self) -> RegistrySnapshot {
+    pub fn snapshot(&self) -> RegistrySnapshot {
         let place = |(id, place): (&EndpointId, &RegisteredEndpoint)| {
             (*id, place.address, place.route, place.zone, place.name.clone(), place.gone.is_some())
         };
         RegistrySnapshot {
-            places: self.places.iter().map(place).collect(),
+            registry: self.registry.iter().map(place).collect(),
             ids: self.ids.clone(),
             next_id: self.next_id,
             destinations: self.destinations.keys().copied().collect(),
@@ -100,37 +100,37 @@
     }
 
     /// Goes on from what another process knew. What had gone is kept as if it went now.
-    pub fn go_on(&mut self, saved: RegistrySnapshot) {
+    pub fn restore(&mut self, saved: RegistrySnapshot) {
         let now = Instant::now();
         let place = |(id, address, route, zone, name, gone): (_, _, _, _, _, bool)| {
             (id, RegisteredEndpoint { address, route, zone, name, gone: gone.then_some(now) })
         };
-        self.places = saved.places.into_iter().map(place).collect();
+        self.registry = saved.registry.into_iter().map(place).collect();
         self.destinations = saved.destinations.into_iter().map(|destination| (destination, now)).collect();
         (self.ids, self.next_id, self.settled) = (saved.ids, saved.next_id, saved.settled);
     }
 
     /// Endpoints that the list names.
-    pub fn listed(&self) -> usize {
-        self.places.values().filter(|place| place.gone.is_none()).count()
+    pub fn listed_count(&self) -> usize {
+        self.registry.values().filter(|place| place.gone.is_none()).count()
     }
 
     /// Whether an operator can mean an endpoint: it is listed, or was taken out before it went.
     pub fn is_known(&self, name: &str) -> bool {
-        let listed = self.ids.get(name).and_then(|id| self.places.get(id));
+        let listed = self.ids.get(name).and_then(|id| self.registry.get(id));
         self.out.contains(name) || listed.is_some_and(|place| place.gone.is_none())
     }
 
     /// Marks an endpoint as taken out by hand, listed or not.
-    pub fn take_out(&mut self, name: &str) -> EndpointId {
+    pub fn mark_drained(&mut self, name: &str) -> EndpointId {
         self.out.insert(name.to_owned());
         self.id(name)
     }
 
-    pub fn put_back(&mut self, name: &str) -> EndpointId {
+    pub fn mark_restored(&mut self, name: &str) -> EndpointId {
         self.out.remove(name);
         let id = self.id(name);
-        if !self.places.contains_key(&id) {
+        if !self.registry.contains_key(&id) {
             self.ids.remove(name);
         }
         id
@@ -144,10 +144,10 @@
     }
 
     pub fn get(&self, endpoint: EndpointId) -> Option<&RegisteredEndpoint> {
-        self.places.get(&endpoint)
+        self.registry.get(&endpoint)
     }
 
-    pub fn existence(&self, destination: DestinationId) -> DestinationStatus {
+    pub fn destination_status(&self, destination: DestinationId) -> DestinationStatus {
         match self.destinations.contains_key(&destination) {
             true => DestinationStatus::Known,
             false if self.settled => DestinationStatus::Unknown,
@@ -156,13 +156,13 @@
     }
 
     /// Takes in the list that an earlier process had, of unknown age.
-    pub fn recall(&mut self, list: &EndpointList) -> RegistryUpdate {
+    pub fn load_cached(&mut self, list: &EndpointList) -> RegistryUpdate {
         self.recalled = true;
         RegistryUpdate { update: UpdateKind::Cached, ..self.take(list, true) }
     }
 
     /// Takes in a list from discovery. What has changed since a list that was known makes it whole.
-    pub fn list(&mut self, list: &EndpointList) -> RegistryUpdate {
+    pub fn apply_update(&mut self, list: &EndpointList) -> RegistryUpdate {
         self.settled |= list.snapshot || self.recalled;
         self.take(list, list.snapshot)
     }
@@ -173,14 +173,18 @@
         if whole {
             let named: HashSet<_> = entries.iter().map(|entry| entry.endpoint).collect();
             // What a whole list leaves out has gone without a word.
-            let places = self.places.iter_mut();
-            for (id, place) in places.filter(|(id, place)| place.gone.is_none() && !named.contains(id)) {
+            let registry = self.registry.iter_mut();
+            for (id, place) in registry.filter(|(id, place)| place.gone.is_none() && !named.contains(id)) {
                 place.gone = Some(now);
                 left.push(*id);
             }
         }
         self.forget(now);
-        RegistryUpdate { update: if whole { UpdateKind::Snapshot } else { UpdateKind::Delta }, entries, left }
+        RegistryUpdate {
+            update: if whole { UpdateKind::Snapshot } else { UpdateKind::Delta },
+            entries,
+            departed: left,
+        }
     }
 
     fn entry(&mut self, line: &ListedEndpoint, now: Instant, left: &mut Vec<EndpointId>) -> EndpointEntry {
@@ -191,7 +195,7 @@
         let route = (line.group, apart.then_some(endpoint));
         let gone = (line.status == ListedStatus::Removed).then_some(now);
         let place = RegisteredEndpoint { address: line.address, route, zone, name: line.name.clone(), gone };
-        let before = self.places.insert(endpoint, place);
+        let before = self.registry.insert(endpoint, place);
         let moved = before.is_some_and(|before| before.address != line.address);
         if moved || line.status != ListedStatus::Up {
             left.push(endpoint);
@@ -216,7 +220,7 @@
     /// still out carries its own address.
     fn forget(&mut self, now: Instant) {
         let (ids, destinations, out) = (&mut self.ids, &mut self.destinations, &self.out);
-        self.places.retain(|_, place| {
+        self.registry.retain(|_, place| {
             let kept = place.gone.is_none_or(|at| now - at < GONE_KEPT) || out.contains(&place.name);
             if !kept {
                 ids.remove(&place.name);
@@ -233,7 +237,7 @@
 mod tests {
     use super::*;
 
-    fn places() -> EndpointRegistry {
+    fn registry() -> EndpointRegistry {
         let config = serde_json::json!({
             "balancers": 1, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
             "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
@@ -265,35 +269,36 @@
     /// Guards against growth under steady replacement, and against an id that is given twice.
     #[tokio::test(start_paused = true)]
     async fn what_is_gone_is_forgotten_and_ids_are_never_given_twice() {
-        let mut places = places();
+        let mut registry = registry();
         let mut given = HashSet::new();
         for number in 0..100 {
-            let told = places.list(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Up)]));
+            let told =
+                registry.apply_update(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Up)]));
             assert!(given.insert(told.entries[0].endpoint));
-            places.list(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Removed)]));
+            registry.apply_update(&list(false, vec![line(&format!("s-{number}"), ListedStatus::Removed)]));
             tokio::time::advance(GONE_KEPT / 4).await;
         }
-        assert!(places.places.len() <= 6 && places.ids.len() == places.places.len());
-        let (again, first) = (line("s-99", ListedStatus::Up), places.ids["s-99"]);
-        assert_eq!(places.list(&list(false, vec![again])).entries[0].endpoint, first);
+        assert!(registry.registry.len() <= 6 && registry.ids.len() == registry.registry.len());
+        let (again, first) = (line("s-99", ListedStatus::Up), registry.ids["s-99"]);
+        assert_eq!(registry.apply_update(&list(false, vec![again])).entries[0].endpoint, first);
     }
 
     /// Guards against endpoints and connections that outlive a whole list which does not name them.
     #[tokio::test(start_paused = true)]
     async fn a_whole_list_takes_away_what_it_leaves_out() {
-        let mut places = places();
-        assert_eq!(places.existence(7), DestinationStatus::Undetermined);
+        let mut registry = registry();
+        assert_eq!(registry.destination_status(7), DestinationStatus::Undetermined);
         let both = vec![line("s-1", ListedStatus::Up), line("s-2", ListedStatus::Up)];
-        let gone = places.list(&list(true, both)).entries[0].endpoint;
+        let gone = registry.apply_update(&list(true, both)).entries[0].endpoint;
         assert_eq!(
-            (places.existence(7), places.existence(8)),
+            (registry.destination_status(7), registry.destination_status(8)),
             (DestinationStatus::Known, DestinationStatus::Unknown)
         );
-        let told = places.list(&list(true, vec![line("s-2", ListedStatus::Up)]));
-        assert_eq!((told.update, told.left), (UpdateKind::Snapshot, vec![gone]));
+        let told = registry.apply_update(&list(true, vec![line("s-2", ListedStatus::Up)]));
+        assert_eq!((told.update, told.departed), (UpdateKind::Snapshot, vec![gone]));
         tokio::time::advance(GONE_KEPT).await;
-        places.list(&list(false, Vec::new()));
-        assert!(places.get(gone).is_none());
-        assert_eq!(places.existence(7), DestinationStatus::Known);
+        registry.apply_update(&list(false, Vec::new()));
+        assert!(registry.get(gone).is_none());
+        assert_eq!(registry.destination_status(7), DestinationStatus::Known);
     }
 }
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -31,9 +31,11 @@
 use crate::event::SenderEvent;
 use crate::handover::relay::{Predecessor, RemoteCall};
 use crate::handover::{self, HandoverState, OwnershipLock, Successor};
-use crate::journal::{AcceptedMessage, AttemptHistory, Body, Journal, JournalEntry, JournalError, Sent};
+use crate::journal::{
+    AcceptedMessage, AttemptHistory, AttemptStart, Body, Journal, JournalEntry, JournalError,
+};
 use crate::metrics::{MessageOutcome, Metrics};
-use crate::notice::Notice;
+use crate::notice::{Notice, NoticeResult};
 use crate::operator_api::{CommandResult, OperatorCommand, Order};
 use crate::submission::{Submission, SubmissionReply};
 use crate::time::duration;
@@ -58,7 +60,7 @@
     }
 
     /// Goes on where another process's clock stood a moment ago, unless this one's agrees with it.
-    fn go_on(&mut self, other: Micros) {
+    fn restore(&mut self, other: Micros) {
         let ahead = self.now() - other;
         if !(0..CLOCKS_DIFFER).contains(&ahead) {
             self.unix -= ahead;
@@ -103,7 +105,7 @@
     clock: Clock,
     /// Shared with calls, which write when they begin to go out; nobody writes once the driver has gone.
     journal: Rc<RefCell<Journal>>,
-    endpoints: Rc<DeliveryClient>,
+    delivery: Rc<DeliveryClient>,
     notices: Rc<NoticeQueue>,
     outbox: mpsc::Sender<SenderEvent>,
     /// For the next turn.
@@ -116,11 +118,11 @@
     waiting: Vec<(MessageId, bool, oneshot::Sender<SubmissionReply>)>,
     /// Calls that are out; dropping one cancels it.
     calls: HashMap<(MessageId, u32), oneshot::Sender<()>>,
-    places: EndpointRegistry,
-    figures: Rc<Metrics>,
+    registry: EndpointRegistry,
+    metrics: Rc<Metrics>,
     /// Operators whose command stands once the module has been told of it.
-    promised: Vec<oneshot::Sender<CommandResult>>,
-    tally: LogSummary,
+    unacknowledged: Vec<oneshot::Sender<CommandResult>>,
+    summary: LogSummary,
     turned: Option<Instant>,
     drains: Option<Instant>,
 }
@@ -130,14 +132,14 @@
         controller: Controller,
         (settings, names): (Settings, Names),
         (lock, journal): (OwnershipLock, Journal),
-        endpoints: Rc<DeliveryClient>,
+        delivery: Rc<DeliveryClient>,
         notices: Rc<NoticeQueue>,
-        figures: Rc<Metrics>,
+        metrics: Rc<Metrics>,
         outbox: mpsc::Sender<SenderEvent>,
     ) -> Self {
         let next_id = journal.next_id();
-        let mut places = EndpointRegistry::new(names.clone(), settings.kinds.clone());
-        let out = journal.out().iter().map(|name| places.take_out(name));
+        let mut registry = EndpointRegistry::new(names.clone(), settings.kinds.clone());
+        let out = journal.drained_endpoints().iter().map(|name| registry.mark_drained(name));
         let events =
             out.map(|endpoint| Event::Maintenance { endpoint, command: MaintenanceCommand::Drain }).collect();
         Self {
@@ -147,7 +149,7 @@
             names,
             clock: Clock::start(),
             journal: Rc::new(RefCell::new(journal)),
-            endpoints,
+            delivery,
             notices,
             outbox,
             events,
@@ -157,22 +159,22 @@
             by_call_id: HashMap::new(),
             waiting: Vec::new(),
             calls: HashMap::new(),
-            places,
-            figures,
-            promised: Vec::new(),
-            tally: LogSummary::new(),
+            registry,
+            metrics,
+            unacknowledged: Vec::new(),
+            summary: LogSummary::new(),
             turned: None,
             drains: None,
         }
     }
 
     /// Takes up what an earlier process left, under the list of endpoints as last known.
-    pub fn resume(&mut self, known: Option<EndpointList>) {
+    pub fn recover(&mut self, known: Option<EndpointList>) {
         if let Some(list) = known {
-            let told = self.places.recall(&list);
+            let told = self.registry.load_cached(&list);
             self.list(list.index, told);
         }
-        let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
+        let kept: Vec<_> = self.journal.borrow().entries().map(|(id, kept)| (id, kept.clone())).collect();
         let count = |past: fn(&AttemptHistory) -> bool| {
             kept.iter().filter(|(_, kept)| matches!(kept, JournalEntry::Open(_, of) if past(of))).count()
         };
@@ -190,16 +192,18 @@
     }
 
     /// Goes on from what another process left. Gives its calls that are out, each with the way to call it off.
-    pub fn go_on(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteCall>, SettingsError> {
-        self.controller = state.controller.go_on(self.settings.clone(), seed)?;
-        self.places.go_on(state.places);
-        self.clock.go_on(state.now);
+    pub fn restore(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteCall>, SettingsError> {
+        self.controller = state.controller.restore(self.settings.clone(), seed)?;
+        self.registry.restore(state.registry);
+        self.clock.restore(state.now);
         self.timers = state.timers.into_iter().collect();
-        let kept: Vec<_> = self.journal.borrow().kept().map(|(id, kept)| (id, kept.clone())).collect();
+        let kept: Vec<_> = self.journal.borrow().entries().map(|(id, kept)| (id, kept.clone())).collect();
         for (id, kept) in kept {
             match kept {
                 JournalEntry::PendingNotice(notice, _) => self.notices.push(id, notice),
-                JournalEntry::Open(taken, past) if self.controller.holds(id) => self.hold(id, taken, past),
+                JournalEntry::Open(taken, past) if self.controller.holds_message(id) => {
+                    self.hold(id, taken, past)
+                }
                 // Its end was not written; what is not known to have ended goes on.
                 JournalEntry::Open(taken, past) => self.resume_message(id, taken, past),
             }
@@ -218,7 +222,7 @@
             now: self.clock.now(),
             names: self.names.clone(),
             controller: self.controller.clone(),
-            places: self.places.save(),
+            registry: self.registry.snapshot(),
             timers: self.timers.iter().copied().collect(),
             out: self.calls.keys().copied().collect(),
         })
@@ -238,7 +242,7 @@
     fn resume_message(&mut self, id: MessageId, taken: AcceptedMessage, past: AttemptHistory) {
         let Some(class) = self.names.class(&taken.class) else {
             // The class is no longer served: nobody can say whether a repeat would be harmless.
-            return self.conclude(id, taken.call_id, None);
+            return self.conclude(id, taken.call_id, NoticeResult::Failed);
         };
         let taken_at = self.clock.now();
         let time_left = taken.deadline - taken_at;
@@ -257,14 +261,16 @@
             repeat,
             write,
         }));
-        let ran = past.first_run().map(|(sent_at, zone)| AmbiguousAttempt { sent_at, zone: zone as usize });
+        let ran = past
+            .first_ambiguous()
+            .map(|first| AmbiguousAttempt { sent_at: first.sent_at, zone: first.zone as usize });
         self.events.push(Event::MessageRecovered { id, attempts: past.attempts, first_ambiguous: ran });
         self.hold(id, taken, past);
     }
 
     /// Takes in what this process was told while another one was the sender. Of its calls the journal knows that
     /// they were out; what they have ended is over.
-    pub fn recall(&mut self, unheard: Vec<SenderEvent>) {
+    pub fn replay_unheard(&mut self, unheard: Vec<SenderEvent>) {
         for happening in unheard {
             match happening {
                 SenderEvent::AttemptEnded { id, result: ending, .. } if ending.last => {
@@ -283,11 +289,11 @@
         inbox: &mut mpsc::Receiver<SenderEvent>,
         orders: &mut mpsc::Receiver<Order>,
         successors: &mut mpsc::Receiver<Successor>,
-        admission: &ConnectionLimiter,
+        limiter: &ConnectionLimiter,
     ) -> LoopEnd {
         let mut successor = None;
-        self.gauge();
-        while !self.is_done(inbox.is_empty() && !admission.is_asked()) {
+        self.update_gauges();
+        while !self.is_done(inbox.is_empty() && !limiter.has_pending_request()) {
             if self.events.is_empty() && self.waiting.is_empty() && successor.is_none() {
                 tokio::select! {
                     Some((command, reply)) = orders.recv() => self.command(command, reply),
@@ -312,10 +318,10 @@
             yield_now().await;
             self.turned = Some(Instant::now());
             self.turn();
-            self.gauge();
-            self.keep_promises();
-            self.tally.tell();
-            self.tally.tell_traffic(self.open.values().map(|open| open.destination), self.calls.len());
+            self.update_gauges();
+            self.acknowledge_commands();
+            self.summary.log_rejections();
+            self.summary.log_traffic(self.open.values().map(|open| open.destination), self.calls.len());
             successor = successor.or_else(|| successors.try_recv().ok());
             // Between two turns, with nothing left to tell the module.
             if self.events.is_empty() || self.rests() {
@@ -327,7 +333,7 @@
                 }
             }
         }
-        self.tally.tell();
+        self.summary.log_rejections();
         LoopEnd::Over
     }
 
@@ -351,10 +357,10 @@
 
     /// From here on the other process is the sender. The journal is closed before it can be opened there.
     async fn hand_over(self, mut stream: UnixStream) -> LoopEnd {
-        let Self { lock, journal, endpoints, calls, drains, .. } = self;
+        let Self { lock, journal, delivery, calls, drains, .. } = self;
         drop(journal);
         // Calls that have not begun to go out never will.
-        endpoints.retire(true);
+        delivery.suspend();
         handover::commit(&mut stream, lock).await;
         tracing::info!(out = calls.len(), "handed over");
         LoopEnd::HandedOver(Predecessor::new(stream, calls, drains))
@@ -364,7 +370,7 @@
         let idle = Instant::now() + Duration::from_secs(1);
         let timer = self.timers.first().map_or(idle, |(at, _)| self.clock.instant(*at));
         let poll = if self.drains.is_some() { Instant::now() + Duration::from_millis(50) } else { idle };
-        timer.min(poll).min(self.tally.due().unwrap_or(idle))
+        timer.min(poll).min(self.summary.due().unwrap_or(idle))
     }
 
     /// Whether the process can end: before its time is up, only with nothing to do and no request on its way.
@@ -391,7 +397,7 @@
                 self.called(id, attempt, endpoint, elapsed, ending);
             }
             SenderEvent::EndpointListReceived(list) => {
-                let told = self.places.list(&list);
+                let told = self.registry.apply_update(&list);
                 self.list(list.index, told);
             }
             SenderEvent::NoticesAcknowledged(ids) => ids.into_iter().for_each(|id| self.noticed(id)),
@@ -407,42 +413,42 @@
             OperatorCommand::Drain(name) => (name, true),
             OperatorCommand::Restore(name) => (name, false),
         };
-        if !self.places.is_known(name) {
+        if !self.registry.is_known(name) {
             // If the caller is gone, nothing was promised; so below.
             let _ = reply.send(CommandResult::UnknownEndpoint);
             return;
         }
         let kept = if out {
-            self.journal.borrow_mut().take_out(name)
+            self.journal.borrow_mut().record_drained(name)
         } else {
-            self.journal.borrow_mut().put_back(name)
+            self.journal.borrow_mut().record_restored(name)
         };
         if kept.inspect_err(|error| tracing::error!(%error, "an operator's command is not kept")).is_err() {
             let _ = reply.send(CommandResult::NotPersisted);
             return;
         }
         tracing::info!(?command, "an operator commands");
-        let endpoint = if out { self.places.take_out(name) } else { self.places.put_back(name) };
+        let endpoint = if out { self.registry.mark_drained(name) } else { self.registry.mark_restored(name) };
         if out {
-            self.endpoints.leave(endpoint);
+            self.delivery.drain(endpoint);
         }
         self.events.push(Event::Maintenance {
             endpoint,
             command: if out { MaintenanceCommand::Drain } else { MaintenanceCommand::Restore },
         });
-        self.promised.push(reply);
+        self.unacknowledged.push(reply);
     }
 
     /// Brings the gauges up to date.
-    fn gauge(&self) {
-        self.figures.in_progress.set(self.open.len() + self.notices.len());
-        self.figures.known_endpoints.set(self.places.listed());
-        self.figures.skipped_endpoints.set(self.controller.avoided());
+    fn update_gauges(&self) {
+        self.metrics.in_progress.set(self.open.len() + self.notices.len());
+        self.metrics.known_endpoints.set(self.registry.listed_count());
+        self.metrics.skipped_endpoints.set(self.controller.avoided_endpoint_count());
     }
 
     /// Says yes to commands that the module has taken in.
-    fn keep_promises(&mut self) {
-        for reply in self.promised.drain(..) {
+    fn acknowledge_commands(&mut self) {
+        for reply in self.unacknowledged.drain(..) {
             let _ = reply.send(CommandResult::Done);
         }
     }
@@ -457,12 +463,12 @@
         }
         if self.rests() {
             // The next process would have to try it, some seconds from now: others are sooner.
-            self.tally.count(RejectionCause::AttemptResult, handed.destination);
-            self.figures.ended(handed.class, MessageOutcome::Rejected);
+            self.summary.count_rejection(RejectionCause::AttemptResult, handed.destination);
+            self.metrics.count_outcome(handed.class, MessageOutcome::Rejected);
             let _ = reply.send(SubmissionReply::Rejected(NO_ROOM_WAIT));
             return;
         }
-        let unheard = match self.places.existence(handed.destination) {
+        let unheard = match self.registry.destination_status(handed.destination) {
             DestinationStatus::Known => None,
             DestinationStatus::Unknown => {
                 Some((RejectionCause::UnknownDestination, SubmissionReply::UnknownDestination))
@@ -472,9 +478,9 @@
             }
         };
         if let Some((cause, answer)) = unheard {
-            self.tally.count(cause, handed.destination);
+            self.summary.count_rejection(cause, handed.destination);
             if matches!(answer, SubmissionReply::Rejected(_)) {
-                self.figures.ended(handed.class, MessageOutcome::Rejected);
+                self.metrics.count_outcome(handed.class, MessageOutcome::Rejected);
             }
             // If the client is gone, all the better; so below.
             let _ = reply.send(answer);
@@ -497,15 +503,15 @@
             || self
                 .journal
                 .borrow_mut()
-                .take_on(id, taken)
+                .record_accepted(id, taken)
                 .inspect_err(|error| tracing::warn!(%error))
                 .is_err()
         {
-            self.tally.count(
+            self.summary.count_rejection(
                 if full { RejectionCause::BufferFull } else { RejectionCause::JournalFull },
                 handed.destination,
             );
-            self.figures.ended(handed.class, MessageOutcome::Rejected);
+            self.metrics.count_outcome(handed.class, MessageOutcome::Rejected);
             let _ = reply.send(SubmissionReply::Rejected(NO_ROOM_WAIT));
             return;
         }
@@ -551,8 +557,8 @@
         ending: AttemptResult,
     ) {
         self.calls.remove(&(id, attempt));
-        if let Some(place) = self.places.get(endpoint) {
-            self.tally.ended(place.route.0, elapsed, &ending);
+        if let Some(place) = self.registry.get(endpoint) {
+            self.summary.record_attempt_end(place.route.0, elapsed, &ending);
         }
         let AttemptResult { outcome, wait, last, load, begun } = ending;
         tracing::debug!(id, attempt, ?outcome, elapsed, wait, begun, ?load, "a call ends");
@@ -564,7 +570,7 @@
                 AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
             );
             if never_ran && begun {
-                log_failure(self.journal.borrow_mut().not_run(id));
+                log_failure(self.journal.borrow_mut().record_unprocessed(id));
             }
         }
         self.events.push(Event::AttemptEnded(AttemptEnd {
@@ -580,12 +586,12 @@
     }
 
     fn noticed(&mut self, id: MessageId) {
-        log_failure(self.journal.borrow_mut().noticed(id));
+        log_failure(self.journal.borrow_mut().record_notice_acknowledged(id));
         self.events.push(Event::NoticeAcknowledged { id });
     }
 
     fn list(&mut self, version: u64, told: RegistryUpdate) {
-        told.left.into_iter().for_each(|endpoint| self.endpoints.leave(endpoint));
+        told.departed.into_iter().for_each(|endpoint| self.delivery.drain(endpoint));
         self.events.push(Event::EndpointsUpdated { update: told.update, version, entries: told.entries });
     }
 
@@ -601,7 +607,7 @@
             self.timers.remove(&(at, token));
             self.events.push(Event::TimerFired { token });
         }
-        self.events.iter().for_each(|event| self.tally.note(event));
+        self.events.iter().for_each(|event| self.summary.record_event(event));
         let mut actions = Vec::new();
         self.controller.turn(now, &std::mem::take(&mut self.events), &mut actions);
         let refused = actions.iter().filter_map(|action| match action {
@@ -638,7 +644,7 @@
     /// Ends a message of which nothing is owed; it has no fate where no client heard of it.
     fn withdraw(&mut self, id: MessageId, fate: Option<MessageOutcome>) {
         if self.close(id, fate).is_some() {
-            log_failure(self.journal.borrow_mut().end(id, None));
+            log_failure(self.journal.borrow_mut().record_end(id, None));
         }
     }
 
@@ -648,10 +654,10 @@
                 self.send(now, id, endpoint, (timeout, begin_by));
             }
             Action::Cancel { id, attempt } => drop(self.calls.remove(&(id, attempt))),
-            Action::Reject { id, retry_after } => self.give_up(id, Some(retry_after)),
-            Action::Fail { id } => self.give_up(id, None),
+            Action::Reject { id, retry_after } => self.give_up(id, NoticeResult::Rejected { retry_after }),
+            Action::Fail { id } => self.give_up(id, NoticeResult::Failed),
             Action::SetTimer { at, token } => drop(self.timers.insert((at, token))),
-            Action::CloseIdle { endpoint } => self.endpoints.close_idle(endpoint),
+            Action::CloseIdle { endpoint } => self.delivery.close_idle(endpoint),
             Action::Log { text } => tracing::info!("{text}"),
             // The watch runs all the time; the module neither probes nor sends notes.
             Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::SendNote { .. } => {
@@ -682,10 +688,10 @@
         tracing::debug!(id, attempt, endpoint, timeout_us = times.0, "a call is made");
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert((id, attempt), cancel);
-        let (endpoints, outbox) = (self.endpoints.clone(), self.outbox.clone());
+        let (delivery, outbox) = (self.delivery.clone(), self.outbox.clone());
         tokio::task::spawn_local(async move {
             let began = Instant::now();
-            let ending = endpoints.call(call, cancelled).await;
+            let ending = delivery.call(call, cancelled).await;
             let elapsed = Micros::try_from(began.elapsed().as_micros()).unwrap_or(Micros::MAX);
             // The driver outlives its calls but at the process's end.
             drop(
@@ -703,8 +709,8 @@
         endpoint: EndpointId,
         (timeout, begin_by): (Micros, Micros),
     ) -> Option<(u32, Call)> {
-        let place = self.places.get(endpoint)?;
-        let keep = self.keep(id, (now, place.zone as u64));
+        let place = self.registry.get(endpoint)?;
+        let keep = self.keep(id, AttemptStart { sent_at: now, zone: place.zone as u64 });
         let open = self.open.get_mut(&id)?;
         // A call to any other destination's endpoint would be worse than none.
         if place.route.0 != open.destination {
@@ -723,33 +729,34 @@
             keep,
         };
         if open.attempts == 0 {
-            self.tally.first_call(now - open.taken_at);
+            self.summary.record_first_attempt(now - open.taken_at);
         }
         open.attempts += 1;
         Some((open.attempts - 1, call))
     }
 
     /// How a call has the journal told how far it has come.
-    fn keep(&self, id: MessageId, sent: Sent) -> Box<dyn Fn(AttemptPhase) -> bool> {
+    fn keep(&self, id: MessageId, start: AttemptStart) -> Box<dyn Fn(AttemptPhase) -> bool> {
         let journal = Rc::downgrade(&self.journal);
         Box::new(move |step| {
             let Some(journal) = journal.upgrade() else { return false };
             let written = match step {
                 // What has ended while the connection came up goes nowhere.
                 AttemptPhase::Starting if !journal.borrow().is_open(id) => return false,
-                AttemptPhase::Starting => journal.borrow_mut().attempt(id, sent),
-                AttemptPhase::NotStarted => journal.borrow_mut().unsent(id),
+                AttemptPhase::Starting => journal.borrow_mut().record_attempt(id, start),
+                AttemptPhase::NotStarted => journal.borrow_mut().record_unsent(id),
             };
             written.inspect_err(|error| tracing::warn!(%error)).is_ok()
         })
     }
 
     /// Ends a message by a notice, unless its client has heard of the refusal already.
-    fn give_up(&mut self, id: MessageId, bounced: Option<Micros>) {
-        self.count_given_up(id, bounced.is_some());
-        let fate = if bounced.is_some() { MessageOutcome::Rejected } else { MessageOutcome::Failed };
+    fn give_up(&mut self, id: MessageId, result: NoticeResult) {
+        let rejected = result != NoticeResult::Failed;
+        self.count_given_up(id, rejected);
+        let fate = if rejected { MessageOutcome::Rejected } else { MessageOutcome::Failed };
         match self.close(id, Some(fate)) {
-            Some(open) => self.conclude(id, open.call_id, bounced),
+            Some(open) => self.conclude(id, open.call_id, result),
             None => self.events.push(Event::NoticeAcknowledged { id }),
         }
     }
@@ -763,18 +770,18 @@
             false => RejectionCause::Failed,
         };
         tracing::debug!(id, call_id = open.call_id, ?cause, attempts = open.attempts, "is given up");
-        self.tally.count(cause, open.destination);
+        self.summary.count_rejection(cause, open.destination);
     }
 
-    fn conclude(&mut self, id: MessageId, call_id: String, bounced: Option<Micros>) {
-        let notice = Notice { call_id, bounced };
-        log_failure(self.journal.borrow_mut().end(id, Some(notice.clone())));
+    fn conclude(&mut self, id: MessageId, call_id: String, result: NoticeResult) {
+        let notice = Notice { call_id, result };
+        log_failure(self.journal.borrow_mut().record_end(id, Some(notice.clone())));
         self.notices.push(id, notice);
     }
 
     fn close(&mut self, id: MessageId, fate: Option<MessageOutcome>) -> Option<OpenMessage> {
         let open = self.open.remove(&id)?;
-        fate.into_iter().for_each(|fate| self.figures.ended(open.class, fate));
+        fate.into_iter().for_each(|fate| self.metrics.count_outcome(open.class, fate));
         self.by_call_id.remove(&open.call_id);
         Some(open)
     }
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -95,7 +95,7 @@
     }
 
     /// Counts what the module is told.
-    pub fn note(&mut self, event: &Event) {
+    pub fn record_event(&mut self, event: &Event) {
         match event {
             Event::MessageSubmitted(MessageSubmission { order_key, tenant, .. }) => {
                 self.traffic.taken += 1;
@@ -110,14 +110,19 @@
     }
 
     /// Counts a message's first call.
-    pub fn first_call(&mut self, after: Micros) {
+    pub fn record_first_attempt(&mut self, after: Micros) {
         self.traffic.first_calls += 1;
         let (sum, most) = self.traffic.first_call_after;
         self.traffic.first_call_after = (sum.saturating_add(after), most.max(after));
     }
 
     /// Counts a call that ended, and the time for which it held a slot.
-    pub fn ended(&mut self, destination: DestinationId, elapsed: Micros, ending: &AttemptResult) {
+    pub fn record_attempt_end(
+        &mut self,
+        destination: DestinationId,
+        elapsed: Micros,
+        ending: &AttemptResult,
+    ) {
         let calls = self.traffic.by_destination.entry(destination).or_default();
         calls.held = calls.held.saturating_add(elapsed);
         match ending.outcome {
@@ -134,7 +139,7 @@
     }
 
     /// Logs the traffic, if there was any and it is time.
-    pub fn tell_traffic(&mut self, held_for: impl ExactSizeIterator<Item = DestinationId>, out: usize) {
+    pub fn log_traffic(&mut self, held_for: impl ExactSizeIterator<Item = DestinationId>, out: usize) {
         let idle = self.traffic.taken == 0 && self.traffic.outcomes.is_empty();
         if idle || self.traffic_told.elapsed() < TRAFFIC_EVERY {
             return;
@@ -167,7 +172,7 @@
         );
     }
 
-    pub fn count(&mut self, cause: RejectionCause, destination: DestinationId) {
+    pub fn count_rejection(&mut self, cause: RejectionCause, destination: DestinationId) {
         // Clients may name any number of destinations that do not exist: those are counted together.
         let listed =
             !matches!(cause, RejectionCause::UndeterminedDestination | RejectionCause::UnknownDestination);
@@ -180,7 +185,7 @@
     }
 
     /// Logs a line for each cause, if it is time.
-    pub fn tell(&mut self) {
+    pub fn log_rejections(&mut self) {
         if self.due().is_none_or(|due| due > Instant::now()) {
             return;
         }
--- a/crates/message-sender/src/handover/mod.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -45,7 +45,7 @@
 /// No frame is longer: what is known of some hundred messages, or one message with its body.
 const FRAME_MOST: usize = 16 * 1024 * 1024;
 /// Changes with what two processes say to each other after the commit.
-pub const RELAY: u32 = 2;
+pub const RELAY: u32 = 3;
 /// How long a process whose successor has died tries for the lock: the kernel frees it a moment later.
 const RECLAIM_PATIENCE: Duration = Duration::from_secs(1);
 /// Goes with the listening socket.
@@ -99,7 +99,7 @@
     /// What indices stand for.
     pub names: Names,
     pub controller: Controller,
-    pub places: RegistrySnapshot,
+    pub registry: RegistrySnapshot,
     pub timers: Vec<(Micros, u64)>,
     /// Calls that are out, by message and attempt; the old process sees them to their end.
     pub out: Vec<(MessageId, u32)>,
@@ -196,7 +196,7 @@
 }
 
 /// Becomes the sender: at once where there is none, else by a handover, or by the end of whoever is.
-pub async fn claim(folder: &Path, names: &Names) -> io::Result<Ownership> {
+pub async fn acquire_ownership(folder: &Path, names: &Names) -> io::Result<Ownership> {
     std::fs::create_dir_all(folder)?;
     let (mut reads_state, mut passed, mut said) = (true, None, String::new());
     loop {
@@ -230,7 +230,7 @@
 
 /// Becomes the sender again after the successor's death. `None` if somebody else is: two old versions must not
 /// pass the work to and fro.
-pub async fn reclaim(folder: &Path) -> io::Result<Option<Ownership>> {
+pub async fn reacquire_ownership(folder: &Path) -> io::Result<Option<Ownership>> {
     let since = Instant::now();
     while since.elapsed() < RECLAIM_PATIENCE {
         if let Some(lock) = OwnershipLock::try_take(folder)? {
@@ -264,7 +264,7 @@
     stream: UnixStream,
     reads_state: bool,
     listener: Rc<net::TcpListener>,
-    duty: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<watch::Sender<ServingState>>,
 }
 
 impl Successor {
@@ -283,7 +283,7 @@
             if whole {
                 let Prepared = read(&mut self.stream).await?;
             } else {
-                self.duty.send_replace(ServingState::ShuttingDown);
+                self.serving_state.send_replace(ServingState::ShuttingDown);
             }
             Ok(self.stream)
         };
@@ -303,7 +303,7 @@
 pub struct HandoverListener(UnixListener);
 
 impl HandoverListener {
-    pub fn open(folder: &Path) -> io::Result<Self> {
+    pub fn bind(folder: &Path) -> io::Result<Self> {
         let (path, _folder) = socket(folder)?;
         match std::fs::remove_file(&path) {
             Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
@@ -315,7 +315,7 @@
     pub async fn serve(
         self,
         listener: Rc<net::TcpListener>,
-        duty: Rc<watch::Sender<ServingState>>,
+        serving_state: Rc<watch::Sender<ServingState>>,
         successors: mpsc::Sender<Successor>,
     ) {
         loop {
@@ -323,8 +323,8 @@
                 let (mut stream, _) = self.0.accept().await?;
                 let Hello { relay } = read_within(&mut stream, PATIENCE).await?;
                 let reads_state = relay == Some(RELAY);
-                let (listener, duty) = (listener.clone(), duty.clone());
-                Ok::<_, HandoverError>(Successor { stream, reads_state, listener, duty })
+                let (listener, serving_state) = (listener.clone(), serving_state.clone());
+                Ok::<_, HandoverError>(Successor { stream, reads_state, listener, serving_state })
             };
             match came.await {
                 Ok(successor) => {
--- a/crates/message-sender/src/handover/relay.rs
+++ b/crates/message-sender/src/handover/relay.rs
@@ -93,7 +93,7 @@
     pub async fn run(
         mut self,
         inbox: &mut mpsc::Receiver<SenderEvent>,
-        admission: &ConnectionLimiter,
+        limiter: &ConnectionLimiter,
     ) -> RelayEnd {
         let (mut look, mut clients) = (interval(LOOK_EVERY), usize::MAX);
         loop {
@@ -107,10 +107,10 @@
                     None => return self.orphaned(inbox).await,
                 },
                 _ = look.tick() => {
-                    if self.is_over(admission) {
+                    if self.is_over(limiter) {
                         return RelayEnd::Over;
                     }
-                    let before = std::mem::replace(&mut clients, admission.taken());
+                    let before = std::mem::replace(&mut clients, limiter.open_connections());
                     if before == clients { Ok(()) } else { write(&mut self.to, &PredecessorFrame::ClientApi(clients)).await }
                 }
             };
@@ -155,14 +155,14 @@
     }
 
     /// Late after SIGTERM cuts off the calls that are out, and stays until the new process has heard so.
-    fn is_over(&mut self, admission: &ConnectionLimiter) -> bool {
+    fn is_over(&mut self, limiter: &ConnectionLimiter) -> bool {
         if self.told_to_end.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
             if std::mem::replace(&mut self.cut_off, true) {
                 return true;
             }
             self.calls.clear();
         }
-        self.calls.is_empty() && self.waiting.is_empty() && admission.taken() == 0
+        self.calls.is_empty() && self.waiting.is_empty() && limiter.open_connections() == 0
     }
 
     /// Ends the calls that are out, lest a message go twice at a time once the journal is read again.
@@ -186,11 +186,11 @@
 
 /// The new process's side: brings what the old one tells to the driver. `out` are the old one's calls, each with
 /// the driver's way to call it off.
-pub fn serve_old(
+pub fn relay_predecessor(
     stream: UnixStream,
     out: Vec<RemoteCall>,
     inbox: mpsc::Sender<SenderEvent>,
-    admission: Rc<ConnectionLimiter>,
+    limiter: Rc<ConnectionLimiter>,
 ) {
     let (from, to) = stream.into_split();
     let (post, decided) = mpsc::channel(FRAMES);
@@ -204,7 +204,7 @@
         });
     }
     tokio::task::spawn_local(tell_old(to, decided));
-    tokio::task::spawn_local(hear_old(from, calls, post, inbox, admission));
+    tokio::task::spawn_local(hear_old(from, calls, post, inbox, limiter));
 }
 
 async fn tell_old(mut to: OwnedWriteHalf, mut decided: mpsc::Receiver<SuccessorFrame>) {
@@ -220,7 +220,7 @@
     mut out: BTreeSet<(MessageId, u32)>,
     post: mpsc::Sender<SuccessorFrame>,
     inbox: mpsc::Sender<SenderEvent>,
-    admission: Rc<ConnectionLimiter>,
+    limiter: Rc<ConnectionLimiter>,
 ) {
     while let Ok(told) = read(&mut from).await {
         let happening = match told {
@@ -239,7 +239,7 @@
                 SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result }
             }
             PredecessorFrame::ClientApi(clients) => {
-                admission.leave_free(clients);
+                limiter.reserve_for_predecessor(clients);
                 continue;
             }
         };
@@ -248,7 +248,7 @@
         }
     }
     tracing::info!(cut_off = out.len(), "the old process has ended");
-    admission.leave_free(0);
+    limiter.reserve_for_predecessor(0);
     // Its connections ended with it.
     for (id, attempt) in out {
         let (endpoint, elapsed, result) = (0, 0, AttemptOutcome::Reset.into());
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -23,7 +23,7 @@
 
 use self::status_line::StatusLineParser;
 use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
-use crate::metrics::count;
+use crate::metrics::increment;
 
 /// What an answer's head may take at most: it may have no end.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -52,7 +52,7 @@
     fn written(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes as u64);
         let whole = self.whole.borrow_mut().take_if(|(length, _)| self.written.get() >= *length);
-        whole.inspect(|(_, counter)| count(counter));
+        whole.inspect(|(_, counter)| increment(counter));
     }
 }
 
@@ -84,7 +84,7 @@
 
 /// How the rest of an answer came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Rest {
+pub enum RestOfAnswer {
     /// In full, and another request may follow.
     Whole,
     /// In full, and the connection has ended.
@@ -120,7 +120,7 @@
     }
 
     /// Has the next request counted once its last byte is written.
-    pub fn count_whole(&self, length: u64, counter: &Rc<Cell<u64>>) {
+    pub fn count_when_written(&self, length: u64, counter: &Rc<Cell<u64>>) {
         self.meter.whole.replace(Some((length, counter.clone())));
     }
 
@@ -140,22 +140,22 @@
     }
 
     /// Reads the rest of an answer, up to so many bytes of its body.
-    pub async fn rest(&mut self, body: Incoming, most: usize) -> Rest {
+    pub async fn read_rest(&mut self, body: Incoming, most: usize) -> RestOfAnswer {
         if body.size_hint().lower() > most as u64 {
-            return Rest::Spoilt;
+            return RestOfAnswer::Spoilt;
         }
         let read = async { Limited::new(body, most).collect().await.is_ok().then_some(self.ready().await) };
         match timeout(ANSWER_PATIENCE, read).await {
-            Err(_) | Ok(None) => Rest::Spoilt,
+            Err(_) | Ok(None) => RestOfAnswer::Spoilt,
             Ok(Some(true)) => {
                 // Of no concern to the next request, which may be called off before it is sent.
                 self.meter.reset();
-                Rest::Whole
+                RestOfAnswer::Whole
             }
             // What nobody asked for ends the connection with an error; a close does not.
             Ok(Some(false)) => match (&mut self.task).await {
-                Ok(Ok(())) => Rest::Last,
-                Ok(Err(_)) | Err(_) => Rest::Overfull,
+                Ok(Ok(())) => RestOfAnswer::Last,
+                Ok(Err(_)) | Err(_) => RestOfAnswer::Overfull,
             },
         }
     }
@@ -173,17 +173,17 @@
     }
 
     /// Bytes written since the last request was handed to it.
-    pub fn written(&self) -> u64 {
+    pub fn bytes_written(&self) -> u64 {
         self.meter.written.get()
     }
 
     /// An answer to it has begun.
-    pub fn is_answered(&self) -> bool {
+    pub fn has_answer(&self) -> bool {
         self.meter.first_line.borrow().has_begun()
     }
 
     /// The status that the first line of the answer tells, as far as that has come.
-    pub fn first_line(&self) -> Option<u16> {
+    pub fn answer_status(&self) -> Option<u16> {
         self.meter.first_line.borrow().status()
     }
 
--- a/crates/message-sender/src/journal/mod.rs
+++ b/crates/message-sender/src/journal/mod.rs
@@ -90,7 +90,13 @@
 }
 
 /// When and in which zone an attempt was sent.
-pub type Sent = (Micros, u64);
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AttemptStart {
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// Index of its endpoint's zone.
+    pub zone: u64,
+}
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 enum Record {
@@ -98,7 +104,7 @@
     Used(MessageId),
     /// Only read; now `Taken`. Variants are known by their place: new ones go to the end.
     AcceptedMessageV1(MessageId, AcceptedMessageV1),
-    Attempt(MessageId, Sent),
+    Attempt(MessageId, AttemptStart),
     /// The last attempt never ran.
     NotRun(MessageId),
     /// The attempts so far, in place of their records.
@@ -121,14 +127,14 @@
 pub struct AttemptHistory {
     pub attempts: u32,
     /// The first that may have run.
-    ran: Option<Sent>,
+    ran: Option<AttemptStart>,
     /// The last, while nothing proves that it never ran.
-    out: Option<Sent>,
+    out: Option<AttemptStart>,
 }
 
 impl AttemptHistory {
     /// The first attempt that may have run. One that was out when the process died counts.
-    pub fn first_run(&self) -> Option<Sent> {
+    pub fn first_ambiguous(&self) -> Option<AttemptStart> {
         self.ran.or(self.out)
     }
 }
@@ -192,7 +198,7 @@
     }
 
     /// All that is open or owed.
-    pub fn kept(&self) -> impl Iterator<Item = (MessageId, &JournalEntry)> {
+    pub fn entries(&self) -> impl Iterator<Item = (MessageId, &JournalEntry)> {
         self.live.iter().map(|(id, kept)| (*id, kept))
     }
 
@@ -202,13 +208,13 @@
     }
 
     /// Names of the endpoints that operators have taken out.
-    pub fn out(&self) -> &BTreeSet<String> {
+    pub fn drained_endpoints(&self) -> &BTreeSet<String> {
         &self.out
     }
 
     /// Writes that an operator takes an endpoint out. Such names stay until it is put back, so their number has
     /// a bound.
-    pub fn take_out(&mut self, name: &str) -> Result<(), JournalError> {
+    pub fn record_drained(&mut self, name: &str) -> Result<(), JournalError> {
         if self.out.contains(name) {
             return Ok(());
         }
@@ -219,7 +225,7 @@
     }
 
     /// Writes that an operator puts an endpoint back.
-    pub fn put_back(&mut self, name: &str) -> Result<(), JournalError> {
+    pub fn record_restored(&mut self, name: &str) -> Result<(), JournalError> {
         if !self.out.contains(name) {
             return Ok(());
         }
@@ -232,7 +238,7 @@
     }
 
     /// Writes that a message is taken on; until then the client must not hear so.
-    pub fn take_on(&mut self, id: MessageId, taken: AcceptedMessage) -> Result<(), JournalError> {
+    pub fn record_accepted(&mut self, id: MessageId, taken: AcceptedMessage) -> Result<(), JournalError> {
         if self.open_bytes + room(&taken) > share(self.disk, OPEN_SHARE) {
             return Err(JournalError::Full);
         }
@@ -241,27 +247,27 @@
 
     /// Writes that an attempt goes out; until then no byte of it may. Written before its connection is up, a call
     /// that was never made would count as one that may have run, should the process die meanwhile.
-    pub fn attempt(&mut self, id: MessageId, sent: Sent) -> Result<(), JournalError> {
+    pub fn record_attempt(&mut self, id: MessageId, sent: AttemptStart) -> Result<(), JournalError> {
         self.append(Record::Attempt(id, sent), UTMOST_SHARE)
     }
 
     /// Writes that no byte of the last attempt has gone out, nor will.
-    pub fn unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::Unsent(id), UTMOST_SHARE)
     }
 
     /// Writes that the last attempt never ran.
-    pub fn not_run(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_unprocessed(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::NotRun(id), UTMOST_SHARE)
     }
 
     /// Writes a message's end, with the notice that it still takes.
-    pub fn end(&mut self, id: MessageId, notice: Option<Notice>) -> Result<(), JournalError> {
+    pub fn record_end(&mut self, id: MessageId, notice: Option<Notice>) -> Result<(), JournalError> {
         self.append(Record::Ended(id, notice), UTMOST_SHARE)
     }
 
     /// Writes that the platform has the notice.
-    pub fn noticed(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_notice_acknowledged(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::Noticed(id), UTMOST_SHARE)
     }
 
@@ -343,7 +349,7 @@
                 self.live.insert(id, JournalEntry::Open(taken, AttemptHistory::default()));
             }
             Record::Attempt(id, sent) => self.with_past(id, |past| {
-                (past.ran, past.out) = (past.first_run(), Some(sent));
+                (past.ran, past.out) = (past.first_ambiguous(), Some(sent));
                 past.attempts += 1;
             }),
             Record::NotRun(id) => self.with_past(id, |past| past.out = None),
@@ -417,6 +423,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::notice::NoticeResult;
 
     const DISK: u64 = 3_000_000;
 
@@ -436,7 +443,7 @@
     }
 
     fn kept(journal: &Journal) -> Vec<(MessageId, JournalEntry)> {
-        journal.kept().map(|(id, kept)| (id, kept.clone())).collect()
+        journal.entries().map(|(id, kept)| (id, kept.clone())).collect()
     }
 
     fn on_disk(folder: &Path) -> u64 {
@@ -448,24 +455,31 @@
         let folder = tempfile::tempdir().unwrap();
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
         for id in 1..=3 {
-            journal.take_on(id, taken("m", 100)).unwrap();
+            journal.record_accepted(id, taken("m", 100)).unwrap();
         }
-        journal.attempt(1, (5, 0)).unwrap();
-        journal.not_run(1).unwrap();
-        journal.attempt(1, (6, 0)).unwrap();
-        journal.attempt(1, (7, 0)).unwrap();
-        journal.end(2, None).unwrap();
-        let notice = Notice { call_id: "m".to_owned(), bounced: Some(9) };
-        journal.end(3, Some(notice.clone())).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
+        journal.record_unprocessed(1).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 6, zone: 0 }).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 7, zone: 0 }).unwrap();
+        journal.record_end(2, None).unwrap();
+        let notice = Notice { call_id: "m".to_owned(), result: NoticeResult::Rejected { retry_after: 9 } };
+        journal.record_end(3, Some(notice.clone())).unwrap();
         let again = Journal::open(folder.path(), DISK).unwrap();
         assert_eq!(kept(&again), kept(&journal));
-        let past = AttemptHistory { attempts: 3, ran: Some((6, 0)), out: Some((7, 0)) };
+        let past = AttemptHistory {
+            attempts: 3,
+            ran: Some(AttemptStart { sent_at: 6, zone: 0 }),
+            out: Some(AttemptStart { sent_at: 7, zone: 0 }),
+        };
         // Its key is kept, also by compaction: what comes next of it waits for the notice to be answered.
         let owed = JournalEntry::PendingNotice(notice, Some("card".to_owned()));
         journal.compact().unwrap();
         assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()), kept(&again));
         assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("m", 100), past)), (3, owed)]);
-        assert_eq!((again.next_id(), past.first_run()), (4, Some((6, 0))));
+        assert_eq!(
+            (again.next_id(), past.first_ambiguous()),
+            (4, Some(AttemptStart { sent_at: 6, zone: 0 }))
+        );
     }
 
     /// Guards against an upgrade that loses what the version before it had taken on: its bytes, as it wrote them.
@@ -489,15 +503,15 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join(NAME);
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 40)).unwrap();
+        journal.record_accepted(1, taken("m1", 40)).unwrap();
         let first = journal.length as usize;
-        journal.take_on(2, taken("m2", 40)).unwrap();
+        journal.record_accepted(2, taken("m2", 40)).unwrap();
         let whole = fs::read(&path).unwrap();
         for torn in first..whole.len() {
             fs::write(&path, &whole[..torn]).unwrap();
             let mut journal = Journal::open(folder.path(), DISK).unwrap();
             assert_eq!(kept(&journal).len(), 1, "torn at {torn}");
-            journal.take_on(3, taken("m3", 40)).unwrap();
+            journal.record_accepted(3, taken("m3", 40)).unwrap();
             assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()).len(), 2, "torn at {torn}");
         }
     }
@@ -508,9 +522,9 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join(NAME);
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 40)).unwrap();
+        journal.record_accepted(1, taken("m1", 40)).unwrap();
         let first = journal.length as usize;
-        journal.take_on(2, taken("m2", 40)).unwrap();
+        journal.record_accepted(2, taken("m2", 40)).unwrap();
         let whole = fs::read(&path).unwrap();
         for at in first..whole.len() {
             let mut bytes = whole.clone();
@@ -528,15 +542,15 @@
         let folder = tempfile::tempdir().unwrap();
         let disk = 200_000;
         let mut journal = Journal::open(folder.path(), disk).unwrap();
-        journal.take_on(1, taken("stays", 20_000)).unwrap();
-        journal.attempt(1, (5, 0)).unwrap();
+        journal.record_accepted(1, taken("stays", 20_000)).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
         for id in 2..500 {
-            journal.take_on(id, taken("goes", 3_000)).unwrap();
-            journal.end(id, None).unwrap();
+            journal.record_accepted(id, taken("goes", 3_000)).unwrap();
+            journal.record_end(id, None).unwrap();
             assert!(on_disk(folder.path()) <= disk);
         }
         let again = Journal::open(folder.path(), disk).unwrap();
-        let past = AttemptHistory { attempts: 1, ran: None, out: Some((5, 0)) };
+        let past = AttemptHistory { attempts: 1, ran: None, out: Some(AttemptStart { sent_at: 5, zone: 0 }) };
         assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("stays", 20_000), past))]);
         assert_eq!(again.next_id(), 500);
     }
@@ -549,19 +563,19 @@
         let folder = tempfile::tempdir().unwrap();
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
         for number in 0..OUT_MOST {
-            journal.take_out(&format!("s-{number}")).unwrap();
+            journal.record_drained(&format!("s-{number}")).unwrap();
         }
-        journal.take_out("s-0").unwrap();
-        assert!(matches!(journal.take_out("one too many"), Err(JournalError::Full)));
+        journal.record_drained("s-0").unwrap();
+        assert!(matches!(journal.record_drained("one too many"), Err(JournalError::Full)));
         for name in ["s-1", "s-1", "nobody"] {
-            journal.put_back(name).unwrap();
+            journal.record_restored(name).unwrap();
         }
         journal.compact().unwrap();
-        journal.put_back("s-2").unwrap();
+        journal.record_restored("s-2").unwrap();
         let again = Journal::open(folder.path(), DISK).unwrap();
-        assert_eq!(again.out(), journal.out());
-        assert_eq!(again.out().len(), OUT_MOST - 2);
-        assert!(again.out().contains("s-0") && !again.out().contains("s-1"));
+        assert_eq!(again.drained_endpoints(), journal.drained_endpoints());
+        assert_eq!(again.drained_endpoints().len(), OUT_MOST - 2);
+        assert!(again.drained_endpoints().contains("s-0") && !again.drained_endpoints().contains("s-1"));
     }
 
     #[test]
@@ -571,17 +585,19 @@
         let mut journal = Journal::open(folder.path(), disk).unwrap();
         fs::create_dir(folder.path().join(NEXT_NAME)).unwrap();
         let mut taken_on = 0;
-        while journal.take_on(taken_on + 1, taken("m", 1_000)).is_ok() {
+        while journal.record_accepted(taken_on + 1, taken("m", 1_000)).is_ok() {
             taken_on += 1;
-            journal.end(taken_on, None).unwrap();
+            journal.record_end(taken_on, None).unwrap();
         }
         assert!(taken_on > 10);
-        journal.end(taken_on + 1, Some(Notice { call_id: "m".to_owned(), bounced: None })).unwrap();
+        journal
+            .record_end(taken_on + 1, Some(Notice { call_id: "m".to_owned(), result: NoticeResult::Failed }))
+            .unwrap();
         fs::remove_dir(folder.path().join(NEXT_NAME)).unwrap();
         let mut again = Journal::open(folder.path(), disk).unwrap();
         assert_eq!(kept(&again), kept(&journal));
         assert_eq!(kept(&again).len(), 1);
-        again.take_on(taken_on + 2, taken("m", 1_000)).unwrap();
+        again.record_accepted(taken_on + 2, taken("m", 1_000)).unwrap();
     }
 
     /// A full journal must still take the attempts and ends of what it holds.
@@ -591,19 +607,19 @@
         let disk = 100_000;
         let mut journal = Journal::open(folder.path(), disk).unwrap();
         let mut held = 0;
-        while journal.take_on(held + 1, taken("m", 1_000)).is_ok() {
+        while journal.record_accepted(held + 1, taken("m", 1_000)).is_ok() {
             held += 1;
         }
         assert!(held > 10);
         for round in 0..50 {
             for id in 1..=held {
-                journal.attempt(id, (round, 0)).unwrap();
-                journal.not_run(id).unwrap();
+                journal.record_attempt(id, AttemptStart { sent_at: round, zone: 0 }).unwrap();
+                journal.record_unprocessed(id).unwrap();
             }
             assert!(on_disk(folder.path()) <= disk);
         }
-        (1..=held).for_each(|id| journal.end(id, None).unwrap());
-        journal.take_on(held + 1, taken("m", 1_000)).unwrap();
+        (1..=held).for_each(|id| journal.record_end(id, None).unwrap());
+        journal.record_accepted(held + 1, taken("m", 1_000)).unwrap();
     }
 
     /// Guards against an attempt that never went out being counted, or hiding that one before it may have run.
@@ -611,18 +627,21 @@
     fn an_attempt_of_which_nothing_went_out_is_none() {
         let folder = tempfile::tempdir().unwrap();
         let past = |journal: &Journal| match kept(journal).remove(0) {
-            (_, JournalEntry::Open(_, past)) => (past.attempts, past.first_run()),
+            (_, JournalEntry::Open(_, past)) => (past.attempts, past.first_ambiguous()),
             owed => panic!("{owed:?}"),
         };
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 10)).unwrap();
-        journal.attempt(1, (5, 0)).unwrap();
-        journal.unsent(1).unwrap();
+        journal.record_accepted(1, taken("m1", 10)).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
+        journal.record_unsent(1).unwrap();
         assert_eq!(past(&journal), (0, None));
-        journal.attempt(1, (6, 0)).unwrap();
-        journal.attempt(1, (7, 1)).unwrap();
-        journal.unsent(1).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 6, zone: 0 }).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 7, zone: 1 }).unwrap();
+        journal.record_unsent(1).unwrap();
         drop(journal);
-        assert_eq!(past(&Journal::open(folder.path(), DISK).unwrap()), (1, Some((6, 0))));
+        assert_eq!(
+            past(&Journal::open(folder.path(), DISK).unwrap()),
+            (1, Some(AttemptStart { sent_at: 6, zone: 0 }))
+        );
     }
 }
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -59,38 +59,38 @@
     let (orders, mut ordered) = mpsc::channel(operator_api::ORDERS);
     let (post, mut successors) = mpsc::channel(1);
     let (moved, discovery) = watch::channel(config.discovery);
-    let duty = Rc::new(watch::Sender::new(ServingState::Serving));
-    let (ready, figures) = (Rc::new(Cell::new(false)), Rc::new(Metrics::new(&config.names)));
+    let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
+    let (ready, metrics) = (Rc::new(Cell::new(false)), Rc::new(Metrics::new(&config.names)));
     let shares = config.limits.shares(config.settings.limits.max_in_flight);
     if let Some(address) = config.management {
         let listener = TcpListener::bind(address).await.context("the management address is not free")?;
         tracing::info!(management = %listener.local_addr()?, "listens for operators");
-        let admission = ConnectionLimiter::new(operator_api::SEATS);
-        let (duty, ready, figures) = (duty.clone(), ready.clone(), figures.clone());
-        let management = Rc::new(OperatorApi { duty, ready, figures, orders });
-        tokio::task::spawn_local(admission.clone().tend());
-        tokio::task::spawn_local(management.serve(listener, admission));
+        let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
+        let (serving_state, ready, metrics) = (serving_state.clone(), ready.clone(), metrics.clone());
+        let management = Rc::new(OperatorApi { serving_state, ready, metrics, orders });
+        tokio::task::spawn_local(limiter.clone().run_maintenance());
+        tokio::task::spawn_local(management.serve(listener, limiter));
     }
     tokio::task::spawn_local(reload(hangup, moved));
-    tokio::task::spawn_local(end(terminate, interrupt, duty.clone(), inbox.clone()));
+    tokio::task::spawn_local(end(terminate, interrupt, serving_state.clone(), inbox.clone()));
 
-    let endpoints = DeliveryClient::new(&config.settings.limits, shares.idle, figures.tries.clone());
-    let admission = ConnectionLimiter::new(shares.clients);
+    let endpoints = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.attempts.clone());
+    let limiter = ConnectionLimiter::new(shares.clients);
     let clients = Rc::new(ClientApi {
         settings: config.settings.clone(),
         names: config.names.clone(),
         inbox: inbox.clone(),
-        duty: duty.subscribe(),
-        admission: admission.clone(),
+        serving_state: serving_state.subscribe(),
+        limiter: limiter.clone(),
     });
-    tokio::task::spawn_local(endpoints.clone().tend());
-    tokio::task::spawn_local(admission.clone().tend());
+    tokio::task::spawn_local(endpoints.clone().run_maintenance());
+    tokio::task::spawn_local(limiter.clone().run_maintenance());
 
-    let mut told = duty.subscribe();
+    let mut told = serving_state.subscribe();
     let mut claim = tokio::select! {
-        claim = handover::claim(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
+        claim = handover::acquire_ownership(&config.state, &config.names) => claim.context("the lasting folder is of no use")?,
         // Told to end before it was the sender.
-        _ = told.wait_for(|duty| *duty == ServingState::ShuttingDown) => return Ok(()),
+        _ = told.wait_for(|serving_state| *serving_state == ServingState::ShuttingDown) => return Ok(()),
     };
     let mut unheard = Vec::new();
     loop {
@@ -107,26 +107,28 @@
         let kept = (lock, Journal::open(&config.state, (config.limits.disk_mb * 1e6) as u64)?);
         let notices = Rc::new(NoticeQueue::default());
         let terms = (config.settings.clone(), config.names.clone());
-        let (ends, counts) = (endpoints.clone(), figures.clone());
+        let (ends, counts) = (endpoints.clone(), metrics.clone());
         let mut driver =
             EventLoop::new(controller, terms, kept, ends, notices.clone(), counts, inbox.clone());
         // Before the first connection is accepted: to answer at all means to be ready.
         match inherited {
             Some((state, stream)) => {
-                let out = driver.go_on(*state, config.seed)?;
-                relay::serve_old(stream, out, inbox.clone(), admission.clone());
+                let out = driver.restore(*state, config.seed)?;
+                relay::relay_predecessor(stream, out, inbox.clone(), limiter.clone());
             }
-            None => driver.resume(config.known.clone()),
+            None => driver.recover(config.known.clone()),
         }
-        driver.recall(std::mem::take(&mut unheard));
+        driver.replay_unheard(std::mem::take(&mut unheard));
 
         // All that only the sender may do; dropped when it is no more.
         let mut work = JoinSet::new();
         let accepting = TcpListener::from_std(listener.try_clone()?)?;
         let listen = accepting.local_addr()?;
         let listener = Rc::new(listener);
-        match HandoverListener::open(&config.state) {
-            Ok(heirs) => drop(work.spawn_local(heirs.serve(listener.clone(), duty.clone(), post.clone()))),
+        match HandoverListener::bind(&config.state) {
+            Ok(heirs) => {
+                drop(work.spawn_local(heirs.serve(listener.clone(), serving_state.clone(), post.clone())))
+            }
             // It serves all the same; an upgrade is a restart then.
             Err(error) => tracing::error!(%error, "no new process can take over"),
         }
@@ -141,30 +143,30 @@
         ready.set(true);
         tracing::info!(name = config.name, %listen, "ready");
 
-        let driven = driver.run(&mut happenings, &mut ordered, &mut successors, &admission).await;
+        let driven = driver.run(&mut happenings, &mut ordered, &mut successors, &limiter).await;
         let event_loop::LoopEnd::HandedOver(old) = driven else { break };
         // Clients go to the new process.
         ready.set(false);
-        duty.send_replace(ServingState::HandedOver);
+        serving_state.send_replace(ServingState::HandedOver);
         work.shutdown().await;
-        match old.run(&mut happenings, &admission).await {
+        match old.run(&mut happenings, &limiter).await {
             relay::RelayEnd::Over => break,
             relay::RelayEnd::Orphaned(left) => unheard = left,
         }
         let Some(again) =
-            handover::reclaim(&config.state).await.context("the lasting folder is of no use")?
+            handover::reacquire_ownership(&config.state).await.context("the lasting folder is of no use")?
         else {
             break;
         };
         tracing::warn!("the new process has died: takes its work back");
         claim = Ownership { listener: Some(listener.try_clone()?), ..again };
-        endpoints.retire(false);
-        duty.send_replace(ServingState::Serving);
+        endpoints.resume();
+        serving_state.send_replace(ServingState::Serving);
     }
     // Whoever has handed in what nobody will decide on any more hears so.
     drop(happenings);
-    if timeout(drain::LAST_ANSWERS, admission.quiet()).await.is_err() {
-        tracing::warn!(connections = admission.taken(), "ends with a request on its way");
+    if timeout(drain::LAST_ANSWERS, limiter.wait_until_quiet()).await.is_err() {
+        tracing::warn!(connections = limiter.open_connections(), "ends with a request on its way");
     }
     tracing::info!("ends");
     Ok(())
@@ -188,7 +190,7 @@
 async fn end(
     mut terminate: Signal,
     mut interrupt: Signal,
-    duty: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<watch::Sender<ServingState>>,
     inbox: mpsc::Sender<SenderEvent>,
 ) {
     tokio::select! {
@@ -196,9 +198,9 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!("draining");
-    duty.send_modify(|duty| {
-        if *duty != ServingState::HandedOver {
-            *duty = ServingState::ShuttingDown;
+    serving_state.send_modify(|serving_state| {
+        if *serving_state != ServingState::HandedOver {
+            *serving_state = ServingState::ShuttingDown;
         }
     });
     // Its receiver ends only with the process.
--- a/crates/message-sender/src/metrics.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -31,14 +31,14 @@
 pub struct Metrics {
     classes: Vec<ClassMetrics>,
     /// Messages written whole to endpoints.
-    pub tries: Rc<Cell<u64>>,
+    pub attempts: Rc<Cell<u64>>,
     pub in_progress: Cell<usize>,
     pub known_endpoints: Cell<usize>,
     pub skipped_endpoints: Cell<usize>,
 }
 
 /// Adds one.
-pub fn count(counter: &Cell<u64>) {
+pub fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
 }
 
@@ -49,16 +49,16 @@
     }
 
     /// Counts a message's end.
-    pub fn ended(&self, class: usize, fate: MessageOutcome) {
+    pub fn count_outcome(&self, class: usize, fate: MessageOutcome) {
         let Some(class) = self.classes.get(class) else { return };
-        count(match fate {
+        increment(match fate {
             MessageOutcome::Delivered => &class.passed,
             MessageOutcome::Rejected => &class.dropped,
             MessageOutcome::Failed => &class.bad_gateway,
         });
     }
 
-    pub fn text(&self) -> String {
+    pub fn render(&self) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64, kind: &str| {
             // Writing to a string does not fail.
@@ -69,7 +69,7 @@
             line(&format!("dropped.{}", class.name), class.dropped.get(), "c");
             line(&format!("bad_gateway.{}", class.name), class.bad_gateway.get(), "c");
         }
-        line("upstream_tries", self.tries.get(), "c");
+        line("upstream_tries", self.attempts.get(), "c");
         line("in_progress", self.in_progress.get() as u64, "g");
         line("known_endpoints", self.known_endpoints.get() as u64, "g");
         line("skipped_endpoints", self.skipped_endpoints.get() as u64, "g");
--- a/crates/message-sender/src/notice.rs
+++ b/crates/message-sender/src/notice.rs
@@ -3,10 +3,23 @@
 use delivery_control::Micros;
 use serde::{Deserialize, Serialize};
 
-/// The final answer that the platform is owed.
+/// The final answer that the platform has yet to acknowledge.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Notice {
+    /// The message, as its client names it.
     pub call_id: String,
-    /// For a refusal, when to come again; `None` for a failure.
-    pub bounced: Option<Micros>,
+    /// How it ended.
+    pub result: NoticeResult,
+}
+
+/// How a message ended. The journal stores variants by position: new ones go to the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoticeResult {
+    /// Given up; it may or may not have taken effect.
+    Failed,
+    /// It had no effect, or submitting it again is harmless.
+    Rejected {
+        /// When to submit it again; 0 for no advice.
+        retry_after: Micros,
+    },
 }
--- a/crates/message-sender/src/operator_api/mod.rs
+++ b/crates/message-sender/src/operator_api/mod.rs
@@ -23,9 +23,9 @@
 use crate::serving_state::ServingState;
 
 /// Callers at once; a silent one makes room for the next.
-pub const SEATS: usize = 16;
+pub const MAX_CONNECTIONS: usize = 16;
 /// Orders that wait for the driver.
-pub const ORDERS: usize = SEATS;
+pub const ORDERS: usize = MAX_CONNECTIONS;
 const HEAD_BYTES: usize = 8 * 1024;
 const ID_BYTES: usize = 256;
 /// A caller waits 1 s: later, a yes would not be heard.
@@ -53,37 +53,37 @@
 
 /// What all callers' connections share.
 pub struct OperatorApi {
-    pub duty: Rc<watch::Sender<ServingState>>,
+    pub serving_state: Rc<watch::Sender<ServingState>>,
     /// Messages can be taken on.
     pub ready: Rc<Cell<bool>>,
-    pub figures: Rc<Metrics>,
+    pub metrics: Rc<Metrics>,
     pub orders: mpsc::Sender<Order>,
 }
 
 impl OperatorApi {
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, admission: Rc<ConnectionLimiter>) {
-        admission
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, limiter: Rc<ConnectionLimiter>) {
+        limiter
             .clone()
-            .serve(listener, |stream, seat| self.clone().converse(stream, admission.clone(), seat))
+            .serve(listener, |stream, slot| self.clone().converse(stream, limiter.clone(), slot))
             .await;
     }
 
     async fn converse(
         self: Rc<Self>,
         stream: TcpStream,
-        admission: Rc<ConnectionLimiter>,
-        seat: Rc<ConnectionSlot>,
+        limiter: Rc<ConnectionLimiter>,
+        slot: Rc<ConnectionSlot>,
     ) {
-        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: seat.clone() });
+        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: slot.clone() });
         let service = service_fn(move |request| {
-            let (this, admission, seat) = (self.clone(), admission.clone(), seat.clone());
+            let (this, limiter, slot) = (self.clone(), limiter.clone(), slot.clone());
             async move {
                 let mut response = Response::new(Full::<Bytes>::default());
-                match this.answer(request, &seat).await {
+                match this.answer(request, &slot).await {
                     Ok(text) => *response.body_mut() = text.into(),
                     Err(status) => *response.status_mut() = status,
                 }
-                admission.answered(&seat);
+                limiter.answered(&slot);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -95,7 +95,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, seat: &ConnectionSlot) -> Result<String, StatusCode> {
+    async fn answer(&self, request: Request<Incoming>, slot: &ConnectionSlot) -> Result<String, StatusCode> {
         let (head, body) = request.into_parts();
         let (wanted, path) = match head.uri.path() {
             path @ ("/status" | "/status/metrics") => (Method::GET, path),
@@ -108,9 +108,9 @@
             return Err(StatusCode::METHOD_NOT_ALLOWED);
         }
         let body = Limited::new(body, ID_BYTES).collect().await.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
-        seat.open();
+        slot.open();
         match path {
-            "/status/metrics" => Ok(self.figures.text()),
+            "/status/metrics" => Ok(self.metrics.render()),
             "/status" if self.is_serving() => Ok("serving\n".to_owned()),
             "/status" => Err(StatusCode::SERVICE_UNAVAILABLE),
             "/standby" => self.change_duty(ServingState::Standby),
@@ -121,16 +121,16 @@
     }
 
     fn is_serving(&self) -> bool {
-        self.ready.get() && *self.duty.borrow() == ServingState::Serving
+        self.ready.get() && *self.serving_state.borrow() == ServingState::Serving
     }
 
     /// Clients' connections and `/healthz` follow it at once.
     fn change_duty(&self, to: ServingState) -> Result<String, StatusCode> {
-        if !self.ready.get() || *self.duty.borrow() == ServingState::ShuttingDown {
+        if !self.ready.get() || *self.serving_state.borrow() == ServingState::ShuttingDown {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        if self.duty.send_replace(to) != to {
-            tracing::info!(?to, "an operator changed the duty");
+        if self.serving_state.send_replace(to) != to {
+            tracing::info!(?to, "an operator changed the serving_state");
         }
         Ok(format!("{to:?}\n").to_lowercase())
     }
--- a/crates/message-sender/src/serving_state.rs
+++ b/crates/message-sender/src/serving_state.rs
@@ -17,7 +17,7 @@
 
 impl ServingState {
     /// Waits until clients are to be sent away.
-    pub async fn ends(state: &mut watch::Receiver<ServingState>) {
+    pub async fn wait_until_not_serving(state: &mut watch::Receiver<ServingState>) {
         // Without a sender the process ends, and so does whoever waits.
         let _ = state.wait_for(|state| *state == Self::Serving).await;
         let _ = state.wait_for(|state| *state != Self::Serving).await;
--- a/crates/message-sender/tests/common/mod.rs
+++ b/crates/message-sender/tests/common/mod.rs
@@ -172,7 +172,7 @@
 }
 
 /// Discovery's agent: holds watches until something changes, and takes notices.
-pub struct DiscoveryMode {
+pub struct Discovery {
     pub address: SocketAddr,
     lists: Arc<(Mutex<Lists>, Condvar)>,
     pub notices: Receiver<Value>,
@@ -180,7 +180,7 @@
     pub asked: Receiver<String>,
 }
 
-impl DiscoveryMode {
+impl Discovery {
     pub fn start(lines: Vec<Value>) -> Self {
         Self::play(Lists { index: 1, lines, ..Lists::default() })
     }
@@ -325,14 +325,14 @@
 }
 
 impl Sender {
-    pub fn start(state: &Path, discovery: &DiscoveryMode, known: Vec<Value>, terms: &Terms) -> Self {
+    pub fn start(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
         let mut sender = Self::launch(state, discovery, known, terms);
         sender.await_ready();
         sender
     }
 
     /// Starts a process that need not become the sender at once; until then it has no address for clients.
-    pub fn launch(state: &Path, discovery: &DiscoveryMode, known: Vec<Value>, terms: &Terms) -> Self {
+    pub fn launch(state: &Path, discovery: &Discovery, known: Vec<Value>, terms: &Terms) -> Self {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(), "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": terms.sockets, "disk_mb": terms.disk_mb},
@@ -393,7 +393,7 @@
     }
 
     /// Puts a configuration that names another discovery in the file's place, and says so.
-    pub fn move_discovery(&self, discovery: &DiscoveryMode) {
+    pub fn move_discovery(&self, discovery: &Discovery) {
         let text = std::fs::read(&self.config).unwrap();
         let mut config: Value = serde_json::from_slice(&text).unwrap();
         config["discovery"] = discovery.address.to_string().into();
--- a/crates/message-sender/tests/delivery.rs
+++ b/crates/message-sender/tests/delivery.rs
@@ -5,15 +5,15 @@
 use std::io::Write;
 use std::time::Duration;
 
-use common::{line, message, DiscoveryMode, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
+use common::{line, message, Discovery, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
 
-fn stage(script: Vec<Reply>) -> (tempfile::TempDir, DiscoveryMode, Endpoint) {
+fn stage(script: Vec<Reply>) -> (tempfile::TempDir, Discovery, Endpoint) {
     let endpoint = Endpoint::start(script);
-    let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+    let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
     (tempfile::tempdir().unwrap(), discovery, endpoint)
 }
 
-fn start(folder: &tempfile::TempDir, discovery: &DiscoveryMode, endpoint: &Endpoint) -> Sender {
+fn start(folder: &tempfile::TempDir, discovery: &Discovery, endpoint: &Endpoint) -> Sender {
     let known = vec![line("s-1", endpoint.address, 7, "up")];
     let state = folder.path().join("state");
     std::fs::create_dir_all(&state).unwrap();
@@ -225,7 +225,7 @@
     let loses = Endpoint::start(script(&[Reply::Hang, OK, Reply::Hang, Reply::Hang, Reply::Hang]));
     let hangs = Endpoint::start(script(&vec![Reply::Hang; 6]));
     let lines = vec![line("s-1", loses.address, 7, "up"), line("s-2", hangs.address, 8, "up")];
-    let (folder, discovery) = (tempfile::tempdir().unwrap(), DiscoveryMode::start(lines.clone()));
+    let (folder, discovery) = (tempfile::tempdir().unwrap(), Discovery::start(lines.clone()));
     let state = folder.path().join("state");
     std::fs::create_dir_all(&state).unwrap();
     let sender = Sender::start(&state, &discovery, lines, &Terms::default());
--- a/crates/message-sender/tests/operators.rs
+++ b/crates/message-sender/tests/operators.rs
@@ -6,20 +6,18 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use common::{
-    line, message, read_message, DiscoveryMode, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON,
-};
+use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 
 struct Stage {
     folder: tempfile::TempDir,
-    discovery: DiscoveryMode,
+    discovery: Discovery,
     endpoint: Endpoint,
 }
 
 impl Stage {
     fn new(script: Vec<Reply>) -> Self {
         let endpoint = Endpoint::start(script);
-        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { folder: tempfile::tempdir().unwrap(), discovery, endpoint }
     }
 
--- a/crates/message-sender/tests/reload.rs
+++ b/crates/message-sender/tests/reload.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{line, DiscoveryMode, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
+use common::{line, Discovery, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
 
-fn start(folder: &tempfile::TempDir, discovery: &DiscoveryMode, endpoint: &Endpoint) -> Sender {
+fn start(folder: &tempfile::TempDir, discovery: &Discovery, endpoint: &Endpoint) -> Sender {
     let state = folder.path().join("state");
     std::fs::create_dir(&state).unwrap();
     Sender::start(&state, discovery, vec![line("s-1", endpoint.address, 7, "up")], &Terms::default())
@@ -16,8 +16,8 @@
 fn the_watch_moves_to_the_new_address_with_a_whole_list() {
     let (folder, first, second) =
         (tempfile::tempdir().unwrap(), Endpoint::start(vec![OK]), Endpoint::start(vec![OK]));
-    let old = DiscoveryMode::start(vec![line("s-1", first.address, 7, "up")]);
-    let new = DiscoveryMode::start(vec![line("s-2", second.address, 7, "up")]);
+    let old = Discovery::start(vec![line("s-1", first.address, 7, "up")]);
+    let new = Discovery::start(vec![line("s-2", second.address, 7, "up")]);
     let sender = start(&folder, &old, &first);
     old.await_watch(1);
     sender.move_discovery(&new);
@@ -37,7 +37,7 @@
 fn a_file_that_cannot_be_read_changes_nothing() {
     let (folder, endpoint, other) =
         (tempfile::tempdir().unwrap(), Endpoint::start(vec![OK]), Endpoint::start(vec![OK]));
-    let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+    let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
     let sender = start(&folder, &discovery, &endpoint);
     discovery.await_watch(1);
     std::fs::write(&sender.config, "{").unwrap();
@@ -55,7 +55,7 @@
 fn notices_that_were_not_taken_go_to_the_new_address() {
     let (folder, endpoint) = (tempfile::tempdir().unwrap(), Endpoint::start(vec![Reply::Hang]));
     let lines = || vec![line("s-1", endpoint.address, 7, "up")];
-    let (old, new) = (DiscoveryMode::start(lines()), DiscoveryMode::start(lines()));
+    let (old, new) = (Discovery::start(lines()), Discovery::start(lines()));
     old.deafen(u32::MAX);
     let sender = start(&folder, &old, &endpoint);
     assert_eq!(sender.hand_in("m1", 300, "x"), TAKEN_ON);
--- a/crates/message-sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -7,15 +7,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use common::{
-    line, message, read_message, DiscoveryMode, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON,
-};
+use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 use socket2::{Domain, Socket, Type};
 
 struct Stage {
     _folder: tempfile::TempDir,
     state: PathBuf,
-    discovery: DiscoveryMode,
+    discovery: Discovery,
     endpoint: Endpoint,
     terms: Terms,
 }
@@ -26,7 +24,7 @@
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
         let endpoint = Endpoint::start(script);
-        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { _folder: folder, state, discovery, endpoint, terms }
     }
 
@@ -261,7 +259,7 @@
     let discovery = if discovery_is_up {
         &stage.discovery
     } else {
-        gone = DiscoveryMode::silent();
+        gone = Discovery::silent();
         &gone
     };
     let known = vec![line("s-1", stage.endpoint.address, 7, "up")];
--- a/crates/message-sender/tests/rude.rs
+++ b/crates/message-sender/tests/rude.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    line, message, read_message, write_in_pieces, DiscoveryMode, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON,
+    line, message, read_message, write_in_pieces, Discovery, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON,
 };
 
 struct Stage {
     _folder: tempfile::TempDir,
-    _discovery: DiscoveryMode,
+    _discovery: Discovery,
     endpoint: Endpoint,
     sender: Sender,
 }
@@ -21,7 +21,7 @@
     fn new() -> Self {
         let (folder, endpoint) = (tempfile::tempdir().unwrap(), Endpoint::start(vec![OK]));
         let lines = || vec![line("s-1", endpoint.address, 7, "up")];
-        let discovery = DiscoveryMode::start(lines());
+        let discovery = Discovery::start(lines());
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
         let sender = Sender::start(&state, &discovery, lines(), &Terms::default());
--- a/crates/message-sender/tests/shutdown.rs
+++ b/crates/message-sender/tests/shutdown.rs
@@ -9,14 +9,12 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use common::{
-    line, message, read_message, DiscoveryMode, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON,
-};
+use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 
 struct Stage {
     _folder: tempfile::TempDir,
     state: PathBuf,
-    discovery: DiscoveryMode,
+    discovery: Discovery,
     endpoint: Endpoint,
     terms: Terms,
 }
@@ -27,7 +25,7 @@
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
         let endpoint = Endpoint::start(script);
-        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { _folder: folder, state, discovery, endpoint, terms }
     }
 
--- a/crates/message-sender/tests/size.rs
+++ b/crates/message-sender/tests/size.rs
@@ -4,7 +4,7 @@
 
 use std::net::TcpStream;
 
-use common::{line, DiscoveryMode, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON};
+use common::{line, Discovery, Endpoint, Sender, Terms, LONG, OK, TAKEN_ON};
 
 /// Guards against idle clients that come all at once and take the descriptors by which discovery would be found again.
 #[test]
@@ -13,7 +13,7 @@
     let state = folder.path().join("state");
     std::fs::create_dir(&state).unwrap();
     // It is down at first, and the sender knows no list.
-    let discovery = DiscoveryMode::silent();
+    let discovery = Discovery::silent();
     let terms = Terms { sockets: 128, ..Terms::default() };
     let sender = Sender::start(&state, &discovery, Vec::new(), &terms);
     discovery.asked.recv_timeout(LONG).expect("a call for the list");
@@ -42,7 +42,7 @@
     let name = |number| format!("s-{number}-{}", "x".repeat(200));
     // Destinations 0 to 1,023, of which 7 is called here.
     let lines = (0..1_024).map(|number| line(&name(number), endpoint.address, number, "up")).collect();
-    let discovery = DiscoveryMode::start(lines);
+    let discovery = Discovery::start(lines);
     let terms = Terms { senders: 1_024, ..Terms::default() };
     let sender = Sender::start(&state, &discovery, Vec::new(), &terms);
     discovery.await_watch(1);
--- a/crates/message-sender/tests/spoilt.rs
+++ b/crates/message-sender/tests/spoilt.rs
@@ -4,11 +4,11 @@
 
 use std::time::{Duration, Instant};
 
-use common::{line, DiscoveryMode, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
+use common::{line, Discovery, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
 
 struct Stage {
     folder: tempfile::TempDir,
-    discovery: DiscoveryMode,
+    discovery: Discovery,
     endpoint: Endpoint,
     terms: Terms,
 }
@@ -17,7 +17,7 @@
     fn new(script: Vec<Reply>, effect: &'static str) -> Self {
         let (folder, endpoint) = (tempfile::tempdir().unwrap(), Endpoint::start(script));
         std::fs::create_dir(folder.path().join("state")).unwrap();
-        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { folder, discovery, endpoint, terms: Terms { effect, ..Terms::default() } }
     }
 
--- a/crates/message-sender/tests/upgrade.rs
+++ b/crates/message-sender/tests/upgrade.rs
@@ -12,14 +12,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{
-    line, message, read_message, DiscoveryMode, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON,
-};
+use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 
 struct Stage {
     _folder: tempfile::TempDir,
     state: PathBuf,
-    discovery: DiscoveryMode,
+    discovery: Discovery,
     endpoint: Endpoint,
     terms: Terms,
 }
@@ -30,7 +28,7 @@
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
         let endpoint = Endpoint::start(script);
-        let discovery = DiscoveryMode::start(vec![line("s-1", endpoint.address, 7, "up")]);
+        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
         Self { _folder: folder, state, discovery, endpoint, terms }
     }
 
@@ -49,7 +47,7 @@
     fn hello(&self) -> UnixStream {
         let mut stream = UnixStream::connect(self.state.join("handover")).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        say(&mut stream, &BTreeMap::from([("relay", Some(2))]));
+        say(&mut stream, &BTreeMap::from([("relay", Some(3))]));
         stream
     }
 }
