--- a/sender/src/connection.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -1,5 +1,7 @@
 //! One outgoing HTTP/1.1 connection, which knows what has been on the wire for the request in hand.
 
+mod status_line;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
@@ -19,9 +21,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::figures::count;
-use crate::first_line::FirstLine;
-use crate::observed::{Observed, Observer};
+use self::status_line::StatusLineParser;
+use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
+use crate::metrics::increment;
 
 /// What an answer's head may take at most: it may have no end.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -30,15 +32,15 @@
 
 /// What has passed since the last request was handed over.
 #[derive(Default)]
-struct Meter {
+struct ByteCounter {
     written: Cell<u64>,
     /// At so many bytes the request is whole, which is counted here.
     whole: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
-    first_line: RefCell<FirstLine>,
+    first_line: RefCell<StatusLineParser>,
     answer_begun: Notify,
 }
 
-impl Observer for Meter {
+impl StreamObserver for ByteCounter {
     fn read(&self, bytes: &[u8]) {
         let mut line = self.first_line.borrow_mut();
         line.read(bytes);
@@ -50,11 +52,11 @@
     fn written(&self, bytes: usize) {
         self.written.set(self.written.get() + bytes as u64);
         let whole = self.whole.borrow_mut().take_if(|(length, _)| self.written.get() >= *length);
-        whole.inspect(|(_, counter)| count(counter));
+        whole.inspect(|(_, counter)| increment(counter));
     }
 }
 
-impl Meter {
+impl ByteCounter {
     fn reset(&self) {
         self.written.set(0);
         self.first_line.take();
@@ -82,7 +84,7 @@
 
 /// How the rest of an answer came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Rest {
+pub enum RestOfAnswer {
     /// In full, and another request may follow.
     Whole,
     /// In full, and the connection has ended.
@@ -98,7 +100,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<hyper::Result<()>>,
     stream: Rc<TcpStream>,
-    meter: Rc<Meter>,
+    meter: Rc<ByteCounter>,
     /// It has carried a call before.
     pub is_reused: bool,
 }
@@ -107,8 +109,8 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = Rc::new(TcpStream::connect(address).await?);
         stream.set_nodelay(true)?;
-        let meter = Rc::new(Meter::default());
-        let io = TokioIo::new(Observed { stream: stream.clone(), observer: meter.clone() });
+        let meter = Rc::new(ByteCounter::default());
+        let io = TokioIo::new(InstrumentedStream { stream: stream.clone(), observer: meter.clone() });
         let mut client = http1::Builder::new();
         client.max_buf_size(BUFFER_BYTES);
         let (sender, connection) = client.handshake(io).await.map_err(io::Error::other)?;
@@ -118,7 +120,7 @@
     }
 
     /// Has the next request counted once its last byte is written.
-    pub fn count_whole(&self, length: u64, counter: &Rc<Cell<u64>>) {
+    pub fn count_when_written(&self, length: u64, counter: &Rc<Cell<u64>>) {
         self.meter.whole.replace(Some((length, counter.clone())));
     }
 
@@ -138,22 +140,22 @@
     }
 
     /// Reads the rest of an answer, up to so many bytes of its body.
-    pub async fn rest(&mut self, body: Incoming, most: usize) -> Rest {
+    pub async fn read_rest(&mut self, body: Incoming, most: usize) -> RestOfAnswer {
         if body.size_hint().lower() > most as u64 {
-            return Rest::Spoilt;
+            return RestOfAnswer::Spoilt;
         }
         let read = async { Limited::new(body, most).collect().await.is_ok().then_some(self.ready().await) };
         match timeout(ANSWER_PATIENCE, read).await {
-            Err(_) | Ok(None) => Rest::Spoilt,
+            Err(_) | Ok(None) => RestOfAnswer::Spoilt,
             Ok(Some(true)) => {
                 // Of no concern to the next request, which may be called off before it is sent.
                 self.meter.reset();
-                Rest::Whole
+                RestOfAnswer::Whole
             }
             // What nobody asked for ends the connection with an error; a close does not.
             Ok(Some(false)) => match (&mut self.task).await {
-                Ok(Ok(())) => Rest::Last,
-                Ok(Err(_)) | Err(_) => Rest::Overfull,
+                Ok(Ok(())) => RestOfAnswer::Last,
+                Ok(Err(_)) | Err(_) => RestOfAnswer::Overfull,
             },
         }
     }
@@ -171,17 +173,17 @@
     }
 
     /// Bytes written since the last request was handed to it.
-    pub fn written(&self) -> u64 {
+    pub fn bytes_written(&self) -> u64 {
         self.meter.written.get()
     }
 
     /// An answer to it has begun.
-    pub fn is_answered(&self) -> bool {
+    pub fn has_answer(&self) -> bool {
         self.meter.first_line.borrow().has_begun()
     }
 
     /// The status that the first line of the answer tells, as far as that has come.
-    pub fn first_line(&self) -> Option<u16> {
+    pub fn answer_status(&self) -> Option<u16> {
         self.meter.first_line.borrow().status()
     }
 
--- a/sender/src/journal.rs
+++ b/crates/message-sender/src/journal/mod.rs
@@ -9,9 +9,11 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use roadshift::interface::{DestinationId, MessageId, Micros};
+use delivery_control::{DestinationId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 
+use crate::notice::Notice;
+
 const NAME: &str = "journal";
 const NEXT_NAME: &str = "journal.next";
 const FRAME: usize = 8;
@@ -41,7 +43,7 @@
 
 /// A message as it was taken on. Times are Unix time, since monotonic time dies with the process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Taken {
+pub struct AcceptedMessage {
     pub call_id: String,
     pub key: Option<String>,
     /// By name: a later configuration may number classes otherwise.
@@ -54,7 +56,7 @@
 
 /// A message as earlier versions wrote it: what they held must outlast an upgrade.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct TakenBefore {
+struct AcceptedMessageV1 {
     call_id: String,
     key: Option<String>,
     class: String,
@@ -63,9 +65,9 @@
     body: Body,
 }
 
-impl From<TakenBefore> for Taken {
-    fn from(before: TakenBefore) -> Self {
-        let TakenBefore { call_id, key, class, destination, deadline, body } = before;
+impl From<AcceptedMessageV1> for AcceptedMessage {
+    fn from(before: AcceptedMessageV1) -> Self {
+        let AcceptedMessageV1 { call_id, key, class, destination, deadline, body } = before;
         Self { call_id, key, class, destination, order_key: None, deadline, body }
     }
 }
@@ -88,14 +90,12 @@
 }
 
 /// When and in which zone an attempt was sent.
-pub type Sent = (Micros, u64);
-
-/// The final answer that the platform is owed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
-    pub call_id: String,
-    /// For a refusal, when to come again; `None` for a failure.
-    pub bounced: Option<Micros>,
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AttemptStart {
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// Index of its endpoint's zone.
+    pub zone: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,16 +103,16 @@
     /// Ids up to this one have been used.
     Used(MessageId),
     /// Only read; now `Taken`. Variants are known by their place: new ones go to the end.
-    TakenBefore(MessageId, TakenBefore),
-    Attempt(MessageId, Sent),
+    AcceptedMessageV1(MessageId, AcceptedMessageV1),
+    Attempt(MessageId, AttemptStart),
     /// The last attempt never ran.
     NotRun(MessageId),
     /// The attempts so far, in place of their records.
-    Past(MessageId, Past),
+    AttemptHistory(MessageId, AttemptHistory),
     Ended(MessageId, Option<Notice>),
     /// The platform has the notice.
     Noticed(MessageId),
-    Taken(MessageId, Taken),
+    AcceptedMessage(MessageId, AcceptedMessage),
     /// An operator has taken the endpoint of this name out, or put it back.
     Out(String),
     Back(String),
@@ -124,27 +124,27 @@
 
 /// The attempts of a message so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Past {
+pub struct AttemptHistory {
     pub attempts: u32,
     /// The first that may have run.
-    ran: Option<Sent>,
+    ran: Option<AttemptStart>,
     /// The last, while nothing proves that it never ran.
-    out: Option<Sent>,
+    out: Option<AttemptStart>,
 }
 
-impl Past {
+impl AttemptHistory {
     /// The first attempt that may have run. One that was out when the process died counts.
-    pub fn first_run(&self) -> Option<Sent> {
+    pub fn first_ambiguous(&self) -> Option<AttemptStart> {
         self.ran.or(self.out)
     }
 }
 
 /// What the journal holds of a message.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Kept {
-    Open(Taken, Past),
+pub enum JournalEntry {
+    Open(AcceptedMessage, AttemptHistory),
     /// With its order key: the next message of that waits for the platform's answer.
-    Owed(Notice, Option<String>),
+    PendingNotice(Notice, Option<String>),
 }
 
 /// The journal of one sender.
@@ -153,7 +153,7 @@
     file: File,
     length: u64,
     disk: u64,
-    live: BTreeMap<MessageId, Kept>,
+    live: BTreeMap<MessageId, JournalEntry>,
     open_bytes: u64,
     used: MessageId,
     out: BTreeSet<String>,
@@ -198,23 +198,23 @@
     }
 
     /// All that is open or owed.
-    pub fn kept(&self) -> impl Iterator<Item = (MessageId, &Kept)> {
+    pub fn entries(&self) -> impl Iterator<Item = (MessageId, &JournalEntry)> {
         self.live.iter().map(|(id, kept)| (*id, kept))
     }
 
     /// Whether a message is held that has not ended.
     pub fn is_open(&self, id: MessageId) -> bool {
-        matches!(self.live.get(&id), Some(Kept::Open(..)))
+        matches!(self.live.get(&id), Some(JournalEntry::Open(..)))
     }
 
     /// Names of the endpoints that operators have taken out.
-    pub fn out(&self) -> &BTreeSet<String> {
+    pub fn drained_endpoints(&self) -> &BTreeSet<String> {
         &self.out
     }
 
     /// Writes that an operator takes an endpoint out. Such names stay until it is put back, so their number has
     /// a bound.
-    pub fn take_out(&mut self, name: &str) -> Result<(), JournalError> {
+    pub fn record_drained(&mut self, name: &str) -> Result<(), JournalError> {
         if self.out.contains(name) {
             return Ok(());
         }
@@ -225,7 +225,7 @@
     }
 
     /// Writes that an operator puts an endpoint back.
-    pub fn put_back(&mut self, name: &str) -> Result<(), JournalError> {
+    pub fn record_restored(&mut self, name: &str) -> Result<(), JournalError> {
         if !self.out.contains(name) {
             return Ok(());
         }
@@ -238,36 +238,36 @@
     }
 
     /// Writes that a message is taken on; until then the client must not hear so.
-    pub fn take_on(&mut self, id: MessageId, taken: Taken) -> Result<(), JournalError> {
+    pub fn record_accepted(&mut self, id: MessageId, taken: AcceptedMessage) -> Result<(), JournalError> {
         if self.open_bytes + room(&taken) > share(self.disk, OPEN_SHARE) {
             return Err(JournalError::Full);
         }
-        self.append(Record::Taken(id, taken), FILE_SHARE)
+        self.append(Record::AcceptedMessage(id, taken), FILE_SHARE)
     }
 
     /// Writes that an attempt goes out; until then no byte of it may. Written before its connection is up, a call
     /// that was never made would count as one that may have run, should the process die meanwhile.
-    pub fn attempt(&mut self, id: MessageId, sent: Sent) -> Result<(), JournalError> {
+    pub fn record_attempt(&mut self, id: MessageId, sent: AttemptStart) -> Result<(), JournalError> {
         self.append(Record::Attempt(id, sent), UTMOST_SHARE)
     }
 
     /// Writes that no byte of the last attempt has gone out, nor will.
-    pub fn unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::Unsent(id), UTMOST_SHARE)
     }
 
     /// Writes that the last attempt never ran.
-    pub fn not_run(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_unprocessed(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::NotRun(id), UTMOST_SHARE)
     }
 
     /// Writes a message's end, with the notice that it still takes.
-    pub fn end(&mut self, id: MessageId, notice: Option<Notice>) -> Result<(), JournalError> {
+    pub fn record_end(&mut self, id: MessageId, notice: Option<Notice>) -> Result<(), JournalError> {
         self.append(Record::Ended(id, notice), UTMOST_SHARE)
     }
 
     /// Writes that the platform has the notice.
-    pub fn noticed(&mut self, id: MessageId) -> Result<(), JournalError> {
+    pub fn record_notice_acknowledged(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append(Record::Noticed(id), UTMOST_SHARE)
     }
 
@@ -301,11 +301,11 @@
         }
         for (id, kept) in &self.live {
             match kept {
-                Kept::Open(taken, past) => {
-                    text.extend(encode(&Record::Taken(*id, taken.clone()))?);
-                    text.extend(encode(&Record::Past(*id, *past))?);
+                JournalEntry::Open(taken, past) => {
+                    text.extend(encode(&Record::AcceptedMessage(*id, taken.clone()))?);
+                    text.extend(encode(&Record::AttemptHistory(*id, *past))?);
                 }
-                Kept::Owed(notice, key) => {
+                JournalEntry::PendingNotice(notice, key) => {
                     text.extend(encode(&Record::Ended(*id, Some(notice.clone())))?);
                     if let Some(key) = key {
                         text.extend(encode(&Record::Key(*id, key.clone()))?);
@@ -342,14 +342,14 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Used(id) => self.used = self.used.max(id),
-            Record::TakenBefore(id, before) => self.apply(Record::Taken(id, before.into())),
-            Record::Taken(id, taken) => {
+            Record::AcceptedMessageV1(id, before) => self.apply(Record::AcceptedMessage(id, before.into())),
+            Record::AcceptedMessage(id, taken) => {
                 self.used = self.used.max(id);
                 self.open_bytes += room(&taken);
-                self.live.insert(id, Kept::Open(taken, Past::default()));
+                self.live.insert(id, JournalEntry::Open(taken, AttemptHistory::default()));
             }
             Record::Attempt(id, sent) => self.with_past(id, |past| {
-                (past.ran, past.out) = (past.first_run(), Some(sent));
+                (past.ran, past.out) = (past.first_ambiguous(), Some(sent));
                 past.attempts += 1;
             }),
             Record::NotRun(id) => self.with_past(id, |past| past.out = None),
@@ -357,16 +357,16 @@
                 past.out = None;
                 past.attempts = past.attempts.saturating_sub(1);
             }),
-            Record::Past(id, now) => self.with_past(id, |past| *past = now),
+            Record::AttemptHistory(id, now) => self.with_past(id, |past| *past = now),
             Record::Ended(id, notice) => {
                 self.used = self.used.max(id);
                 let key = self.drop_open(id);
                 if let Some(notice) = notice {
-                    self.live.insert(id, Kept::Owed(notice, key));
+                    self.live.insert(id, JournalEntry::PendingNotice(notice, key));
                 }
             }
             Record::Key(id, key) => {
-                if let Some(Kept::Owed(_, kept)) = self.live.get_mut(&id) {
+                if let Some(JournalEntry::PendingNotice(_, kept)) = self.live.get_mut(&id) {
                     *kept = Some(key);
                 }
             }
@@ -376,15 +376,15 @@
         }
     }
 
-    fn with_past(&mut self, id: MessageId, change: impl FnOnce(&mut Past)) {
-        if let Some(Kept::Open(_, past)) = self.live.get_mut(&id) {
+    fn with_past(&mut self, id: MessageId, change: impl FnOnce(&mut AttemptHistory)) {
+        if let Some(JournalEntry::Open(_, past)) = self.live.get_mut(&id) {
             change(past);
         }
     }
 
     /// Gives the order key of what was open.
     fn drop_open(&mut self, id: MessageId) -> Option<String> {
-        let Some(Kept::Open(taken, _)) = self.live.remove(&id) else { return None };
+        let Some(JournalEntry::Open(taken, _)) = self.live.remove(&id) else { return None };
         self.open_bytes = self.open_bytes.saturating_sub(room(&taken));
         taken.order_key
     }
@@ -406,7 +406,7 @@
     Ok(framed)
 }
 
-fn room(taken: &Taken) -> u64 {
+fn room(taken: &AcceptedMessage) -> u64 {
     let optional = [&taken.key, &taken.order_key].into_iter().flatten().map(String::len).sum::<usize>();
     let texts = taken.call_id.len() * 2 + taken.class.len() + optional;
     (texts + taken.body.0.len()) as u64 + MESSAGE_ROOM
@@ -423,18 +423,27 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::notice::NoticeResult;
 
     const DISK: u64 = 3_000_000;
 
-    fn taken(call_id: &str, bytes: usize) -> Taken {
+    fn taken(call_id: &str, bytes: usize) -> AcceptedMessage {
         let (key, class) = (Some("key".to_owned()), "notice".to_owned());
         let body = Body(Bytes::from(vec![7; bytes]));
         let order_key = Some("card".to_owned());
-        Taken { call_id: call_id.to_owned(), key, class, destination: 7, order_key, deadline: 99, body }
+        AcceptedMessage {
+            call_id: call_id.to_owned(),
+            key,
+            class,
+            destination: 7,
+            order_key,
+            deadline: 99,
+            body,
+        }
     }
 
-    fn kept(journal: &Journal) -> Vec<(MessageId, Kept)> {
-        journal.kept().map(|(id, kept)| (id, kept.clone())).collect()
+    fn kept(journal: &Journal) -> Vec<(MessageId, JournalEntry)> {
+        journal.entries().map(|(id, kept)| (id, kept.clone())).collect()
     }
 
     fn on_disk(folder: &Path) -> u64 {
@@ -446,24 +455,31 @@
         let folder = tempfile::tempdir().unwrap();
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
         for id in 1..=3 {
-            journal.take_on(id, taken("m", 100)).unwrap();
+            journal.record_accepted(id, taken("m", 100)).unwrap();
         }
-        journal.attempt(1, (5, 0)).unwrap();
-        journal.not_run(1).unwrap();
-        journal.attempt(1, (6, 0)).unwrap();
-        journal.attempt(1, (7, 0)).unwrap();
-        journal.end(2, None).unwrap();
-        let notice = Notice { call_id: "m".to_owned(), bounced: Some(9) };
-        journal.end(3, Some(notice.clone())).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
+        journal.record_unprocessed(1).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 6, zone: 0 }).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 7, zone: 0 }).unwrap();
+        journal.record_end(2, None).unwrap();
+        let notice = Notice { call_id: "m".to_owned(), result: NoticeResult::Rejected { retry_after: 9 } };
+        journal.record_end(3, Some(notice.clone())).unwrap();
         let again = Journal::open(folder.path(), DISK).unwrap();
         assert_eq!(kept(&again), kept(&journal));
-        let past = Past { attempts: 3, ran: Some((6, 0)), out: Some((7, 0)) };
+        let past = AttemptHistory {
+            attempts: 3,
+            ran: Some(AttemptStart { sent_at: 6, zone: 0 }),
+            out: Some(AttemptStart { sent_at: 7, zone: 0 }),
+        };
         // Its key is kept, also by compaction: what comes next of it waits for the notice to be answered.
-        let owed = Kept::Owed(notice, Some("card".to_owned()));
+        let owed = JournalEntry::PendingNotice(notice, Some("card".to_owned()));
         journal.compact().unwrap();
         assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()), kept(&again));
-        assert_eq!(kept(&again), [(1, Kept::Open(taken("m", 100), past)), (3, owed)]);
-        assert_eq!((again.next_id(), past.first_run()), (4, Some((6, 0))));
+        assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("m", 100), past)), (3, owed)]);
+        assert_eq!(
+            (again.next_id(), past.first_ambiguous()),
+            (4, Some(AttemptStart { sent_at: 6, zone: 0 }))
+        );
     }
 
     /// Guards against an upgrade that loses what the version before it had taken on: its bytes, as it wrote them.
@@ -477,8 +493,8 @@
         fs::write(folder.path().join(NAME), bytes).unwrap();
         let journal = Journal::open(folder.path(), DISK).unwrap();
         let body = Body(Bytes::from_static(b"hi"));
-        let expected = Taken { order_key: None, body, ..taken("m1", 0) };
-        assert_eq!(kept(&journal), [(5, Kept::Open(expected, Past::default()))]);
+        let expected = AcceptedMessage { order_key: None, body, ..taken("m1", 0) };
+        assert_eq!(kept(&journal), [(5, JournalEntry::Open(expected, AttemptHistory::default()))]);
     }
 
     /// A process may die inside a write: what was whole before must survive, and what follows must be readable.
@@ -487,15 +503,15 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join(NAME);
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 40)).unwrap();
+        journal.record_accepted(1, taken("m1", 40)).unwrap();
         let first = journal.length as usize;
-        journal.take_on(2, taken("m2", 40)).unwrap();
+        journal.record_accepted(2, taken("m2", 40)).unwrap();
         let whole = fs::read(&path).unwrap();
         for torn in first..whole.len() {
             fs::write(&path, &whole[..torn]).unwrap();
             let mut journal = Journal::open(folder.path(), DISK).unwrap();
             assert_eq!(kept(&journal).len(), 1, "torn at {torn}");
-            journal.take_on(3, taken("m3", 40)).unwrap();
+            journal.record_accepted(3, taken("m3", 40)).unwrap();
             assert_eq!(kept(&Journal::open(folder.path(), DISK).unwrap()).len(), 2, "torn at {torn}");
         }
     }
@@ -506,16 +522,16 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join(NAME);
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 40)).unwrap();
+        journal.record_accepted(1, taken("m1", 40)).unwrap();
         let first = journal.length as usize;
-        journal.take_on(2, taken("m2", 40)).unwrap();
+        journal.record_accepted(2, taken("m2", 40)).unwrap();
         let whole = fs::read(&path).unwrap();
         for at in first..whole.len() {
             let mut bytes = whole.clone();
             bytes[at] ^= 0x55;
             fs::write(&path, &bytes).unwrap();
             let journal = Journal::open(folder.path(), DISK).unwrap();
-            let expected = Kept::Open(taken("m1", 40), Past::default());
+            let expected = JournalEntry::Open(taken("m1", 40), AttemptHistory::default());
             assert_eq!(kept(&journal), [(1, expected)], "corrupt at {at}");
         }
     }
@@ -526,16 +542,16 @@
         let folder = tempfile::tempdir().unwrap();
         let disk = 200_000;
         let mut journal = Journal::open(folder.path(), disk).unwrap();
-        journal.take_on(1, taken("stays", 20_000)).unwrap();
-        journal.attempt(1, (5, 0)).unwrap();
+        journal.record_accepted(1, taken("stays", 20_000)).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
         for id in 2..500 {
-            journal.take_on(id, taken("goes", 3_000)).unwrap();
-            journal.end(id, None).unwrap();
+            journal.record_accepted(id, taken("goes", 3_000)).unwrap();
+            journal.record_end(id, None).unwrap();
             assert!(on_disk(folder.path()) <= disk);
         }
         let again = Journal::open(folder.path(), disk).unwrap();
-        let past = Past { attempts: 1, ran: None, out: Some((5, 0)) };
-        assert_eq!(kept(&again), [(1, Kept::Open(taken("stays", 20_000), past))]);
+        let past = AttemptHistory { attempts: 1, ran: None, out: Some(AttemptStart { sent_at: 5, zone: 0 }) };
+        assert_eq!(kept(&again), [(1, JournalEntry::Open(taken("stays", 20_000), past))]);
         assert_eq!(again.next_id(), 500);
     }
 
@@ -547,19 +563,19 @@
         let folder = tempfile::tempdir().unwrap();
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
         for number in 0..OUT_MOST {
-            journal.take_out(&format!("s-{number}")).unwrap();
+            journal.record_drained(&format!("s-{number}")).unwrap();
         }
-        journal.take_out("s-0").unwrap();
-        assert!(matches!(journal.take_out("one too many"), Err(JournalError::Full)));
+        journal.record_drained("s-0").unwrap();
+        assert!(matches!(journal.record_drained("one too many"), Err(JournalError::Full)));
         for name in ["s-1", "s-1", "nobody"] {
-            journal.put_back(name).unwrap();
+            journal.record_restored(name).unwrap();
         }
         journal.compact().unwrap();
-        journal.put_back("s-2").unwrap();
+        journal.record_restored("s-2").unwrap();
         let again = Journal::open(folder.path(), DISK).unwrap();
-        assert_eq!(again.out(), journal.out());
-        assert_eq!(again.out().len(), OUT_MOST - 2);
-        assert!(again.out().contains("s-0") && !again.out().contains("s-1"));
+        assert_eq!(again.drained_endpoints(), journal.drained_endpoints());
+        assert_eq!(again.drained_endpoints().len(), OUT_MOST - 2);
+        assert!(again.drained_endpoints().contains("s-0") && !again.drained_endpoints().contains("s-1"));
     }
 
     #[test]
@@ -569,17 +585,19 @@
         let mut journal = Journal::open(folder.path(), disk).unwrap();
         fs::create_dir(folder.path().join(NEXT_NAME)).unwrap();
         let mut taken_on = 0;
-        while journal.take_on(taken_on + 1, taken("m", 1_000)).is_ok() {
+        while journal.record_accepted(taken_on + 1, taken("m", 1_000)).is_ok() {
             taken_on += 1;
-            journal.end(taken_on, None).unwrap();
+            journal.record_end(taken_on, None).unwrap();
         }
         assert!(taken_on > 10);
-        journal.end(taken_on + 1, Some(Notice { call_id: "m".to_owned(), bounced: None })).unwrap();
+        journal
+            .record_end(taken_on + 1, Some(Notice { call_id: "m".to_owned(), result: NoticeResult::Failed }))
+            .unwrap();
         fs::remove_dir(folder.path().join(NEXT_NAME)).unwrap();
         let mut again = Journal::open(folder.path(), disk).unwrap();
         assert_eq!(kept(&again), kept(&journal));
         assert_eq!(kept(&again).len(), 1);
-        again.take_on(taken_on + 2, taken("m", 1_000)).unwrap();
+        again.record_accepted(taken_on + 2, taken("m", 1_000)).unwrap();
     }
 
     /// A full journal must still take the attempts and ends of what it holds.
@@ -589,19 +607,19 @@
         let disk = 100_000;
         let mut journal = Journal::open(folder.path(), disk).unwrap();
         let mut held = 0;
-        while journal.take_on(held + 1, taken("m", 1_000)).is_ok() {
+        while journal.record_accepted(held + 1, taken("m", 1_000)).is_ok() {
             held += 1;
         }
         assert!(held > 10);
         for round in 0..50 {
             for id in 1..=held {
-                journal.attempt(id, (round, 0)).unwrap();
-                journal.not_run(id).unwrap();
+                journal.record_attempt(id, AttemptStart { sent_at: round, zone: 0 }).unwrap();
+                journal.record_unprocessed(id).unwrap();
             }
             assert!(on_disk(folder.path()) <= disk);
         }
-        (1..=held).for_each(|id| journal.end(id, None).unwrap());
-        journal.take_on(held + 1, taken("m", 1_000)).unwrap();
+        (1..=held).for_each(|id| journal.record_end(id, None).unwrap());
+        journal.record_accepted(held + 1, taken("m", 1_000)).unwrap();
     }
 
     /// Guards against an attempt that never went out being counted, or hiding that one before it may have run.
@@ -609,18 +627,21 @@
     fn an_attempt_of_which_nothing_went_out_is_none() {
         let folder = tempfile::tempdir().unwrap();
         let past = |journal: &Journal| match kept(journal).remove(0) {
-            (_, Kept::Open(_, past)) => (past.attempts, past.first_run()),
+            (_, JournalEntry::Open(_, past)) => (past.attempts, past.first_ambiguous()),
             owed => panic!("{owed:?}"),
         };
         let mut journal = Journal::open(folder.path(), DISK).unwrap();
-        journal.take_on(1, taken("m1", 10)).unwrap();
-        journal.attempt(1, (5, 0)).unwrap();
-        journal.unsent(1).unwrap();
+        journal.record_accepted(1, taken("m1", 10)).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 5, zone: 0 }).unwrap();
+        journal.record_unsent(1).unwrap();
         assert_eq!(past(&journal), (0, None));
-        journal.attempt(1, (6, 0)).unwrap();
-        journal.attempt(1, (7, 1)).unwrap();
-        journal.unsent(1).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 6, zone: 0 }).unwrap();
+        journal.record_attempt(1, AttemptStart { sent_at: 7, zone: 1 }).unwrap();
+        journal.record_unsent(1).unwrap();
         drop(journal);
-        assert_eq!(past(&Journal::open(folder.path(), DISK).unwrap()), (1, Some((6, 0))));
+        assert_eq!(
+            past(&Journal::open(folder.path(), DISK).unwrap()),
+            (1, Some(AttemptStart { sent_at: 6, zone: 0 }))
+        );
     }
 }
--- a/sender/src/figures.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -5,21 +5,21 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
-use roadshift_adapter::wire::Names;
+use simulator_adapter::wire::Names;
 
 /// How a message ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
+pub enum MessageOutcome {
     /// Delivered.
-    Passed,
+    Delivered,
     /// Refused, or handed back: handing it in again is harmless.
-    Dropped,
+    Rejected,
     /// Failed.
-    BadGateway,
+    Failed,
 }
 
 #[derive(Default)]
-struct Class {
+struct ClassMetrics {
     name: String,
     passed: Cell<u64>,
     dropped: Cell<u64>,
@@ -28,37 +28,37 @@
 
 /// Counts and gauges of this process.
 #[derive(Default)]
-pub struct Figures {
-    classes: Vec<Class>,
+pub struct Metrics {
+    classes: Vec<ClassMetrics>,
     /// Messages written whole to endpoints.
-    pub tries: Rc<Cell<u64>>,
+    pub attempts: Rc<Cell<u64>>,
     pub in_progress: Cell<usize>,
     pub known_endpoints: Cell<usize>,
     pub skipped_endpoints: Cell<usize>,
 }
 
 /// Adds one.
-pub fn count(counter: &Cell<u64>) {
+pub fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
 }
 
-impl Figures {
+impl Metrics {
     pub fn new(names: &Names) -> Self {
-        let class = |name: &String| Class { name: name.clone(), ..Class::default() };
+        let class = |name: &String| ClassMetrics { name: name.clone(), ..ClassMetrics::default() };
         Self { classes: names.classes().iter().map(class).collect(), ..Self::default() }
     }
 
     /// Counts a message's end.
-    pub fn ended(&self, class: usize, fate: Fate) {
+    pub fn count_outcome(&self, class: usize, fate: MessageOutcome) {
         let Some(class) = self.classes.get(class) else { return };
-        count(match fate {
-            Fate::Passed => &class.passed,
-            Fate::Dropped => &class.dropped,
-            Fate::BadGateway => &class.bad_gateway,
+        increment(match fate {
+            MessageOutcome::Delivered => &class.passed,
+            MessageOutcome::Rejected => &class.dropped,
+            MessageOutcome::Failed => &class.bad_gateway,
         });
     }
 
-    pub fn text(&self) -> String {
+    pub fn render(&self) -> String {
         let mut text = String::new();
         let mut line = |name: &str, value: u64, kind: &str| {
             // Writing to a string does not fail.
@@ -69,7 +69,7 @@
             line(&format!("dropped.{}", class.name), class.dropped.get(), "c");
             line(&format!("bad_gateway.{}", class.name), class.bad_gateway.get(), "c");
         }
-        line("upstream_tries", self.tries.get(), "c");
+        line("upstream_tries", self.attempts.get(), "c");
         line("in_progress", self.in_progress.get() as u64, "g");
         line("known_endpoints", self.known_endpoints.get() as u64, "g");
         line("skipped_endpoints", self.skipped_endpoints.get() as u64, "g");
--- a/sender/tests/common/mod.rs
+++ b/crates/message-sender/tests/common/mod.rs
@@ -356,7 +356,7 @@
         // Held to its descriptors by the system too.
         let limited = format!("ulimit -n {} && exec \"$0\"", terms.sockets);
         let mut child = Command::new("sh")
-            .args(["-c", &limited, env!("CARGO_BIN_EXE_corkthread")])
+            .args(["-c", &limited, env!("CARGO_BIN_EXE_message-sender")])
             .env("ROUTER_CONFIG", &path)
             .env("ROUTER_STATE", state)
             .env("ROUTER_MANAGEMENT", "127.0.0.1:0")
@@ -403,8 +403,10 @@
 
     /// Waits for a line of the log with all these words.
     pub fn await_log(&self, words: &[&str]) {
-        let line = std::iter::from_fn(|| self.log.recv_timeout(LONG).ok());
-        let found = line.into_iter().any(|line| words.iter().all(|word| line.contains(word)));
+        let deadline = Instant::now() + LONG;
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let mut lines = std::iter::from_fn(|| self.log.recv_timeout(left()).ok());
+        let found = lines.any(|line| words.iter().all(|word| line.contains(word)));
         assert!(found, "{words:?} is logged");
     }
 
--- a/sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -118,8 +118,8 @@
     stage.endpoint.next();
     assert_eq!(sender.hand_in("m2", 1_500, "x"), TAKEN_ON);
     assert!(sender.hand_in("m3", 1_500, "x").contains("503"));
-    sender.await_log(&["not delivered", "cause=HoldFull", "messages=1", "{7: 1}"]);
-    sender.await_log(&["not delivered", "cause=Refused", "{7:"]);
+    sender.await_log(&["not delivered", "cause=BufferFull", "messages=1", "{7: 1}"]);
+    sender.await_log(&["not delivered", "cause=Rejected", "{7:"]);
 }
 
 /// Guards against refused attempts being taken for such as may have run once the process has died.
