Split discovery and the endpoint registry into modules of one job

Cause: discovery/mod.rs held the client, the poll policy, the backoff, the watch, the notices and their tests in 654 lines, with errors as anyhow texts and a bool for a time-out; the registry passed a six-tuple to the successor process.

--- /dev/null
+++ b/crates/message-sender/src/discovery/client.rs
@@ -0,0 +1,124 @@
+//! The HTTP client for discovery.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HOST;
+use hyper::{Method, Request, StatusCode};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::error::DiscoveryError;
+use crate::http_connection::Connection;
+
+/// Longest response body that is read.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Where discovery is; the configuration may name another address while the process runs.
+pub type DiscoveryAddress = watch::Receiver<SocketAddr>;
+
+/// A client with one connection to discovery, which is opened anew after any failure.
+pub struct DiscoveryClient {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+/// A complete response.
+pub struct DiscoveryResponse {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl DiscoveryClient {
+    /// A client without a connection; the first request opens it.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, connection: None }
+    }
+
+    /// Sends a GET request and reads the complete response, all within `response_timeout`.
+    pub async fn get(
+        &mut self,
+        path: &str,
+        response_timeout: Duration,
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        self.send_within(response_timeout, Method::GET, path, Bytes::new()).await
+    }
+
+    /// Sends a POST request and reads the complete response, all within `response_timeout`.
+    pub async fn post(
+        &mut self,
+        path: &str,
+        body: Bytes,
+        response_timeout: Duration,
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        self.send_within(response_timeout, Method::POST, path, body).await
+    }
+
+    /// Closes the connection, so that the next request opens a new one.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
+    /// Whether the connection was left open for the next request.
+    #[cfg(test)]
+    pub fn is_connected(&self) -> bool {
+        self.connection.is_some()
+    }
+
+    async fn send_within(
+        &mut self,
+        response_timeout: Duration,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        match timeout(response_timeout, self.send(method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => Err(DiscoveryError::TimedOut(response_timeout)),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<DiscoveryResponse, DiscoveryError> {
+        // Taken out of the client, so that any failure from here on closes it.
+        let mut connection = self.take_or_open_connection().await?;
+        let request = Request::builder().method(method).uri(path).header(HOST, self.address.to_string());
+        let response = connection.send(request.body(Full::new(body))?).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
+            .collect()
+            .await
+            .map_err(DiscoveryError::Body)?
+            .to_bytes();
+        if connection.ready().await {
+            self.connection = Some(connection);
+        }
+        Ok(DiscoveryResponse { status, body })
+    }
+
+    async fn take_or_open_connection(&mut self) -> Result<Connection, DiscoveryError> {
+        match self.connection.take().filter(Connection::is_quiet) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(self.address)
+                .await
+                .map_err(|source| DiscoveryError::Connect { address: self.address, source }),
+        }
+    }
+}
+
+impl DiscoveryResponse {
+    /// The body of a response with the status that means success; any other status is an error.
+    pub fn into_body(self, success: StatusCode) -> Result<Bytes, DiscoveryError> {
+        if self.status == success {
+            Ok(self.body)
+        } else {
+            Err(DiscoveryError::UnexpectedStatus(self.status))
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/discovery/watch.rs
@@ -0,0 +1,100 @@
+//! The watch on the endpoint list: an endless sequence of long polls.
+
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
+
+use super::backoff::Backoff;
+use super::client::{DiscoveryAddress, DiscoveryClient};
+use super::failure_log::FailureLog;
+use super::poll::Poll;
+use super::poll_policy::PollPolicy;
+use crate::endpoint_list::EndpointList;
+use crate::event::SenderEvent;
+
+/// Watches the endpoint list and sends each list to the event loop, until that is gone. A new address ends the
+/// watch at the old one together with its connection, so that no list of the old discovery can follow one of the
+/// new discovery.
+///
+/// `known_version` is the version of the list that the process knows already, if any.
+pub async fn watch(
+    mut addresses: DiscoveryAddress,
+    events: mpsc::Sender<SenderEvent>,
+    policy: PollPolicy,
+    mut known_version: Option<u64>,
+) {
+    let mut watcher = ListWatcher::new(events, policy);
+    // A sender that knows a list can serve on it meanwhile. A new address is polled at once: its discovery may know
+    // better.
+    if known_version.is_some() {
+        sleep(watcher.backoff.initial_delay()).await;
+    }
+    loop {
+        let address = *addresses.borrow_and_update();
+        tokio::select! {
+            biased;
+            // What failed at the old address says nothing about the new one.
+            Ok(()) = addresses.changed() => watcher.backoff.reset(),
+            () = watcher.watch_address(address, known_version.take()) => return,
+        }
+    }
+}
+
+/// What lasts from the watch at one address to the next.
+struct ListWatcher {
+    events: mpsc::Sender<SenderEvent>,
+    backoff: Backoff,
+    failure_log: FailureLog,
+}
+
+impl ListWatcher {
+    fn new(events: mpsc::Sender<SenderEvent>, policy: PollPolicy) -> Self {
+        let backoff = Backoff::new(policy, fastrand::Rng::new());
+        Self { events, backoff, failure_log: FailureLog::default() }
+    }
+
+    /// Watches the list at one address, from the version on that is known of it, or else from a snapshot: versions
+    /// of another discovery mean nothing here. Returns when the event loop is gone.
+    ///
+    /// The next poll goes out at once after each response: a later one would begin a new watch, and changes in
+    /// between would count as known to this sender though they were not. It is new watches that cost discovery; a
+    /// first poll for a snapshot would be one more.
+    async fn watch_address(&mut self, address: SocketAddr, known_version: Option<u64>) {
+        let mut client = DiscoveryClient::new(address);
+        let mut poll = Poll::new_watch(known_version);
+        loop {
+            let started = Instant::now();
+            match poll.send(&mut client).await {
+                Ok(list) if poll.is_version_reset(&list) => {
+                    let requested_after = poll.after();
+                    tracing::warn!(version = list.version, ?requested_after, "endpoint list version reset");
+                    poll.request_snapshot();
+                }
+                Ok(list) => {
+                    poll.continue_watch(list.version, self.backoff.long_poll_wait());
+                    self.record_response(&list);
+                    if self.events.send(SenderEvent::EndpointListReceived(list)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    self.failure_log.record(&error);
+                    sleep(self.backoff.next_delay(error.kind(), started.elapsed())).await;
+                    poll.restart_watch();
+                }
+            }
+        }
+    }
+
+    fn record_response(&mut self, list: &EndpointList) {
+        tracing::info!(
+            version = list.version,
+            snapshot = list.is_snapshot,
+            endpoints = list.endpoints.len(),
+            failures = self.backoff.failures(),
+            "endpoint list received"
+        );
+        self.backoff.reset();
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -0,0 +1,264 @@
+//! The registry of endpoints, kept up to date from discovery's lists.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use delivery_control::{DestinationId, DestinationKind, EndpointEntry, EndpointId, UpdateKind};
+use simulator_adapter::wire::Names;
+use tokio::time::Instant;
+
+use super::destinations::{DestinationStatus, Destinations};
+use super::ids::EndpointIds;
+use super::snapshot::{EndpointRecord, RegistrySnapshot};
+use crate::delivery::Route;
+use crate::endpoint_list::{EndpointList, ListedEndpoint, ListedStatus};
+
+/// A departed endpoint keeps its id for so long, lest one that comes back be taken for a new one.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(30);
+
+/// An endpoint that is listed, or was of late.
+pub struct RegisteredEndpoint {
+    /// Where it accepts calls.
+    pub address: SocketAddr,
+    /// The route that its calls share a Retry-After with.
+    pub route: Route,
+    /// Index of its zone; one past the end if the settings do not contain the zone.
+    pub zone: usize,
+    name: String,
+    departed_at: Option<Instant>,
+}
+
+impl RegisteredEndpoint {
+    fn is_listed(&self) -> bool {
+        self.departed_at.is_none()
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        self.departed_at.is_some_and(|departed_at| now - departed_at >= DEPARTED_RETENTION)
+    }
+
+    fn destination(&self) -> DestinationId {
+        self.route.0
+    }
+}
+
+/// What a list means to the controller and to the connection pool.
+pub struct RegistryUpdate {
+    /// How the entries are to be read.
+    pub update: UpdateKind,
+    /// The list's entries in the controller's terms.
+    pub entries: Vec<EndpointEntry>,
+    /// Endpoints whose idle connections are of no more use.
+    pub departed: Vec<EndpointId>,
+}
+
+/// All endpoints that are listed, or were of late, and the destinations that they belong to.
+pub struct EndpointRegistry {
+    names: Names,
+    kinds: Vec<DestinationKind>,
+    endpoints: HashMap<EndpointId, RegisteredEndpoint>,
+    ids: EndpointIds,
+    destinations: Destinations,
+    /// A complete list from discovery is known.
+    is_complete: bool,
+    /// A list that an earlier process stored is known.
+    has_cached_list: bool,
+    /// Names of endpoints that operators have drained; they keep their ids.
+    drained: HashSet<String>,
+}
+
+impl EndpointRegistry {
+    /// An empty registry. `names` gives the indices of kinds and zones, and `kinds` has the kinds themselves.
+    pub fn new(names: Names, kinds: Vec<DestinationKind>) -> Self {
+        Self {
+            names,
+            kinds,
+            endpoints: HashMap::new(),
+            ids: EndpointIds::default(),
+            destinations: Destinations::default(),
+            is_complete: false,
+            has_cached_list: false,
+            drained: HashSet::new(),
+        }
+    }
+
+    /// The state that the successor process needs. Which endpoints are drained it reads from the journal.
+    pub fn snapshot(&self) -> RegistrySnapshot {
+        let record = |(id, endpoint): (&EndpointId, &RegisteredEndpoint)| EndpointRecord {
+            id: *id,
+            name: endpoint.name.clone(),
+            address: endpoint.address,
+            route: endpoint.route,
+            zone: endpoint.zone,
+            has_departed: !endpoint.is_listed(),
+        };
+        RegistrySnapshot {
+            endpoints: self.endpoints.iter().map(record).collect(),
+            ids: self.ids.clone(),
+            destinations: self.destinations.iter().collect(),
+            is_complete: self.is_complete,
+        }
+    }
+
+    /// Continues from the state of a predecessor process. Departed endpoints are retained as if they departed now.
+    pub fn restore(&mut self, snapshot: RegistrySnapshot) {
+        let now = Instant::now();
+        let endpoint = |record: EndpointRecord| RegisteredEndpoint {
+            address: record.address,
+            route: record.route,
+            zone: record.zone,
+            name: record.name,
+            departed_at: record.has_departed.then_some(now),
+        };
+        self.endpoints = snapshot.endpoints.into_iter().map(|record| (record.id, endpoint(record))).collect();
+        self.ids = snapshot.ids;
+        self.destinations = Destinations::listed_at(now, snapshot.destinations);
+        self.is_complete = snapshot.is_complete;
+    }
+
+    /// How many endpoints are listed.
+    pub fn listed_count(&self) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.is_listed()).count()
+    }
+
+    /// Whether operators' commands can refer to an endpoint: it is listed, or was drained before it departed.
+    pub fn is_known(&self, name: &str) -> bool {
+        let registered = self.ids.get(name).and_then(|id| self.endpoints.get(&id));
+        self.drained.contains(name) || registered.is_some_and(RegisteredEndpoint::is_listed)
+    }
+
+    /// Marks an endpoint as drained by an operator, listed or not.
+    pub fn mark_drained(&mut self, name: &str) -> EndpointId {
+        self.drained.insert(name.to_owned());
+        self.ids.get_or_assign(name)
+    }
+
+    /// Marks an endpoint as no longer drained.
+    pub fn mark_restored(&mut self, name: &str) -> EndpointId {
+        self.drained.remove(name);
+        let id = self.ids.get_or_assign(name);
+        if !self.endpoints.contains_key(&id) {
+            self.ids.release(name);
+        }
+        id
+    }
+
+    /// A registered endpoint.
+    pub fn get(&self, endpoint: EndpointId) -> Option<&RegisteredEndpoint> {
+        self.endpoints.get(&endpoint)
+    }
+
+    /// Whether messages can be addressed to a destination.
+    pub fn destination_status(&self, destination: DestinationId) -> DestinationStatus {
+        if self.destinations.contains(destination) {
+            DestinationStatus::Known
+        } else if self.is_complete {
+            DestinationStatus::Unknown
+        } else {
+            DestinationStatus::Undetermined
+        }
+    }
+
+    /// Applies the list that an earlier process stored, of unknown age.
+    pub fn load_cached(&mut self, list: &EndpointList) -> RegistryUpdate {
+        self.has_cached_list = true;
+        self.apply(list, UpdateKind::Cached)
+    }
+
+    /// Applies a list from discovery. What has changed since a cached list makes that one complete.
+    pub fn apply_update(&mut self, list: &EndpointList) -> RegistryUpdate {
+        self.is_complete |= list.is_snapshot || self.has_cached_list;
+        self.apply(list, list.update_kind())
+    }
+
+    fn apply(&mut self, list: &EndpointList, update: UpdateKind) -> RegistryUpdate {
+        let now = Instant::now();
+        let mut entries = Vec::with_capacity(list.endpoints.len());
+        let mut departed = Vec::new();
+        for listed in &list.endpoints {
+            let entry = self.entry(listed);
+            if self.register(&entry, listed, now) {
+                departed.push(entry.endpoint);
+            }
+            entries.push(entry);
+        }
+        if update != UpdateKind::Delta {
+            self.mark_unlisted_departed(&entries, now, &mut departed);
+        }
+        self.remove_expired(now);
+        RegistryUpdate { update, entries, departed }
+    }
+
+    /// The controller's entry for a listed endpoint.
+    fn entry(&mut self, listed: &ListedEndpoint) -> EndpointEntry {
+        EndpointEntry {
+            endpoint: self.ids.get_or_assign(&listed.name),
+            destination: listed.destination,
+            listing: listed.status.into(),
+            rate: listed.weight,
+            kind: self.names.kind(listed.kind.as_ref()),
+            zone: self.names.zone(listed.zone.as_ref()),
+            online_since: listed.online_since(),
+        }
+    }
+
+    /// Registers a listed endpoint. Returns whether idle connections to it are of no more use: it has moved to
+    /// another address, or takes no new calls.
+    fn register(&mut self, entry: &EndpointEntry, listed: &ListedEndpoint, now: Instant) -> bool {
+        let endpoint = RegisteredEndpoint {
+            address: listed.address,
+            route: self.route(entry),
+            zone: entry.zone,
+            name: listed.name.clone(),
+            departed_at: (listed.status == ListedStatus::Removed).then_some(now),
+        };
+        let previous = self.endpoints.insert(entry.endpoint, endpoint);
+        self.destinations.record_listed(entry.destination, now);
+        let has_moved = previous.is_some_and(|previous| previous.address != listed.address);
+        has_moved || listed.status != ListedStatus::Up
+    }
+
+    /// The route of an endpoint: one of its own where its kind has limits for each endpoint.
+    fn route(&self, entry: &EndpointEntry) -> Route {
+        let per_endpoint = self.kinds.get(entry.kind).is_some_and(|kind| kind.per_endpoint_limits);
+        (entry.destination, per_endpoint.then_some(entry.endpoint))
+    }
+
+    /// Marks the endpoints that a complete list leaves out: they have departed without an entry that says so.
+    fn mark_unlisted_departed(
+        &mut self,
+        entries: &[EndpointEntry],
+        now: Instant,
+        departed: &mut Vec<EndpointId>,
+    ) {
+        let named: HashSet<EndpointId> = entries.iter().map(|entry| entry.endpoint).collect();
+        for (id, endpoint) in &mut self.endpoints {
+            if endpoint.is_listed() && !named.contains(id) {
+                endpoint.departed_at = Some(now);
+                departed.push(*id);
+            }
+        }
+    }
+
+    /// Forgets what departed long ago: under steady replacement the registry would grow for good. A call that is
+    /// still in flight carries its own address.
+    fn remove_expired(&mut self, now: Instant) {
+        for endpoint in self.endpoints.values().filter(|endpoint| endpoint.is_listed()) {
+            self.destinations.record_listed(endpoint.destination(), now);
+        }
+        let ids = &mut self.ids;
+        let drained = &self.drained;
+        self.endpoints.retain(|_, endpoint| {
+            let is_retained = !endpoint.is_expired(now) || drained.contains(&endpoint.name);
+            if !is_retained {
+                ids.release(&endpoint.name);
+            }
+            is_retained
+        });
+        self.destinations.remove_expired(now);
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/endpoint_registry/registry/tests.rs
@@ -0,0 +1,68 @@
+use super::*;
+
+fn registry() -> EndpointRegistry {
+    let config = serde_json::json!({
+        "balancers": 1, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
+        "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
+        "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
+    });
+    let config: simulator_adapter::wire::Config = serde_json::from_value(config).unwrap();
+    EndpointRegistry::new(config.names(), Vec::new())
+}
+
+fn listed(name: &str, status: ListedStatus) -> ListedEndpoint {
+    ListedEndpoint {
+        name: name.to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: None,
+        kind: None,
+        destination: 7,
+        status,
+        weight: 1.0,
+        online_since_ms: 0.0,
+    }
+}
+
+fn delta(endpoints: Vec<ListedEndpoint>) -> EndpointList {
+    EndpointList { version: 1, is_snapshot: false, endpoints }
+}
+
+fn snapshot(endpoints: Vec<ListedEndpoint>) -> EndpointList {
+    EndpointList { version: 1, is_snapshot: true, endpoints }
+}
+
+/// Guards against growth under steady replacement, and against an id that is assigned twice.
+#[tokio::test(start_paused = true)]
+async fn departed_endpoints_expire_and_ids_are_never_reassigned() {
+    let mut registry = registry();
+    let mut assigned = HashSet::new();
+    for number in 0..100 {
+        let name = format!("s-{number}");
+        let update = registry.apply_update(&delta(vec![listed(&name, ListedStatus::Up)]));
+        assert!(assigned.insert(update.entries[0].endpoint));
+        registry.apply_update(&delta(vec![listed(&name, ListedStatus::Removed)]));
+        tokio::time::advance(DEPARTED_RETENTION / 4).await;
+    }
+    assert!(registry.endpoints.len() <= 6 && registry.ids.len() == registry.endpoints.len());
+    let first = registry.ids.get("s-99").unwrap();
+    let update = registry.apply_update(&delta(vec![listed("s-99", ListedStatus::Up)]));
+    assert_eq!(update.entries[0].endpoint, first);
+}
+
+/// Guards against endpoints and connections that outlive a snapshot which does not name them.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_removes_the_endpoints_that_it_leaves_out() {
+    let mut registry = registry();
+    assert_eq!(registry.destination_status(7), DestinationStatus::Undetermined);
+    let both = vec![listed("s-1", ListedStatus::Up), listed("s-2", ListedStatus::Up)];
+    let departed = registry.apply_update(&snapshot(both)).entries[0].endpoint;
+    assert_eq!(registry.destination_status(7), DestinationStatus::Known);
+    assert_eq!(registry.destination_status(8), DestinationStatus::Unknown);
+    let update = registry.apply_update(&snapshot(vec![listed("s-2", ListedStatus::Up)]));
+    assert_eq!(update.update, UpdateKind::Snapshot);
+    assert_eq!(update.departed, vec![departed]);
+    tokio::time::advance(DEPARTED_RETENTION).await;
+    registry.apply_update(&delta(Vec::new()));
+    assert!(registry.get(departed).is_none());
+    assert_eq!(registry.destination_status(7), DestinationStatus::Known);
+}
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -172,7 +172,7 @@
     pub fn recover(&mut self, known: Option<EndpointList>) {
         if let Some(list) = known {
             let told = self.registry.load_cached(&list);
-            self.list(list.index, told);
+            self.list(list.version, told);
         }
         let kept: Vec<_> = self.journal.borrow().entries().map(|(id, kept)| (id, kept.clone())).collect();
         let count = |past: fn(&AttemptHistory) -> bool| {
@@ -398,7 +398,7 @@
             }
             SenderEvent::EndpointListReceived(list) => {
                 let told = self.registry.apply_update(&list);
-                self.list(list.index, told);
+                self.list(list.version, told);
             }
             SenderEvent::NoticesAcknowledged(ids) => ids.into_iter().for_each(|id| self.noticed(id)),
             SenderEvent::ShutdownRequested => self.drains = self.drains.or(Some(Instant::now())),
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -136,7 +136,7 @@
             discovery.clone(),
             inbox.clone(),
             discovery::PollPolicy::new(&config.settings),
-            config.known.as_ref().map(|known| known.index),
+            config.known.as_ref().map(|known| known.version),
         ));
         work.spawn_local(notices.send(discovery.clone(), inbox.clone()));
         work.spawn_local(clients.clone().serve(accepting));
--- a/crates/message-sender/src/notice.rs
+++ b/crates/message-sender/src/notice.rs
@@ -1,18 +1,19 @@
-//! The notice that tells the platform how a message ended.
+//! The notice that reports a message's final outcome to the platform.
 
 use delivery_control::Micros;
 use serde::{Deserialize, Serialize};
 
-/// The final answer that the platform has yet to acknowledge.
+/// A final outcome that the platform has yet to acknowledge.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Notice {
     /// The message, as its client names it.
     pub call_id: String,
-    /// How it ended.
+    /// Its final outcome.
     pub result: NoticeResult,
 }
 
-/// How a message ended. The journal stores variants by position: new ones go to the end.
+/// The final outcome of a message that was not delivered. The journal stores variants by position: new ones go to
+/// the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NoticeResult {
     /// Given up; it may or may not have taken effect.
