--- a/crates/message-sender/src/discovery/backoff.rs
+++ b/crates/message-sender/src/discovery/backoff.rs
@@ -7,23 +7,24 @@
 
 /// The backoff doubles at most this often.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
-/// Share of a delay that is not random once earlier delays have spread the senders out, so that they stay spread
-/// out.
+/// Share of a delay that is not random once earlier delays have spread the senders out, so that they stay
+/// spread out.
 const FIXED_SHARE_WHEN_SPREAD: f64 = 0.8;
 /// How long a poll that continues a watch waits for a change at most.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_millis(2_000);
-/// Share of that wait which is random: responses that went out together must not have all senders poll in step,
-/// nor discover in step that their watches have timed out.
+/// Share of that wait which is random: responses that went out together must not have all senders poll in
+/// step, nor discover in step that their watches have timed out.
 const LONG_POLL_JITTER: f64 = 0.3;
 
-/// Draws the delays between polls, with full jitter at first. All senders share discovery, and a discovery that
-/// rejects more polls than it can answer answers none: rejecting costs it as much as answering.
+/// Draws the delays between polls, with full jitter at first. All senders share discovery, and a discovery
+/// that rejects more polls than it can answer answers none: rejecting costs it as much as answering.
 pub struct Backoff {
     random: fastrand::Rng,
     policy: PollPolicy,
     /// Failed polls since the last response.
     failures: u32,
-    /// A delay has spread the senders out since the last response, which may have come to all of them at once.
+    /// A delay has spread the senders out since the last response, which may have come to all of them at
+    /// once.
     is_spread: bool,
 }
 
@@ -58,8 +59,8 @@
         longest.mul_f64(fixed_share + (1.0 - fixed_share) * self.random.f64())
     }
 
-    /// A first time-out is followed by a new connection soon, since the platform goes on to count changes as known
-    /// to this sender; any other failure by exponential backoff.
+    /// A first time-out is followed by a new connection soon, since the platform goes on to count changes as
+    /// known to this sender; any other failure by exponential backoff.
     fn longest_delay(&self, failure: FailureKind) -> Duration {
         if self.failures == 0 && failure == FailureKind::Timeout {
             return self.policy.reconnect_delay;
--- a/crates/message-sender/src/discovery/error.rs
+++ b/crates/message-sender/src/discovery/error.rs
@@ -44,8 +44,8 @@
 pub enum FailureKind {
     /// No response: says nothing about discovery, only that the connection may be dead.
     Timeout,
-    /// Discovery refused the request, or cannot be reached.
-    Refused,
+    /// Anything else: discovery cannot be reached, rejected the request, or sent a response of no use.
+    Error,
 }
 
 impl DiscoveryError {
@@ -53,7 +53,7 @@
     pub fn kind(&self) -> FailureKind {
         match self {
             Self::TimedOut(_) => FailureKind::Timeout,
-            _ => FailureKind::Refused,
+            _ => FailureKind::Error,
         }
     }
 }
--- a/crates/message-sender/src/discovery/mod.rs
+++ b/crates/message-sender/src/discovery/mod.rs
@@ -1,9 +1,10 @@
 //! The connection to the discovery service: the watch on the endpoint list, and the notices that report how
 //! messages ended.
 //!
-//! The platform considers a sender informed of a change 6 s after discovery had it and could be reached, whatever
-//! became of the polls in between. The time from the start of a failed poll to the response to the next one
-//! therefore has to stay below that; the constants of [`poll`], [`poll_policy`] and [`backoff`] add up to less.
+//! The platform considers a sender informed of a change 6 s after discovery had it and could be reached,
+//! whatever became of the polls in between. The time from the start of a failed poll to the response to the
+//! next one therefore has to stay below that; the constants of [`poll`], [`poll_policy`] and [`backoff`] add
+//! up to less.
 
 mod backoff;
 mod client;
--- a/crates/message-sender/src/discovery/notices.rs
+++ b/crates/message-sender/src/discovery/notices.rs
@@ -17,18 +17,20 @@
 use crate::event::SenderEvent;
 use crate::notice::{Notice, NoticeResult};
 
-/// How long the response to notices may take at first. It is given at once, so without it the connection may be
-/// dead; the limit is doubled each time that no response came, lest a slow platform never get to respond.
+/// How long the response to notices may take at first. It is given at once, so without it the connection may
+/// be dead; the limit is doubled each time that no response came, so that a slow platform gets to respond at
+/// last.
 const INITIAL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
 /// What the doubled limit never exceeds.
 const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Least delay before notices that were not acknowledged are sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// The most that a retry delay is stretched by chance, as a multiple of itself, so that senders do not fall in step.
+/// The most that a retry delay is stretched by chance, as a multiple of itself, so that senders do not fall
+/// in step.
 const RETRY_JITTER: f64 = 2.0;
 /// Most notices that are sent in one request.
 const MAX_BATCH: usize = 64;
-/// The unit of the wire's waits.
+/// Microseconds in a millisecond, the unit of waits on the wire.
 const MICROS_PER_MILLISECOND: Micros = 1_000;
 
 /// Notices to be sent, oldest first. The event loop bounds how many there are by what it buffers.
@@ -57,8 +59,9 @@
         self.pending.borrow().len()
     }
 
-    /// Sends notices, each again until it is acknowledged, until the event loop is gone. What the discovery at an
-    /// old address has not acknowledged goes to the new one: a notice that comes twice does no harm.
+    /// Sends notices, each again until it is acknowledged; returns when the event loop has ended. Notices
+    /// that were not acknowledged at an old address go to the new one: a notice that arrives twice does no
+    /// harm.
     pub async fn send(self: Rc<Self>, mut addresses: DiscoveryAddress, events: mpsc::Sender<SenderEvent>) {
         let mut sender = NoticeSender::new(DiscoveryClient::new(*addresses.borrow_and_update()));
         loop {
@@ -119,7 +122,8 @@
         Ok(())
     }
 
-    /// Makes ready for another try after a failed one. After a time-out that is at once, on a new connection.
+    /// Prepares the next attempt after a failed one, on a new connection: at once after a time-out, else
+    /// after a delay.
     async fn recover(&mut self, error: &DiscoveryError, notices: usize) {
         self.client.disconnect();
         match error.kind() {
@@ -127,8 +131,8 @@
                 tracing::warn!(%error, notices, "notices timed out");
                 self.response_timeout = (2 * self.response_timeout).min(MAX_RESPONSE_TIMEOUT);
             }
-            FailureKind::Refused => {
-                tracing::warn!(%error, notices, "notices rejected");
+            FailureKind::Error => {
+                tracing::warn!(%error, notices, "notices failed");
                 sleep(RETRY_DELAY.mul_f64(1.0 + RETRY_JITTER * fastrand::f64())).await;
             }
         }
--- a/crates/message-sender/src/discovery/poll.rs
+++ b/crates/message-sender/src/discovery/poll.rs
@@ -8,14 +8,14 @@
 use super::error::DiscoveryError;
 use crate::endpoint_list::EndpointList;
 
-/// How long the response to a new watch, or with a snapshot, may take: longer than discovery lets a request wait in
-/// its queue (2 s), lest its work on a response be wasted.
+/// How long the response to a new watch, or with a snapshot, may take: longer than discovery lets a request
+/// wait in its queue (2 s), so that its work on a response is not wasted.
 pub const NEW_WATCH_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// How long the first poll of a watch waits for a change: its response is wanted at once, since it settles that
-/// what is known is all there is.
+/// How long the first poll of a watch waits for a change: its response should come at once, since it
+/// confirms that the known list is up to date.
 pub const NEW_WATCH_WAIT: Duration = Duration::from_millis(50);
-/// How long, beyond its wait, the response to a poll that continues a watch may take: it comes at once, since it is
-/// no new watch.
+/// How long, beyond its wait, the response to a poll that continues a watch may take: it comes at once, since
+/// it is no new watch.
 pub const CONTINUED_WATCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The parameters of the next poll.
@@ -56,8 +56,8 @@
         self.after = None;
     }
 
-    /// Whether a response shows that discovery has started to count versions anew, so that what changed since the
-    /// requested one cannot be told.
+    /// Whether a response shows that discovery has started to count versions anew, so that what changed since
+    /// the requested one is unknown.
     pub fn is_version_reset(&self, list: &EndpointList) -> bool {
         !list.is_snapshot && self.after.is_some_and(|after| list.version < after)
     }
--- a/crates/message-sender/src/discovery/poll_policy.rs
+++ b/crates/message-sender/src/discovery/poll_policy.rs
@@ -6,17 +6,18 @@
 
 use crate::time::duration;
 
-/// Longest time from the start of a failed poll to the start of the next one. Senders whose polls fail together
-/// use all of it, lest they overload discovery together.
+/// Longest time from the start of a failed poll to the start of the next one. Senders whose polls fail
+/// together use all of it, so that they do not overload discovery together.
 pub const MAX_POLL_CYCLE: Duration = Duration::from_millis(3_600);
-/// Each sender's share of the longest delay between failed polls: all senders together then poll some twenty times
-/// a second, as long as the poll cycle allows.
+/// Each sender's share of the longest delay between failed polls: all senders together then poll some twenty
+/// times a second, as long as the poll cycle allows.
 const BACKOFF_PER_SENDER: Duration = Duration::from_millis(100);
 /// Each sender's share of the longest delay before a watch that timed out is made anew.
 const RECONNECT_DELAY_PER_SENDER: Duration = Duration::from_millis(3);
 /// The least that the longest delay before such a new watch is.
 const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(200);
-/// Longest backoff where lists are pushed: what the sender's own discovery agent has counts as known at once.
+/// Longest backoff where lists are pushed: a change counts as known as soon as the sender's own
+/// discovery agent has it.
 pub const MAX_PUSH_BACKOFF: Duration = Duration::from_millis(200);
 
 /// The longest delays between polls.
@@ -33,7 +34,7 @@
 }
 
 impl PollPolicy {
-    /// The policy for the way in which these settings say that lists come.
+    /// The policy for these settings, which say whether lists are pushed or polled from a shared service.
     pub fn new(settings: &Settings) -> Self {
         match settings.discovery {
             DiscoveryMode::Push => Self::push(),
--- a/crates/message-sender/src/discovery/tests/client.rs
+++ b/crates/message-sender/src/discovery/tests/client.rs
@@ -1,3 +1,5 @@
+//! The connection to discovery.
+
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -7,7 +9,7 @@
 
 /// Guards against a handshake with each 503 response, which costs an overloaded discovery still more.
 #[tokio::test]
-async fn a_refused_poll_leaves_its_connection_open() {
+async fn a_rejected_poll_leaves_its_connection_open() {
     let test = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut client = DiscoveryClient::new(listener.local_addr().unwrap());
--- a/crates/message-sender/src/discovery/tests/mod.rs
+++ b/crates/message-sender/src/discovery/tests/mod.rs
@@ -1,4 +1,4 @@
-//! Tests of the discovery client, with a scripted discovery on a local socket.
+//! Tests of the connection to discovery.
 
 mod backoff;
 mod client;
--- a/crates/message-sender/src/discovery/tests/watch.rs
+++ b/crates/message-sender/src/discovery/tests/watch.rs
@@ -1,3 +1,5 @@
+//! The watch, against a scripted discovery on local sockets.
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,8 +37,8 @@
     }
 }
 
-/// Guards against two polls by each process of a restarted fleet where one will do, and against a discovery that
-/// counts versions anew being waited for until it has caught up.
+/// Guards against two polls by each process of a restarted fleet where one will do, and against a discovery
+/// that counts versions anew being waited for until it has caught up.
 #[tokio::test]
 async fn a_known_list_is_watched_from_its_version_on() {
     let test = async {
@@ -81,7 +83,7 @@
     /// With no more than the start of a list; the connection stays open.
     Partial,
     /// With a 503.
-    Refusal,
+    Rejection,
 }
 
 impl Response {
@@ -96,7 +98,7 @@
             }
             Self::Nothing => String::new(),
             Self::Partial => "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":9,".to_owned(),
-            Self::Refusal => "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Self::Rejection => "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
         }
     }
 }
@@ -166,7 +168,7 @@
 
 /// Runs watches against all ways to fail at the same time.
 async fn check_all_failures(policy: PollPolicy) {
-    use Response::{Nothing, Partial, Refusal, Version};
+    use Response::{Nothing, Partial, Rejection, Version};
     tokio::join!(
         check_polled_versions(&[Nothing, Version(8), Nothing], policy, &[Some(7), Some(7), Some(8)]),
         check_polled_versions(
@@ -176,20 +178,21 @@
         ),
         check_polled_versions(&[Partial, Version(8), Nothing], policy, &[Some(7), Some(7), Some(8)]),
         check_polled_versions(
-            &[Refusal, Refusal, Version(8), Nothing],
+            &[Rejection, Rejection, Version(8), Nothing],
             policy,
             &[Some(7), Some(7), Some(7), Some(8)]
         ),
         check_polled_versions(
-            &[Nothing, Refusal, Version(8), Nothing],
+            &[Nothing, Rejection, Version(8), Nothing],
             policy,
             &[Some(7), Some(7), Some(7), Some(8)]
         ),
     );
 }
 
-/// Guards against a change that counts as known before it is polled for: after silence from the first poll, right
-/// after a response, or in the middle of a list; after refusals; with one sender and with the most there are.
+/// Guards against a change that counts as known before it is polled for: after silence from the first poll,
+/// right after a response, or in the middle of a list; after rejections; with one sender and with the most
+/// there are.
 #[tokio::test]
 async fn a_failed_poll_is_repeated_in_time() {
     let test = async {
@@ -220,13 +223,13 @@
     ));
 }
 
-/// Guards against a new address that is polled only after the delay of a poll that failed at the old one, or after
-/// that one's silence.
+/// Guards against a new address that is polled only after the delay of a poll that failed at the old one, or
+/// after that one's silence.
 #[tokio::test]
 async fn a_new_address_is_polled_at_once_whatever_became_of_the_old_one() {
     let test = async {
         tokio::join!(
-            check_address_change(Response::Refusal),
+            check_address_change(Response::Rejection),
             check_address_change(Response::Nothing),
             check_address_change(Response::Partial),
         );
--- a/crates/message-sender/src/discovery/watch.rs
+++ b/crates/message-sender/src/discovery/watch.rs
@@ -13,9 +13,9 @@
 use crate::endpoint_list::EndpointList;
 use crate::event::SenderEvent;
 
-/// Watches the endpoint list and sends each list to the event loop, until that is gone. A new address ends the
-/// watch at the old one together with its connection, so that no list of the old discovery can follow one of the
-/// new discovery.
+/// Watches the endpoint list and sends each list to the event loop; returns when the event loop has ended. A
+/// new address ends the watch at the old one together with its connection, so that no list from the old
+/// address can follow one from the new address.
 ///
 /// `known_version` is the version of the list that the process knows already, if any.
 pub async fn watch(
@@ -25,8 +25,8 @@
     mut known_version: Option<u64>,
 ) {
     let mut watcher = ListWatcher::new(events, policy);
-    // A sender that knows a list can serve on it meanwhile. A new address is polled at once: its discovery may know
-    // better.
+    // A sender that knows a list can serve on it meanwhile. A new address is polled at once: its list may be
+    // newer.
     if known_version.is_some() {
         sleep(watcher.backoff.initial_delay()).await;
     }
@@ -41,7 +41,7 @@
     }
 }
 
-/// What lasts from the watch at one address to the next.
+/// The state that outlives the watch at one address.
 struct ListWatcher {
     events: mpsc::Sender<SenderEvent>,
     backoff: Backoff,
@@ -54,12 +54,12 @@
         Self { events, backoff, failure_log: FailureLog::default() }
     }
 
-    /// Watches the list at one address, from the version on that is known of it, or else from a snapshot: versions
-    /// of another discovery mean nothing here. Returns when the event loop is gone.
+    /// Watches the list at one address, from the version on that is known of it, or else from a snapshot:
+    /// versions at another address mean nothing here. Returns when the event loop has ended.
     ///
-    /// The next poll goes out at once after each response: a later one would begin a new watch, and changes in
-    /// between would count as known to this sender though they were not. It is new watches that cost discovery; a
-    /// first poll for a snapshot would be one more.
+    /// The next poll goes out at once after each response: a later one would begin a new watch, and changes
+    /// in between would count as known to this sender though they were not. New watches are what is expensive
+    /// for discovery; a first poll for a snapshot would be one more.
     async fn watch_address(&mut self, address: SocketAddr, known_version: Option<u64>) {
         let mut client = DiscoveryClient::new(address);
         let mut poll = Poll::new_watch(known_version);
--- a/crates/message-sender/src/endpoint_list.rs
+++ b/crates/message-sender/src/endpoint_list.rs
@@ -1,5 +1,8 @@
 //! The endpoint list as discovery sends it.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 
 use delivery_control::{DestinationId, ListingState, Micros, UpdateKind};
@@ -73,7 +76,7 @@
     Up,
     /// It finishes the calls in flight and takes no new ones.
     Draining,
-    /// It is gone.
+    /// It no longer exists.
     Removed,
 }
 
--- a/crates/message-sender/src/endpoint_registry/destinations.rs
+++ b/crates/message-sender/src/endpoint_registry/destinations.rs
@@ -6,7 +6,7 @@
 use delivery_control::DestinationId;
 use tokio::time::Instant;
 
-/// A destination exists for so long after its last endpoint departed: others may be on their way.
+/// How long a destination exists after its last endpoint departed: new ones may be about to be listed.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// Whether messages can be addressed to a destination.
@@ -16,7 +16,7 @@
     Known,
     /// It does not exist.
     Unknown,
-    /// No complete list has come yet that could tell.
+    /// Not known: no complete list has been received yet.
     Undetermined,
 }
 
--- a/crates/message-sender/src/endpoint_registry/registry.rs
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -17,7 +17,7 @@
 use crate::delivery::Route;
 use crate::endpoint_list::{EndpointList, ListedEndpoint, ListedStatus};
 
-/// A departed endpoint keeps its id for so long, lest one that comes back be taken for a new one.
+/// How long a departed endpoint keeps its id, so that one that comes back is not taken for a new one.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(30);
 
 /// An endpoint that is listed, or was of late.
@@ -104,7 +104,8 @@
         }
     }
 
-    /// Continues from the state of a predecessor process. Departed endpoints are retained as if they departed now.
+    /// Continues from the state of a predecessor process. Departed endpoints are retained as if they departed
+    /// now.
     pub fn restore(&mut self, snapshot: RegistrySnapshot) {
         let now = Instant::now();
         let endpoint = |record: EndpointRecord| RegisteredEndpoint {
@@ -206,8 +207,8 @@
         }
     }
 
-    /// Registers a listed endpoint. Returns whether idle connections to it are of no more use: it has moved to
-    /// another address, or takes no new calls.
+    /// Registers a listed endpoint. Returns whether idle connections to it are of no more use: it has moved
+    /// to another address, or takes no new calls.
     fn register(&mut self, entry: &EndpointEntry, listed: &ListedEndpoint, now: Instant) -> bool {
         let endpoint = RegisteredEndpoint {
             address: listed.address,
@@ -244,8 +245,8 @@
         }
     }
 
-    /// Forgets what departed long ago: under steady replacement the registry would grow for good. A call that is
-    /// still in flight carries its own address.
+    /// Forgets what departed long ago: under steady replacement the registry would grow for good. A call that
+    /// is still in flight carries its own address.
     fn remove_expired(&mut self, now: Instant) {
         for endpoint in self.endpoints.values().filter(|endpoint| endpoint.is_listed()) {
             self.destinations.record_listed(endpoint.destination(), now);
--- a/crates/message-sender/src/endpoint_registry/registry/tests.rs
+++ b/crates/message-sender/src/endpoint_registry/registry/tests.rs
@@ -1,3 +1,5 @@
+//! The registry under sequences of lists.
+
 use super::*;
 
 fn registry() -> EndpointRegistry {
@@ -66,3 +68,35 @@
     assert!(registry.get(departed).is_none());
     assert_eq!(registry.destination_status(7), DestinationStatus::Known);
 }
+
+/// Guards against a successor process that takes endpoints for new ones, or forgets what its predecessor
+/// knew.
+#[tokio::test(start_paused = true)]
+async fn a_restored_registry_continues_from_its_snapshot() {
+    let mut predecessor = registry();
+    let both = vec![listed("s-1", ListedStatus::Up), listed("s-2", ListedStatus::Up)];
+    let entries = predecessor.apply_update(&snapshot(both)).entries;
+    predecessor.apply_update(&delta(vec![listed("s-2", ListedStatus::Removed)]));
+    let saved = rmp_serde::to_vec_named(&predecessor.snapshot()).unwrap();
+
+    let mut successor = registry();
+    successor.restore(rmp_serde::from_slice(&saved).unwrap());
+    assert_eq!(successor.listed_count(), 1);
+    assert!(successor.is_known("s-1") && !successor.is_known("s-2"));
+    assert_eq!(successor.destination_status(8), DestinationStatus::Unknown);
+    for entry in &entries {
+        let restored = successor.get(entry.endpoint).unwrap();
+        let original = predecessor.get(entry.endpoint).unwrap();
+        assert_eq!(restored.address, original.address);
+        assert_eq!(restored.route, original.route);
+        assert_eq!(restored.zone, original.zone);
+    }
+    let update = successor.apply_update(&delta(vec![
+        listed("s-1", ListedStatus::Up),
+        listed("s-2", ListedStatus::Up),
+        listed("s-3", ListedStatus::Up),
+    ]));
+    assert_eq!(update.entries[0].endpoint, entries[0].endpoint);
+    assert_eq!(update.entries[1].endpoint, entries[1].endpoint);
+    assert!(entries.iter().all(|entry| entry.endpoint != update.entries[2].endpoint));
+}
--- a/crates/message-sender/src/endpoint_registry/snapshot.rs
+++ b/crates/message-sender/src/endpoint_registry/snapshot.rs
@@ -1,4 +1,4 @@
-//! What one process hands over to its successor, so that ids stay what they are.
+//! The state of a registry as a process hands it over to its successor, so that endpoints keep their ids.
 
 use std::net::SocketAddr;
 
@@ -11,8 +11,11 @@
 /// The state of a registry.
 #[derive(Serialize, Deserialize)]
 pub struct RegistrySnapshot {
+    /// All registered endpoints, in no particular order.
     pub(super) endpoints: Vec<EndpointRecord>,
+    /// All ids that are assigned.
     pub(super) ids: EndpointIds,
+    /// The destinations that exist.
     pub(super) destinations: Vec<DestinationId>,
     /// A complete list from discovery is known.
     pub(super) is_complete: bool,
@@ -21,10 +24,16 @@
 /// A registered endpoint.
 #[derive(Serialize, Deserialize)]
 pub(super) struct EndpointRecord {
+    /// The id that it keeps.
     pub id: EndpointId,
+    /// The name that lists identify it by.
     pub name: String,
+    /// Where it accepts calls.
     pub address: SocketAddr,
+    /// The route that its calls share a Retry-After with.
     pub route: Route,
+    /// Index of its zone; one past the end if the settings do not contain the zone.
     pub zone: usize,
+    /// It is no longer listed.
     pub has_departed: bool,
 }
--- a/crates/message-sender/src/notice.rs
+++ b/crates/message-sender/src/notice.rs
@@ -12,8 +12,8 @@
     pub result: NoticeResult,
 }
 
-/// The final outcome of a message that was not delivered. The journal stores variants by position: new ones go to
-/// the end.
+/// The final outcome of a message that was not delivered. The journal stores variants by position: new ones
+/// go to the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NoticeResult {
     /// Given up; it may or may not have taken effect.
