Split delivery by concern and name its parts as the field does

Cause: one file of 820 lines made calls, pooled connections, learned idle lifetimes, remembered waits and parsed responses, in house words; its state was one struct of a dozen cells. Change: modules attempt, client, request, response, pool, idle_lifetime, saturation, send_restrictions and failure_log, each with its state; http_connection cut into connection, byte counter and status-line parser; typed routes, targets, reuse records and failure kinds; tests in files of their own.

--- a/crates/message-sender/src/client_api/mod.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -47,7 +47,7 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: slot.clone() });
+        let io = TokioIo::new(InstrumentedStream::new(Rc::new(stream), slot.clone()));
         let this = self.clone();
         let taken = slot.clone();
         let service = service_fn(move |request| {
--- /dev/null
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -0,0 +1,181 @@
+//! Idle connections that wait for the next attempt to their endpoint.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use delivery_control::EndpointId;
+use tokio::time::Instant;
+
+use super::attempt::Target;
+use super::idle_lifetime::{IdleLifetimeEstimator, ReuseOutcome};
+use super::saturation::SaturationTracker;
+use crate::http_connection::Connection;
+
+struct IdleConnection {
+    connection: Connection,
+    target: Target,
+    idle_since: Instant,
+}
+
+/// A connection out of the pool.
+pub struct PooledConnection {
+    /// The connection, on which a request can be sent.
+    pub connection: Connection,
+    /// For how long it was idle.
+    pub idle_for: Duration,
+}
+
+/// Keeps idle connections to all endpoints, the longest idle first, within limits of number and time.
+pub struct ConnectionPool {
+    idle: RefCell<VecDeque<IdleConnection>>,
+    /// Idle connections and pending reads together, at most.
+    capacity: usize,
+    /// Responses of attempts that have ended already, which are still being read.
+    pending_reads: Cell<usize>,
+    max_idle_time: Duration,
+    lifetime_estimator: RefCell<IdleLifetimeEstimator>,
+    saturation: RefCell<SaturationTracker>,
+}
+
+impl ConnectionPool {
+    /// An empty pool of up to `capacity` connections, each idle for `max_idle_time` at most.
+    pub fn new(capacity: usize, max_idle_time: Duration) -> Self {
+        Self {
+            idle: RefCell::default(),
+            capacity,
+            pending_reads: Cell::new(0),
+            max_idle_time,
+            lifetime_estimator: RefCell::default(),
+            saturation: RefCell::default(),
+        }
+    }
+
+    /// Takes the connection to the target that was used last, so that the others may become idle for too
+    /// long. Closes those on the way that cannot be used.
+    pub fn take(&self, target: Target) -> Option<PooledConnection> {
+        let mut idle = self.idle.borrow_mut();
+        loop {
+            let index = idle.iter().rposition(|idle| idle.target.endpoint == target.endpoint)?;
+            let candidate = idle.remove(index)?;
+            let idle_for = candidate.idle_since.elapsed();
+            if self.is_usable(&candidate, idle_for, target) {
+                return Some(PooledConnection { connection: candidate.connection, idle_for });
+            }
+        }
+    }
+
+    fn is_usable(&self, candidate: &IdleConnection, idle_for: Duration, target: Target) -> bool {
+        candidate.target.address == target.address
+            && idle_for < self.max_idle_time
+            && self.lifetime_estimator.borrow().trusts(idle_for)
+            && candidate.connection.is_quiet()
+    }
+
+    /// Keeps a connection for the next attempt, unless its endpoint is saturated. Closes the longest idle
+    /// ones to stay within the pool's capacity.
+    pub fn put(&self, target: Target, mut connection: Connection) {
+        if self.saturation.borrow().is_saturated(target.endpoint) {
+            return;
+        }
+        connection.mark_reused();
+        let mut idle = self.idle.borrow_mut();
+        idle.push_back(IdleConnection { connection, target, idle_since: Instant::now() });
+        while idle.len() > self.capacity {
+            idle.pop_front();
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_endpoint(&self, endpoint: EndpointId) {
+        self.idle.borrow_mut().retain(|idle| idle.target.endpoint != endpoint);
+    }
+
+    /// Whether one more response may be read beside the attempts. The descriptor for it comes out of those of
+    /// the idle connections, of which the longest idle ones are closed.
+    pub fn make_room_for_read(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        while self.pending_reads.get() + idle.len() >= self.capacity && idle.pop_front().is_some() {}
+        self.pending_reads.get() < self.capacity
+    }
+
+    /// Counts a response that is read beside the attempts, until the guard is dropped.
+    pub fn begin_read(&self) -> PendingRead<'_> {
+        self.pending_reads.set(self.pending_reads.get() + 1);
+        PendingRead { pool: self }
+    }
+
+    /// Records whether a connection was still alive after it had been idle for `idle_for`.
+    pub fn record_reuse(&self, idle_for: Duration, outcome: ReuseOutcome) {
+        self.lifetime_estimator.borrow_mut().record(idle_for, outcome);
+    }
+
+    /// The idle time up to which connections have proved to survive.
+    pub fn trusted_idle_time(&self) -> Duration {
+        self.lifetime_estimator.borrow().trusted_idle_time()
+    }
+
+    /// Forgets part of what was recorded of reuse; to be called each second.
+    pub fn decay_lifetimes(&self) {
+        self.lifetime_estimator.borrow_mut().decay();
+    }
+
+    /// Records that an endpoint has rejected a connection for lack of capacity, and frees what is idle there.
+    pub fn record_saturation(&self, endpoint: EndpointId) {
+        self.close_endpoint(endpoint);
+        self.saturation.borrow_mut().record(endpoint);
+    }
+
+    /// Lets the idle time that saturation has cut recover by the time that has passed.
+    pub fn recover_idle_time(&self, elapsed: Duration) {
+        self.saturation.borrow_mut().recover(elapsed);
+    }
+
+    /// Closes connections that have been idle for too long or were closed by their endpoint.
+    pub fn close_expired(&self) {
+        let max_idle_time = self.max_idle_time.mul_f64(self.saturation.borrow().idle_time_scale());
+        self.idle
+            .borrow_mut()
+            .retain(|idle| idle.idle_since.elapsed() < max_idle_time && idle.connection.is_quiet());
+    }
+
+    /// Forgets saturation that is long past.
+    pub fn expire_saturation(&self) {
+        self.saturation.borrow_mut().expire();
+    }
+}
+
+/// A response that is being read while its attempt has ended.
+pub struct PendingRead<'pool> {
+    pool: &'pool ConnectionPool,
+}
+
+impl Drop for PendingRead<'_> {
+    fn drop(&mut self) {
+        let pending_reads = &self.pool.pending_reads;
+        pending_reads.set(pending_reads.get() - 1);
+    }
+}
+
+#[cfg(test)]
+impl ConnectionPool {
+    /// Number of idle connections.
+    pub fn len(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
+    /// Whether no connection is idle.
+    pub fn is_empty(&self) -> bool {
+        self.idle.borrow().is_empty()
+    }
+
+    /// Share of the configured idle time for which connections are kept.
+    pub fn idle_time_scale(&self) -> f64 {
+        self.saturation.borrow().idle_time_scale()
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/delivery/request.rs
@@ -0,0 +1,67 @@
+//! The request of an attempt, with its length on the wire.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
+use hyper::{Method, Request, Uri};
+
+use super::attempt::Call;
+
+const PATH: &str = "/receive";
+const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const BUDGET_MS: HeaderName = HeaderName::from_static("x-budget-ms");
+
+/// A request whose length on the wire is known, to tell whether all of it was written.
+pub struct PreparedRequest {
+    headers: HeaderMap,
+    body: Bytes,
+    wire_length: u64,
+}
+
+impl PreparedRequest {
+    /// The request that makes the call.
+    pub fn new(call: &Call) -> Self {
+        let headers = headers(call);
+        let wire_length = (head_length(&headers) + call.body.len()) as u64;
+        Self { headers, body: call.body.clone(), wire_length }
+    }
+
+    /// Bytes of the whole request on the wire.
+    pub fn wire_length(&self) -> u64 {
+        self.wire_length
+    }
+
+    /// The request, to be sent once. All copies are the same.
+    pub fn to_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(PATH);
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+}
+
+/// All headers, so that the HTTP library adds none.
+fn headers(call: &Call) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(CALL_ID, call.call_id.clone());
+    if let Some(key) = &call.idempotency_key {
+        headers.insert(IDEMPOTENCY_KEY, key.clone());
+    }
+    let budget_ms = u64::try_from(call.timeout.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(BUDGET_MS, budget_ms.into());
+    headers.insert(CONTENT_LENGTH, call.body.len().into());
+    if let Ok(host) = HeaderValue::from_str(&call.address.to_string()) {
+        headers.insert(HOST, host);
+    }
+    headers
+}
+
+fn head_length(headers: &HeaderMap) -> usize {
+    let mut length = "POST  HTTP/1.1\r\n\r\n".len() + PATH.len();
+    for (name, value) in headers {
+        length += name.as_str().len() + ": ".len() + value.len() + "\r\n".len();
+    }
+    length
+}
--- a/crates/message-sender/src/endpoint_registry.rs
+++ b/crates/message-sender/src/endpoint_registry.rs
@@ -192,7 +192,7 @@
         let kind = self.names.kind(line.kind.as_ref());
         let zone = self.names.zone(line.zone.as_ref());
         let apart = self.kinds.get(kind).is_some_and(|kind| kind.per_endpoint_limits);
-        let route = (line.group, apart.then_some(endpoint));
+        let route = Route { destination: line.group, endpoint: apart.then_some(endpoint) };
         let gone = (line.status == ListedStatus::Removed).then_some(now);
         let place = RegisteredEndpoint { address: line.address, route, zone, name: line.name.clone(), gone };
         let before = self.registry.insert(endpoint, place);
@@ -225,7 +225,7 @@
             if !kept {
                 ids.remove(&place.name);
             } else if place.gone.is_none() {
-                destinations.insert(place.route.0, now);
+                destinations.insert(place.route.destination, now);
             }
             kept
         });
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -273,7 +273,7 @@
     pub fn replay_unheard(&mut self, unheard: Vec<SenderEvent>) {
         for happening in unheard {
             match happening {
-                SenderEvent::AttemptEnded { id, result: ending, .. } if ending.last => {
+                SenderEvent::AttemptEnded { id, result: ending, .. } if ending.is_final => {
                     self.withdraw(id, Some(fate(&ending)));
                     self.events.push(Event::MessageWithdrawn { id });
                 }
@@ -558,9 +558,15 @@
     ) {
         self.calls.remove(&(id, attempt));
         if let Some(place) = self.registry.get(endpoint) {
-            self.summary.record_attempt_end(place.route.0, elapsed, &ending);
+            self.summary.record_attempt_end(place.route.destination, elapsed, &ending);
         }
-        let AttemptResult { outcome, wait, last, load, begun } = ending;
+        let AttemptResult {
+            outcome,
+            retry_after: wait,
+            is_final: last,
+            load_report: load,
+            request_started: begun,
+        } = ending;
         tracing::debug!(id, attempt, ?outcome, elapsed, wait, begun, ?load, "a call ends");
         if last {
             self.withdraw(id, Some(fate(&ending)));
@@ -713,7 +719,7 @@
         let keep = self.keep(id, AttemptStart { sent_at: now, zone: place.zone as u64 });
         let open = self.open.get_mut(&id)?;
         // A call to any other destination's endpoint would be worse than none.
-        if place.route.0 != open.destination {
+        if place.route.destination != open.destination {
             return None;
         }
         let call = Call {
@@ -721,12 +727,12 @@
             address: place.address,
             route: place.route,
             call_id: HeaderValue::from_str(&open.call_id).ok()?,
-            key: open.key.as_ref().and_then(|key| HeaderValue::from_str(key).ok()),
+            idempotency_key: open.key.as_ref().and_then(|key| HeaderValue::from_str(key).ok()),
             body: open.body.clone(),
             timeout: duration(timeout),
-            made: Instant::now(),
-            begin_by: self.clock.instant(begin_by),
-            keep,
+            decided_at: Instant::now(),
+            start_deadline: self.clock.instant(begin_by),
+            on_phase: keep,
         };
         if open.attempts == 0 {
             self.summary.record_first_attempt(now - open.taken_at);
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -128,12 +128,12 @@
         match ending.outcome {
             AttemptOutcome::Delivered => calls.delivered += 1,
             AttemptOutcome::Rejected => {
-                (calls.full, calls.told) = (calls.full + 1, calls.told + u32::from(ending.wait > 0))
+                (calls.full, calls.told) = (calls.full + 1, calls.told + u32::from(ending.retry_after > 0))
             }
             AttemptOutcome::NotSent | AttemptOutcome::Cancelled => {}
             _ => calls.failed += 1,
         }
-        if let Some(load) = ending.load {
+        if let Some(load) = ending.load_report {
             (calls.left, calls.limit) = (load.limit_remaining, load.limit);
         }
     }
--- /dev/null
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -0,0 +1,191 @@
+//! An HTTP/1.1 client connection on an instrumented stream.
+
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::byte_counter::ByteCounter;
+use crate::instrumented_stream::InstrumentedStream;
+
+/// Bounds the head of a response, which may otherwise have no end.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// Time from the first byte of a response to the end of its head.
+const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time from the end of a response's head to the end of its body.
+const RESPONSE_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a request got no response.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request was written: the peer has not seen it.
+    #[error("the connection was closed before the request was sent")]
+    NotSent,
+    /// A response has started, and its head did not end in time.
+    #[error("the response head was not complete in time")]
+    HeadTimeout,
+    /// The connection broke, or the response could not be parsed.
+    #[error("the connection broke: {0}")]
+    Broken(hyper::Error),
+}
+
+/// How the remainder of a response, after its head, arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseRemainder {
+    /// In full; the connection can carry another request.
+    Complete,
+    /// In full; the connection has ended.
+    CompleteAndClosed,
+    /// In full, and followed by bytes that belong to no response.
+    ExcessData,
+    /// Not in full.
+    Incomplete,
+}
+
+/// An open connection. Dropping it closes the socket, which is the only way to cancel a request.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<hyper::Result<()>>,
+    stream: Rc<TcpStream>,
+    byte_counter: Rc<ByteCounter>,
+    is_reused: bool,
+}
+
+impl Connection {
+    /// Connects to `address`. Takes as long as the system lets it.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = Rc::new(TcpStream::connect(address).await?);
+        stream.set_nodelay(true)?;
+        let byte_counter = Rc::new(ByteCounter::default());
+        let io = TokioIo::new(InstrumentedStream::new(stream.clone(), byte_counter.clone()));
+        let mut client = http1::Builder::new();
+        client.max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, connection) = client.handshake(io).await.map_err(io::Error::other)?;
+        // A broken connection shows in the request's own result; an idle one is found closed when next
+        // wanted.
+        let task = tokio::task::spawn_local(connection);
+        Ok(Self { sender, task, stream, byte_counter, is_reused: false })
+    }
+
+    /// Increments `counter` once `request_length` bytes of the next request are written.
+    pub fn count_when_written(&self, request_length: u64, counter: &Rc<Cell<u64>>) {
+        self.byte_counter.count_when_written(request_length, counter.clone());
+    }
+
+    /// Sends one request and returns the head of its response. Never retries.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
+        self.byte_counter.reset();
+        let byte_counter = self.byte_counter.clone();
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = head_timeout(&byte_counter) => return Err(SendError::HeadTimeout),
+        };
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) if byte_counter.bytes_written() == 0 => SendError::NotSent,
+            _ => SendError::Broken(error.into_error()),
+        })
+    }
+
+    /// Reads a response to its end, up to `max_bytes` of its body.
+    pub async fn read_remainder(&mut self, body: Incoming, max_bytes: usize) -> ResponseRemainder {
+        if body.size_hint().lower() > max_bytes as u64 {
+            return ResponseRemainder::Incomplete;
+        }
+        let read = async {
+            let is_complete = Limited::new(body, max_bytes).collect().await.is_ok();
+            let is_ready = self.ready().await;
+            is_complete.then_some(is_ready)
+        };
+        match timeout(RESPONSE_BODY_TIMEOUT, read).await {
+            Err(_) | Ok(None) => ResponseRemainder::Incomplete,
+            Ok(Some(true)) => {
+                // These bytes say nothing about the next request, which may be cancelled before it is sent.
+                self.byte_counter.reset();
+                ResponseRemainder::Complete
+            }
+            Ok(Some(false)) => self.closed_remainder().await,
+        }
+    }
+
+    /// How a response arrived after which the connection has ended: unexpected bytes end it with an error, a
+    /// close does not.
+    async fn closed_remainder(&mut self) -> ResponseRemainder {
+        match (&mut self.task).await {
+            Ok(Ok(())) => ResponseRemainder::CompleteAndClosed,
+            Ok(Err(_)) | Err(_) => ResponseRemainder::ExcessData,
+        }
+    }
+
+    /// Waits until another request can be sent; false if the connection has ended.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Whether another request can be sent and nothing has arrived since the last response. Looks at the
+    /// socket itself: bytes that have arrived but were not read yet would be taken for the response to the
+    /// next request.
+    pub fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        self.sender.is_ready() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether the connection has carried an earlier request.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Records that the connection has carried a request.
+    pub fn mark_reused(&mut self) {
+        self.is_reused = true;
+    }
+
+    /// Bytes written of the last request.
+    pub fn bytes_written(&self) -> u64 {
+        self.byte_counter.bytes_written()
+    }
+
+    /// Whether a response to the last request has started.
+    pub fn has_response(&self) -> bool {
+        self.byte_counter.has_response()
+    }
+
+    /// The status of the response, known once its status line has arrived, even if the rest cannot be parsed.
+    pub fn response_status(&self) -> Option<u16> {
+        self.byte_counter.response_status()
+    }
+
+    /// Closes the socket before it returns, so that whatever is sent next follows the end of this connection.
+    pub async fn close(mut self) {
+        if !self.task.is_finished() {
+            self.task.abort();
+            // The only error is that the task was aborted.
+            let _ = (&mut self.task).await;
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Completes when a response has started and its head is overdue.
+async fn head_timeout(byte_counter: &ByteCounter) {
+    byte_counter.wait_for_response_start().await;
+    sleep(RESPONSE_HEAD_TIMEOUT).await;
+}
--- a/crates/message-sender/src/instrumented_stream.rs
+++ b/crates/message-sender/src/instrumented_stream.rs
@@ -1,5 +1,5 @@
-//! A stream that shows what passes through it: only the IO layer knows what was on the wire, since the HTTP
-//! library buffers on both ways.
+//! A TCP stream that reports the bytes that pass through it. Only this layer knows what was on the wire,
+//! since the HTTP library buffers in both directions.
 
 use std::io;
 use std::net::Shutdown;
@@ -11,20 +11,29 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Sees the bytes of a stream as they pass.
+/// Observes the bytes of a stream as they pass.
 pub trait StreamObserver {
+    /// These bytes were read from the kernel; none at the end of the stream.
     fn read(&self, bytes: &[u8]);
-    /// So many bytes were taken by the kernel.
+    /// The kernel has taken so many bytes.
     fn written(&self, bytes: usize);
 }
 
 /// A stream with its observer. The stream is shared, so that its owner can look at the socket.
 pub struct InstrumentedStream<O> {
-    pub stream: Rc<TcpStream>,
-    pub observer: Rc<O>,
+    stream: Rc<TcpStream>,
+    observer: Rc<O>,
+}
+
+impl<O> InstrumentedStream<O> {
+    /// Wraps a stream, whose bytes `observer` sees from now on.
+    pub fn new(stream: Rc<TcpStream>, observer: Rc<O>) -> Self {
+        Self { stream, observer }
+    }
 }
 
 impl<O: StreamObserver> InstrumentedStream<O> {
+    /// Writes as soon as the socket takes something, and reports how much.
     fn poll_try_write(
         &self,
         context: &mut Context<'_>,
--- a/crates/message-sender/src/operator_api/mod.rs
+++ b/crates/message-sender/src/operator_api/mod.rs
@@ -74,7 +74,7 @@
         limiter: Rc<ConnectionLimiter>,
         slot: Rc<ConnectionSlot>,
     ) {
-        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: slot.clone() });
+        let io = TokioIo::new(InstrumentedStream::new(Rc::new(stream), slot.clone()));
         let service = service_fn(move |request| {
             let (this, limiter, slot) = (self.clone(), limiter.clone(), slot.clone());
             async move {
