Check a request's length on the wire and the default of a result

Cause: that a prepared request's length is the one on the wire, and that a result without the field for started requests counts as started, was stated and shown by no test. Change: a test for each; the outcome in view of the wire is a method of the attempt's progress; a constant for the logged reason of attempts without a response.

--- a/crates/message-sender/src/delivery/attempt.rs
+++ b/crates/message-sender/src/delivery/attempt.rs
@@ -105,3 +105,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -1,4 +1,4 @@
-//! Makes attempts: each from its start to its result.
+//! Makes attempts: each from its start to its result, on a pooled or a new connection.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -34,6 +34,8 @@
 const LIFETIME_DECAY_INTERVAL: Duration = Duration::from_secs(1);
 /// Drains are remembered for this many connect time-outs: no attempt takes longer than that to connect.
 const DRAIN_MEMORY_CONNECT_TIMEOUTS: u32 = 2;
+/// Reason in the log for an attempt whose request was written in full and got no byte of a response.
+const NO_RESPONSE: &str = "no response";
 
 /// Makes attempts to all endpoints and reuses their connections.
 pub struct DeliveryClient {
@@ -70,6 +72,19 @@
         let status = self.connection.as_ref().and_then(Connection::response_status);
         self.is_request_written() && status.is_some_and(is_delivered)
     }
+
+    /// The outcome of an attempt without a usable response, in view of what was on the wire.
+    fn outcome_on_wire(&self, outcome: AttemptOutcome) -> AttemptOutcome {
+        match outcome {
+            AttemptOutcome::NotSent => outcome,
+            // True even if the rest of the response is corrupt.
+            _ if self.is_delivered() => AttemptOutcome::Delivered,
+            _ if self.is_request_written() => outcome,
+            // An endpoint starts to process a message with its last byte, which it has not received.
+            AttemptOutcome::Cancelled => AttemptOutcome::NotSent,
+            _ => AttemptOutcome::ConnectFailed,
+        }
+    }
 }
 
 impl DeliveryClient {
@@ -164,22 +179,14 @@
     /// by what was on the wire.
     async fn abort(&self, progress: &mut AttemptProgress, outcome: AttemptOutcome) -> AttemptOutcome {
         let is_request_written = progress.is_request_written();
-        let is_delivered = progress.is_delivered();
+        let outcome = progress.outcome_on_wire(outcome);
         if let Some(connection) = progress.connection.take() {
             if is_request_written && !connection.has_response() {
-                self.failure_log.record("no answer".to_owned(), connection.is_reused());
+                self.failure_log.record(NO_RESPONSE.to_owned(), connection.is_reused());
             }
             connection.close().await;
         }
-        match outcome {
-            AttemptOutcome::NotSent => outcome,
-            // True even if the rest of the response is corrupt.
-            _ if is_delivered => AttemptOutcome::Delivered,
-            _ if is_request_written => outcome,
-            // An endpoint starts to process a message with its last byte, which it has not received.
-            AttemptOutcome::Cancelled => AttemptOutcome::NotSent,
-            _ => AttemptOutcome::ConnectFailed,
-        }
+        outcome
     }
 
     /// Sends the request and interprets its response. `Err` if there is none that can be used.
@@ -300,6 +307,7 @@
                 let retry_after = result.retry_after;
                 return Ok(AttemptResult { retry_after, ..AttemptOutcome::Error.into() });
             }
+            // The connection has ended.
             _ => {}
         }
         Ok(result)
@@ -323,7 +331,7 @@
 
     /// Whether one more response may be read after its attempt has ended.
     fn may_read_further(&self) -> bool {
-        self.pool.make_room_for_read() && !self.restrictions.is_suspended()
+        self.pool.free_capacity_for_read() && !self.restrictions.is_suspended()
     }
 
     fn put_idle(&self, target: Target, connection: Connection) {
--- a/crates/message-sender/src/delivery/client/tests.rs
+++ b/crates/message-sender/src/delivery/client/tests.rs
@@ -1,3 +1,5 @@
+//! Attempts against endpoints on the loopback interface.
+
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/message-sender/src/delivery/failure_log.rs
+++ b/crates/message-sender/src/delivery/failure_log.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Kinds of failures that are told apart; further ones are not counted.
+/// Kinds of failures that are distinguished; further ones are not counted.
 const MAX_KINDS: usize = 8;
 
 /// What an attempt failed by. Ordered by reason.
--- a/crates/message-sender/src/delivery/idle_lifetime/tests.rs
+++ b/crates/message-sender/src/delivery/idle_lifetime/tests.rs
@@ -1,3 +1,5 @@
+//! How the estimate follows resets.
+
 use std::time::Duration;
 
 use super::{IdleLifetimeEstimator, ReuseOutcome};
--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -1,4 +1,4 @@
-//! Idle connections that wait for the next attempt to their endpoint.
+//! Idle connections, available for the next attempt to their endpoint.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -98,7 +98,7 @@
 
     /// Whether one more response may be read beside the attempts. The descriptor for it comes out of those of
     /// the idle connections, of which the longest idle ones are closed.
-    pub fn make_room_for_read(&self) -> bool {
+    pub fn free_capacity_for_read(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         while self.pending_reads.get() + idle.len() >= self.capacity && idle.pop_front().is_some() {}
         self.pending_reads.get() < self.capacity
--- a/crates/message-sender/src/delivery/request.rs
+++ b/crates/message-sender/src/delivery/request.rs
@@ -65,3 +65,6 @@
     }
     length
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/message-sender/src/delivery/response.rs
+++ b/crates/message-sender/src/delivery/response.rs
@@ -22,7 +22,7 @@
     status == StatusCode::OK.as_u16()
 }
 
-/// The result that a response tells. What the protocol's table does not name may have been processed.
+/// The result that a response indicates. What the protocol's table does not name may have been processed.
 pub fn interpret(status: StatusCode, headers: &HeaderMap) -> AttemptResult {
     AttemptResult { load_report: load_report(headers), ..interpret_status(status, headers) }
 }
--- a/crates/message-sender/src/delivery/response/tests.rs
+++ b/crates/message-sender/src/delivery/response/tests.rs
@@ -1,3 +1,5 @@
+//! Load reports in response headers.
+
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::StatusCode;
 
--- a/crates/message-sender/src/http_connection/status_line/tests.rs
+++ b/crates/message-sender/src/http_connection/status_line/tests.rs
@@ -1,3 +1,5 @@
+//! Complete, partial, malformed and interim status lines.
+
 use super::StatusLineParser;
 
 /// The status that a response tells, which must not depend on how its bytes are cut up.
