--- a/crates/message-sender/src/endpoint_registry/registry.rs
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -42,7 +42,7 @@
     }
 
     fn destination(&self) -> DestinationId {
-        self.route.0
+        self.route.destination
     }
 }
 
@@ -226,7 +226,7 @@
     /// The route of an endpoint: one of its own where its kind has limits for each endpoint.
     fn route(&self, entry: &EndpointEntry) -> Route {
         let per_endpoint = self.kinds.get(entry.kind).is_some_and(|kind| kind.per_endpoint_limits);
-        (entry.destination, per_endpoint.then_some(entry.endpoint))
+        Route { destination: entry.destination, endpoint: per_endpoint.then_some(entry.endpoint) }
     }
 
     /// Marks the endpoints that a complete list leaves out: they have departed without an entry that says so.
