--- a/crates/message-sender/src/drain.rs
+++ b/crates/message-sender/src/drain.rs
@@ -1,12 +1,15 @@
-//! The time line of a graceful shutdown.
+//! The timeline of a graceful shutdown, counted from the request to shut down.
+//!
+//! The platform sends SIGKILL 3.7 s after SIGTERM at the soonest; everything here fits below that.
 
 use std::time::Duration;
 
-/// After SIGTERM, calls go out for so long, then those that are out are waited for, then the process ends:
-/// SIGKILL comes 3.7 s after SIGTERM at the soonest.
-pub const DRAIN_SENDS: Duration = Duration::from_millis(2400);
-pub const DRAIN_ENDS: Duration = Duration::from_millis(3300);
-/// And so long for the last answers to clients.
-pub const LAST_ANSWERS: Duration = Duration::from_millis(200);
-/// With nothing left to do, it stays so long for connections that still come.
-pub const DRAIN_LINGERS: Duration = Duration::from_millis(1000);
+/// From this moment on no further attempt is started.
+pub const LAST_ATTEMPT_AFTER: Duration = Duration::from_millis(2400);
+/// The process ends, whatever is still in flight.
+pub const DRAIN_DEADLINE: Duration = Duration::from_millis(3300);
+/// A process with nothing left to do stays this long all the same, for connections that still arrive: load
+/// balancers in front notice a drain only after a while.
+pub const MINIMUM_DRAIN: Duration = Duration::from_millis(1000);
+/// Allowed beyond the end of the event loop for the last replies to reach clients.
+pub const FINAL_REPLY_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/message-sender/src/event.rs
+++ b/crates/message-sender/src/event.rs
@@ -7,12 +7,32 @@
 use crate::endpoint_list::EndpointList;
 use crate::submission::{Submission, SubmissionReply};
 
+/// Identifies one attempt to deliver a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The message.
+    pub message_id: MessageId,
+    /// Number of the attempt, counted from 0.
+    pub attempt: u32,
+}
+
 /// Something that happened on a socket.
 pub enum SenderEvent {
-    /// A client submitted a message and waits for the reply.
+    /// A client submitted a message and waits for the reply. A client that goes away closes the channel.
     Submitted(Box<Submission>, oneshot::Sender<SubmissionReply>),
     /// An attempt ended.
-    AttemptEnded { id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, result: AttemptResult },
+    AttemptEnded {
+        /// The message.
+        id: MessageId,
+        /// Number of the attempt, counted from 0.
+        attempt: u32,
+        /// The endpoint that was called.
+        endpoint: EndpointId,
+        /// Time since the attempt was started.
+        elapsed: Micros,
+        /// How it ended.
+        result: AttemptResult,
+    },
     /// Discovery sent an endpoint list.
     EndpointListReceived(EndpointList),
     /// The platform acknowledged the notices of these messages.
--- /dev/null
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -0,0 +1,147 @@
+//! Starting an attempt to deliver a message.
+
+use std::rc::Rc;
+
+use delivery_control::{AttemptEnd, AttemptOutcome, EndpointId, Event, MessageId, Micros};
+use hyper::header::HeaderValue;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::EventLoop;
+use crate::delivery::{AttemptPhase, Call};
+use crate::event::{AttemptId, SenderEvent};
+use crate::journal::{AttemptStart, JournalError};
+use crate::time::{duration, micros};
+
+/// The times that the controller sets for an attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptLimits {
+    /// How long it may take.
+    pub timeout: Micros,
+    /// By when its first byte must be sent; later it is not sent at all.
+    pub begin_by: Micros,
+}
+
+impl EventLoop {
+    /// Starts an attempt, which reports its end as an event.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Micros,
+        id: MessageId,
+        endpoint: EndpointId,
+        limits: AttemptLimits,
+    ) {
+        let Some(call) = self.prepare_call(now, id, endpoint, limits) else {
+            self.report_not_sent(id, endpoint);
+            return;
+        };
+        let attempt = self.count_attempt(id);
+        if attempt == 0 {
+            self.record_first_attempt(now, id);
+        }
+        tracing::debug!(message_id = id, attempt, endpoint, timeout_us = limits.timeout, "attempt started");
+        let attempt_id = AttemptId { message_id: id, attempt };
+        let cancelled = self.in_flight.start(attempt_id);
+        self.spawn_call(attempt_id, call, cancelled);
+    }
+
+    /// Makes the call of an attempt; `None` if the message or the endpoint is gone.
+    fn prepare_call(
+        &self,
+        now: Micros,
+        id: MessageId,
+        endpoint: EndpointId,
+        limits: AttemptLimits,
+    ) -> Option<Call> {
+        let registered = self.registry.get(endpoint)?;
+        let message = self.open_messages.get(id)?;
+        // An attempt at an endpoint of another destination would be worse than none.
+        if registered.route.0 != message.destination {
+            return None;
+        }
+        let key = message.idempotency_key.as_ref();
+        Some(Call {
+            endpoint,
+            address: registered.address,
+            route: registered.route,
+            call_id: HeaderValue::from_str(&message.call_id).ok()?,
+            key: key.and_then(|key| HeaderValue::from_str(key).ok()),
+            body: message.body.clone(),
+            timeout: duration(limits.timeout),
+            made: Instant::now(),
+            begin_by: self.clock.instant(limits.begin_by),
+            keep: self.phase_recorder(id, AttemptStart { sent_at: now, zone: registered.zone as u64 }),
+        })
+    }
+
+    /// Counts an attempt of a message, and returns its number.
+    fn count_attempt(&mut self, id: MessageId) -> u32 {
+        let Some(message) = self.open_messages.get_mut(id) else { return 0 };
+        let attempt = message.attempts;
+        message.attempts += 1;
+        attempt
+    }
+
+    fn record_first_attempt(&mut self, now: Micros, id: MessageId) {
+        if let Some(message) = self.open_messages.get(id) {
+            self.summary.record_first_attempt(now - message.accepted_at);
+        }
+    }
+
+    /// Reports an attempt of which no byte was sent, since its message or its endpoint is gone.
+    fn report_not_sent(&mut self, id: MessageId, endpoint: EndpointId) {
+        let attempt = self.count_attempt(id);
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            endpoint,
+            outcome: AttemptOutcome::NotSent,
+            elapsed: 0,
+            is_final: false,
+            retry_after: 0,
+            load_report: None,
+        }));
+    }
+
+    fn spawn_call(&self, attempt_id: AttemptId, call: Call, cancelled: oneshot::Receiver<()>) {
+        let delivery = self.delivery.clone();
+        let event_sender = self.event_sender.clone();
+        let endpoint = call.endpoint;
+        tokio::task::spawn_local(async move {
+            let started = Instant::now();
+            let result = delivery.call(call, cancelled).await;
+            let ended = SenderEvent::AttemptEnded {
+                id: attempt_id.message_id,
+                attempt: attempt_id.attempt,
+                endpoint,
+                elapsed: micros(started.elapsed()),
+                result,
+            };
+            // Only at the process's end is there nobody left who receives it.
+            let _ = event_sender.send(ended).await;
+        });
+    }
+
+    /// How a call records its progress in the journal. The function returns false where the call must not go on.
+    fn phase_recorder(&self, id: MessageId, start: AttemptStart) -> Box<dyn Fn(AttemptPhase) -> bool> {
+        let journal = Rc::downgrade(&self.journal);
+        Box::new(move |phase| {
+            let Some(journal) = journal.upgrade() else { return false };
+            let mut journal = journal.borrow_mut();
+            let written = match phase {
+                // The message has ended while the connection was being established.
+                AttemptPhase::Starting if !journal.is_open(id) => return false,
+                AttemptPhase::Starting => journal.record_attempt(id, start),
+                AttemptPhase::NotStarted => journal.record_unsent(id),
+            };
+            log_unrecorded_phase(&written);
+            written.is_ok()
+        })
+    }
+}
+
+fn log_unrecorded_phase(written: &Result<(), JournalError>) {
+    if let Err(error) = written {
+        tracing::warn!(%error, "attempt not journalled");
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/commands.rs
@@ -0,0 +1,61 @@
+//! The operators' commands, and when they are acknowledged.
+
+use delivery_control::{Event, MaintenanceCommand};
+
+use super::EventLoop;
+use crate::journal::JournalError;
+use crate::operator_api::{CommandResult, OperatorCommand, Order};
+
+impl EventLoop {
+    /// Carries out an operator's command. It is stored first, and acknowledged after the controller's next turn.
+    pub(super) fn handle_command(&mut self, order: Order) {
+        let (command, reply) = order;
+        // If the caller is gone, nothing was promised; so below.
+        if reply.is_closed() {
+            return;
+        }
+        let (name, command) = match &command {
+            OperatorCommand::Drain(name) => (name, MaintenanceCommand::Drain),
+            OperatorCommand::Restore(name) => (name, MaintenanceCommand::Restore),
+        };
+        if !self.registry.is_known(name) {
+            let _ = reply.send(CommandResult::UnknownEndpoint);
+            return;
+        }
+        if let Err(error) = self.store_command(name, command) {
+            tracing::error!(%error, "operator command not stored");
+            let _ = reply.send(CommandResult::NotPersisted);
+            return;
+        }
+        tracing::info!(endpoint = name, ?command, "operator command accepted");
+        self.apply_command(name, command);
+        self.unacknowledged_commands.push(reply);
+    }
+
+    fn store_command(&self, name: &str, command: MaintenanceCommand) -> Result<(), JournalError> {
+        let mut journal = self.journal.borrow_mut();
+        match command {
+            MaintenanceCommand::Drain => journal.record_drained(name),
+            MaintenanceCommand::Restore => journal.record_restored(name),
+        }
+    }
+
+    fn apply_command(&mut self, name: &str, command: MaintenanceCommand) {
+        let endpoint = match command {
+            MaintenanceCommand::Drain => {
+                let endpoint = self.registry.mark_drained(name);
+                self.delivery.drain(endpoint);
+                endpoint
+            }
+            MaintenanceCommand::Restore => self.registry.mark_restored(name),
+        };
+        self.events.push(Event::Maintenance { endpoint, command });
+    }
+
+    /// Acknowledges the commands that the controller has taken in.
+    pub(super) fn acknowledge_commands(&mut self) {
+        for reply in self.unacknowledged_commands.drain(..) {
+            let _ = reply.send(CommandResult::Done);
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -0,0 +1,106 @@
+//! What happens on sockets, as events for the controller.
+
+use delivery_control::{AttemptEnd, AttemptOutcome, EndpointId, Event, MessageId, Micros};
+
+use super::completion::{final_outcome, log_journal_error};
+use super::EventLoop;
+use crate::delivery::AttemptResult;
+use crate::endpoint_registry::RegistryUpdate;
+use crate::event::{AttemptId, SenderEvent};
+
+impl EventLoop {
+    /// Takes in what happened on a socket.
+    pub(super) fn handle_event(&mut self, event: SenderEvent) {
+        match event {
+            SenderEvent::Submitted(submission, reply) => self.handle_submission(*submission, reply),
+            SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
+                self.handle_attempt_end(AttemptId { message_id: id, attempt }, endpoint, elapsed, result);
+            }
+            SenderEvent::EndpointListReceived(list) => {
+                let update = self.registry.apply_update(&list);
+                self.report_endpoints(list.index, update);
+            }
+            SenderEvent::NoticesAcknowledged(ids) => {
+                for id in ids {
+                    self.handle_notice_acknowledged(id);
+                }
+            }
+            SenderEvent::ShutdownRequested => self.shutdown.request(),
+        }
+    }
+
+    /// Takes in events that this process received while a successor was the sender. Of this process's attempts the
+    /// journal knows that they were in flight; a message that one of them has ended is over.
+    pub fn replay_missed_events(&mut self, events: Vec<SenderEvent>) {
+        for event in events {
+            match event {
+                SenderEvent::AttemptEnded { id, result, .. } if result.last => {
+                    self.end_without_notice(id, Some(final_outcome(&result)));
+                    self.events.push(Event::MessageWithdrawn { id });
+                }
+                SenderEvent::AttemptEnded { .. } => {}
+                other => self.handle_event(other),
+            }
+        }
+    }
+
+    fn handle_attempt_end(
+        &mut self,
+        attempt_id: AttemptId,
+        endpoint: EndpointId,
+        elapsed: Micros,
+        result: AttemptResult,
+    ) {
+        let AttemptId { message_id, attempt } = attempt_id;
+        self.in_flight.remove(attempt_id);
+        if let Some(registered) = self.registry.get(endpoint) {
+            self.summary.record_attempt_end(registered.route.0, elapsed, &result);
+        }
+        let AttemptResult { outcome, wait: retry_after, last: is_final, load: load_report, begun } = result;
+        tracing::debug!(
+            message_id,
+            attempt,
+            endpoint,
+            ?outcome,
+            elapsed_us = elapsed,
+            retry_after_us = retry_after,
+            begun,
+            ?load_report,
+            "attempt ended"
+        );
+        if is_final {
+            self.end_without_notice(message_id, Some(final_outcome(&result)));
+        } else if begun && was_not_processed(outcome) && self.open_messages.contains(message_id) {
+            log_journal_error(self.journal.borrow_mut().record_unprocessed(message_id));
+        }
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            id: message_id,
+            attempt,
+            endpoint,
+            outcome,
+            elapsed,
+            is_final,
+            retry_after,
+            load_report,
+        }));
+    }
+
+    fn handle_notice_acknowledged(&mut self, id: MessageId) {
+        log_journal_error(self.journal.borrow_mut().record_notice_acknowledged(id));
+        self.events.push(Event::NoticeAcknowledged { id });
+    }
+
+    /// Reports an endpoint list to the controller. Endpoints that are gone, draining or elsewhere get no attempt
+    /// that was decided on before.
+    pub(super) fn report_endpoints(&mut self, version: u64, update: RegistryUpdate) {
+        for endpoint in update.departed {
+            self.delivery.drain(endpoint);
+        }
+        self.events.push(Event::EndpointsUpdated { update: update.update, version, entries: update.entries });
+    }
+}
+
+/// Whether the outcome proves that the message had no effect.
+fn was_not_processed(outcome: AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent)
+}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -0,0 +1,139 @@
+//! What a process takes over at its start: from the journal, or from the state of a predecessor.
+
+use delivery_control::{AmbiguousAttempt, Event, MessageId, MessageSubmission, SettingsError};
+
+use super::open_messages::{MessageOrigin, OpenMessage};
+use super::timers::Timers;
+use super::EventLoop;
+use crate::endpoint_list::EndpointList;
+use crate::event::AttemptId;
+use crate::handover::relay::RemoteCall;
+use crate::handover::HandoverState;
+use crate::journal::{AcceptedMessage, AttemptHistory, Body, JournalEntry};
+use crate::notice::NoticeResult;
+
+/// What the journal contains at the start, for the log.
+#[derive(Default)]
+struct RecoveryCounts {
+    unattempted: usize,
+    attempted: usize,
+    pending_notices: usize,
+}
+
+impl RecoveryCounts {
+    fn of(entries: &[(MessageId, JournalEntry)]) -> Self {
+        let mut counts = Self::default();
+        for (_, entry) in entries {
+            match entry {
+                JournalEntry::Open(_, history) if history.attempts == 0 => counts.unattempted += 1,
+                JournalEntry::Open(..) => counts.attempted += 1,
+                JournalEntry::PendingNotice(..) => counts.pending_notices += 1,
+            }
+        }
+        counts
+    }
+
+    fn log(&self) {
+        tracing::info!(
+            unattempted = self.unattempted,
+            attempted = self.attempted,
+            pending_notices = self.pending_notices,
+            "recovered messages from the journal"
+        );
+    }
+}
+
+impl EventLoop {
+    /// Recovers what an earlier process left in the journal, under the endpoint list that was stored last.
+    pub fn recover(&mut self, cached_list: Option<EndpointList>) {
+        if let Some(list) = cached_list {
+            let update = self.registry.load_cached(&list);
+            self.report_endpoints(list.index, update);
+        }
+        let entries = self.journal_entries();
+        RecoveryCounts::of(&entries).log();
+        for (id, entry) in entries {
+            match entry {
+                JournalEntry::PendingNotice(notice, order_key) => {
+                    self.notices.push(id, notice);
+                    if let Some(order_key) = order_key {
+                        self.events.push(Event::NoticePending { id, order_key });
+                    }
+                }
+                JournalEntry::Open(accepted, history) => self.recover_message(id, accepted, history),
+            }
+        }
+    }
+
+    /// Continues from the state that a predecessor handed over. Returns the predecessor's attempts that are in
+    /// flight, each with the receiver that completes when it is to be cancelled.
+    pub fn restore(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteCall>, SettingsError> {
+        self.controller = state.controller.restore(self.settings.clone(), seed)?;
+        self.registry.restore(state.registry);
+        self.clock.restore(state.now);
+        self.timers = Timers::restore(state.timers);
+        for (id, entry) in self.journal_entries() {
+            match entry {
+                JournalEntry::PendingNotice(notice, _) => self.notices.push(id, notice),
+                JournalEntry::Open(accepted, history) if self.controller.holds_message(id) => {
+                    self.open_recovered(id, accepted, history);
+                }
+                // The predecessor could not write its end: what is not known to have ended goes on.
+                JournalEntry::Open(accepted, history) => self.recover_message(id, accepted, history),
+            }
+        }
+        let mut remote_calls = Vec::with_capacity(state.out.len());
+        for (message_id, attempt) in state.out {
+            let cancelled = self.in_flight.start(AttemptId { message_id, attempt });
+            remote_calls.push(((message_id, attempt), cancelled));
+        }
+        Ok(remote_calls)
+    }
+
+    fn journal_entries(&self) -> Vec<(MessageId, JournalEntry)> {
+        self.journal.borrow().entries().map(|(id, entry)| (id, entry.clone())).collect()
+    }
+
+    /// Reports a message that an earlier process accepted to the controller, with the attempts made so far.
+    fn recover_message(&mut self, id: MessageId, accepted: AcceptedMessage, history: AttemptHistory) {
+        let Some(class) = self.names.class(&accepted.class) else {
+            // The class is not served any more: nobody can say whether another attempt would be harmless.
+            self.queue_notice(id, accepted.call_id, NoticeResult::Failed);
+            return;
+        };
+        self.events.push(Event::MessageSubmitted(MessageSubmission {
+            id,
+            class,
+            // Its quota was counted when it was accepted, and here the whole backlog comes in one turn.
+            tenant: None,
+            destination: accepted.destination,
+            time_left: accepted.deadline - self.clock.now(),
+            work: None,
+            order_key: accepted.order_key.clone(),
+            returned: false,
+            repeat: false,
+            write: false,
+        }));
+        let first_ambiguous = history
+            .first_ambiguous()
+            .map(|first| AmbiguousAttempt { sent_at: first.sent_at, zone: first.zone as usize });
+        self.events.push(Event::MessageRecovered { id, attempts: history.attempts, first_ambiguous });
+        self.open_recovered(id, accepted, history);
+    }
+
+    fn open_recovered(&mut self, id: MessageId, accepted: AcceptedMessage, history: AttemptHistory) {
+        let Some(class) = self.names.class(&accepted.class) else { return };
+        let AcceptedMessage { call_id, key, destination, body: Body(body), .. } = accepted;
+        let message = OpenMessage {
+            call_id,
+            class,
+            idempotency_key: key,
+            destination,
+            body,
+            attempts: history.attempts,
+            accepted_at: self.clock.now(),
+            origin: MessageOrigin::Recovered,
+        };
+        self.open_messages.insert(id, message);
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -0,0 +1,203 @@
+//! Submissions by clients: which are accepted, and the replies.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use delivery_control::{Action, Event, MessageId, MessageSubmission, Micros};
+use tokio::sync::oneshot;
+
+use super::open_messages::{MessageOrigin, OpenMessage};
+use super::summary::RejectionCause;
+use super::EventLoop;
+use crate::endpoint_registry::DestinationStatus;
+use crate::journal::{AcceptedMessage, Body};
+use crate::metrics::MessageOutcome;
+use crate::submission::{Submission, SubmissionReply};
+
+/// Advice to a client whose message can't be buffered, journalled or attempted now, or whose destination is not
+/// known yet.
+const UNAVAILABLE_RETRY_AFTER: Micros = 1_000_000;
+
+/// Whether a submission brought its message, or named one that had been accepted before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmissionKind {
+    /// It brought the message.
+    New,
+    /// The client submitted the message again, because the reply got lost.
+    Duplicate,
+}
+
+/// A client that waits for the reply to its submission.
+pub struct PendingReply {
+    message_id: MessageId,
+    kind: SubmissionKind,
+    reply: oneshot::Sender<SubmissionReply>,
+}
+
+impl EventLoop {
+    /// Accepts a message, subject to the controller's next turn, or rejects it at once.
+    pub(super) fn handle_submission(
+        &mut self,
+        submission: Submission,
+        reply: oneshot::Sender<SubmissionReply>,
+    ) {
+        // The client is gone.
+        if reply.is_closed() {
+            return;
+        }
+        if let Some(message_id) = self.open_messages.find_by_call_id(&submission.call_id) {
+            self.pending_replies.push(PendingReply { message_id, kind: SubmissionKind::Duplicate, reply });
+            return;
+        }
+        let now = self.clock.now();
+        match self.admit(now, &submission) {
+            Ok(message_id) => {
+                self.open_submission(now, message_id, submission);
+                self.pending_replies.push(PendingReply { message_id, kind: SubmissionKind::New, reply });
+            }
+            Err(cause) => self.reject_submission(&submission, cause, reply),
+        }
+    }
+
+    /// Stores a message in the journal under a new id, if it can be accepted.
+    fn admit(&mut self, now: Micros, submission: &Submission) -> Result<MessageId, RejectionCause> {
+        self.check_admissible(submission)?;
+        let id = self.next_message_id;
+        self.journal_submission(now, id, submission)?;
+        self.next_message_id += 1;
+        Ok(id)
+    }
+
+    /// Whether a message can be accepted, as far as the event loop can tell without the controller.
+    fn check_admissible(&self, submission: &Submission) -> Result<(), RejectionCause> {
+        if self.shutdown.attempts_have_stopped() {
+            // Only the next process could attempt it, some seconds from now: other senders are sooner.
+            return Err(RejectionCause::ShuttingDown);
+        }
+        match self.registry.destination_status(submission.destination) {
+            DestinationStatus::Known => {}
+            DestinationStatus::Unknown => return Err(RejectionCause::UnknownDestination),
+            DestinationStatus::Undetermined => return Err(RejectionCause::UndeterminedDestination),
+        }
+        if self.open_messages.len() + self.notices.len() >= self.settings.limits.buffer_capacity {
+            return Err(RejectionCause::BufferFull);
+        }
+        Ok(())
+    }
+
+    fn journal_submission(
+        &self,
+        now: Micros,
+        id: MessageId,
+        submission: &Submission,
+    ) -> Result<(), RejectionCause> {
+        let accepted = AcceptedMessage {
+            call_id: submission.call_id.clone(),
+            key: submission.key.clone(),
+            class: submission.class_name.clone(),
+            destination: submission.destination,
+            order_key: submission.order_key.clone(),
+            deadline: now.saturating_add(submission.time_left),
+            body: Body(submission.body.clone()),
+        };
+        self.journal.borrow_mut().record_accepted(id, accepted).map_err(|error| {
+            tracing::warn!(%error, "message not journalled");
+            RejectionCause::JournalFull
+        })
+    }
+
+    /// Reports a message to the controller and keeps what attempts need of it.
+    fn open_submission(&mut self, now: Micros, id: MessageId, submission: Submission) {
+        tracing::debug!(
+            message_id = id,
+            call_id = submission.call_id,
+            class = submission.class,
+            destination = submission.destination,
+            time_left_us = submission.time_left,
+            "message submitted"
+        );
+        self.events.push(Event::MessageSubmitted(MessageSubmission {
+            id,
+            class: submission.class,
+            tenant: submission.tenant,
+            destination: submission.destination,
+            time_left: submission.time_left,
+            // The protocol carries neither the expected work nor the kind of effect.
+            work: None,
+            order_key: submission.order_key,
+            returned: submission.returned,
+            repeat: submission.repeat,
+            write: false,
+        }));
+        let message = OpenMessage {
+            call_id: submission.call_id,
+            class: submission.class,
+            idempotency_key: submission.key,
+            destination: submission.destination,
+            body: submission.body,
+            attempts: 0,
+            accepted_at: now,
+            origin: MessageOrigin::Submitted,
+        };
+        self.open_messages.insert(id, message);
+    }
+
+    fn reject_submission(
+        &mut self,
+        submission: &Submission,
+        cause: RejectionCause,
+        reply: oneshot::Sender<SubmissionReply>,
+    ) {
+        self.summary.count_rejection(cause, submission.destination);
+        let answer = match cause {
+            RejectionCause::UnknownDestination => SubmissionReply::UnknownDestination,
+            _ => {
+                self.metrics.count_outcome(submission.class, MessageOutcome::Rejected);
+                SubmissionReply::Rejected(UNAVAILABLE_RETRY_AFTER)
+            }
+        };
+        // A client that is gone needs no reply.
+        let _ = reply.send(answer);
+    }
+
+    /// Replies to the clients that wait. A message that the controller rejects in its first turn was never
+    /// accepted; one whose clients are all gone is withdrawn.
+    pub(super) fn send_replies(&mut self, rejections: &BTreeMap<MessageId, Micros>) {
+        let mut abandoned = BTreeSet::new();
+        let mut replied = BTreeSet::new();
+        for PendingReply { message_id, kind, reply } in std::mem::take(&mut self.pending_replies) {
+            let rejection = rejections.get(&message_id);
+            let answer = match rejection {
+                Some(retry_after) => SubmissionReply::Rejected(*retry_after),
+                None => SubmissionReply::Accepted,
+            };
+            match reply.send(answer) {
+                Ok(()) => {
+                    replied.insert(message_id);
+                }
+                Err(_) if kind == SubmissionKind::New => {
+                    abandoned.insert(message_id);
+                }
+                Err(_) => {}
+            }
+            if rejection.is_some() {
+                self.count_given_up(message_id, MessageOutcome::Rejected);
+                self.end_without_notice(message_id, Some(MessageOutcome::Rejected));
+            }
+        }
+        for id in abandoned.difference(&replied) {
+            self.end_without_notice(*id, None);
+            self.events.push(Event::MessageWithdrawn { id: *id });
+        }
+    }
+}
+
+/// The messages that a turn rejects, each with its Retry-After.
+pub fn rejections(actions: &[Action]) -> BTreeMap<MessageId, Micros> {
+    let mut rejections = BTreeMap::new();
+    for action in actions {
+        if let Action::Reject { id, retry_after } = action {
+            rejections.insert(*id, *retry_after);
+        }
+    }
+    rejections
+}
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -1,200 +1,274 @@
-//! Counts for the log: what the sender took on and how its calls ended, and what became of messages that were
-//! not delivered: who refused them, and for which destination.
+//! The periodic summary in the log: what the sender accepted, how its attempts ended, and what became of messages
+//! that were not delivered, by cause and destination.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use delivery_control::{AttemptEnd, AttemptOutcome, DestinationId, Event, MessageSubmission, Micros};
+use delivery_control::{AttemptEnd, AttemptOutcome, DestinationId, Event, LoadReport, Micros};
 use tokio::time::Instant;
 
 use crate::delivery::AttemptResult;
 
-/// A line is logged so often at most: a sender in trouble refuses hundreds a second.
-const EVERY: Duration = Duration::from_secs(1);
-/// And the line of the traffic so often.
-const TRAFFIC_EVERY: Duration = Duration::from_secs(5);
+/// Rejections are logged this often at most: a sender in trouble rejects hundreds of messages a second.
+const REJECTION_INTERVAL: Duration = Duration::from_secs(1);
+/// Traffic is logged this often at most.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(5);
+/// Destinations that the traffic summary names: those whose attempts were longest in flight.
+const MAX_DESTINATIONS: usize = 12;
 
-/// Destinations named in it.
-const BUSIEST: usize = 12;
+const MICROS_PER_MILLI: Micros = 1000;
 
-/// Why a message was not delivered, or not even taken on.
+/// Why a message was not delivered, or not even accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RejectionCause {
-    /// As many messages as allowed are held.
+    /// The buffer is full.
     BufferFull,
-    /// The journal did not take it.
+    /// The journal could not store it.
     JournalFull,
-    /// No whole list has come yet to tell whether its destination exists.
+    /// No complete endpoint list has arrived that tells whether its destination exists.
     UndeterminedDestination,
-    /// Discovery lists no such destination.
+    /// The endpoint list has no such destination.
     UnknownDestination,
-    /// The process is about to end, and could not try it any more.
-    AttemptResult,
-    /// The module refused it before any attempt.
+    /// The process is about to end, and could make no attempt any more.
+    ShuttingDown,
+    /// The controller rejected it before any attempt.
     RejectedUnattempted,
-    /// So with one that another process had taken on and not tried.
+    /// The controller rejected it before any attempt; an earlier process had accepted it.
     RecoveredUnattempted,
-    /// The module refused it after attempts that never ran, or that may be repeated.
+    /// The controller rejected it after attempts that had no effect, or that may be repeated.
     RejectedAttempted,
-    /// The module gave it up after an attempt that may have run.
+    /// The controller gave it up after an attempt that may have taken effect.
     Failed,
 }
 
-/// What went through the module since the last line.
+impl RejectionCause {
+    /// Whether destinations are counted one by one. Clients may name any number of destinations that do not
+    /// exist: those are counted together.
+    fn is_counted_by_destination(self) -> bool {
+        !matches!(self, Self::UndeterminedDestination | Self::UnknownDestination)
+    }
+}
+
+/// Undelivered messages of one cause since the last summary.
+#[derive(Debug, Default)]
+struct RejectionCounts {
+    messages: u32,
+    by_destination: BTreeMap<DestinationId, u32>,
+}
+
+/// Time from a message's acceptance to its first attempt.
+#[derive(Debug, Default, Clone, Copy)]
+struct FirstAttemptDelay {
+    count: u32,
+    total: Micros,
+    max: Micros,
+}
+
+impl FirstAttemptDelay {
+    fn record(&mut self, delay: Micros) {
+        self.count += 1;
+        self.total = self.total.saturating_add(delay);
+        self.max = self.max.max(delay);
+    }
+
+    fn mean_ms(&self) -> Micros {
+        self.total / MICROS_PER_MILLI / Micros::from(self.count.max(1))
+    }
+
+    fn max_ms(&self) -> Micros {
+        self.max / MICROS_PER_MILLI
+    }
+}
+
+/// What passed through the controller since the last summary.
 #[derive(Debug, Default)]
 struct Traffic {
-    taken: u32,
-    /// Of those, the ones that the module was told an order key of, and a tenant.
+    accepted: u32,
+    /// Of those, the ones with an order key.
     ordered: u32,
+    /// Of those, the ones with a tenant.
     with_tenant: u32,
-    first_calls: u32,
-    /// From being taken on to the first call, added up and at most.
-    first_call_after: (Micros, Micros),
+    first_attempt_delay: FirstAttemptDelay,
     outcomes: BTreeMap<AttemptOutcome, u32>,
-    by_destination: BTreeMap<DestinationId, Calls>,
+    by_destination: BTreeMap<DestinationId, DestinationTraffic>,
+}
+
+impl Traffic {
+    fn is_empty(&self) -> bool {
+        self.accepted == 0 && self.outcomes.is_empty()
+    }
+
+    /// The destinations whose attempts were longest in flight, in falling order.
+    fn busiest_destinations(self) -> Vec<(DestinationId, DestinationTraffic)> {
+        let mut destinations: Vec<_> = self.by_destination.into_iter().collect();
+        destinations.sort_by_key(|(_, traffic)| Reverse(traffic.in_flight_time));
+        destinations.truncate(MAX_DESTINATIONS);
+        destinations
+    }
 }
 
-/// Calls to one destination that ended since the last line.
+/// Attempts to one destination that ended since the last summary.
 #[derive(Debug, Default, Clone, Copy)]
-struct Calls {
+struct DestinationTraffic {
     delivered: u32,
-    /// Answered as full, and of those the ones that told a wait.
-    full: u32,
-    told: u32,
+    rejected: u32,
+    /// Of the rejected, the ones with a Retry-After.
+    with_retry_after: u32,
     failed: u32,
-    /// For how long they held slots.
-    held: Micros,
-    /// Messages held for it now.
-    waiting: u32,
-    /// The latest report: the share of the limit that is left, and the limit in calls a second.
-    left: Option<f64>,
+    /// For how long they were in flight, added up.
+    in_flight_time: Micros,
+    /// Messages that are buffered for it now.
+    buffered: u32,
+    /// The latest load report: the fraction of the rate limit that is left.
+    limit_remaining: Option<f64>,
+    /// The latest load report: the rate limit in calls per second.
     limit: Option<f64>,
 }
 
-impl Calls {
-    fn line(&self, to: DestinationId) -> String {
-        let Self { delivered, full, told, failed, held, waiting, left, limit } = self;
-        let figure = |value: &Option<f64>| value.map_or("-".to_owned(), |value| format!("{value:.2}"));
-        let (held_ms, left, limit) = (held / 1000, figure(left), figure(limit));
-        format!("{to}: {delivered} ok {full} full {told} told {failed} failed {held_ms} ms {waiting} wait left {left} limit {limit}")
+impl DestinationTraffic {
+    fn record(&mut self, elapsed: Micros, result: &AttemptResult) {
+        self.in_flight_time = self.in_flight_time.saturating_add(elapsed);
+        match result.outcome {
+            AttemptOutcome::Delivered => self.delivered += 1,
+            AttemptOutcome::Rejected => {
+                self.rejected += 1;
+                self.with_retry_after += u32::from(result.wait > 0);
+            }
+            AttemptOutcome::NotSent | AttemptOutcome::Cancelled => {}
+            _ => self.failed += 1,
+        }
+        if let Some(LoadReport { limit_remaining, limit, .. }) = result.load {
+            self.limit_remaining = limit_remaining;
+            self.limit = limit;
+        }
+    }
+
+    fn log(&self, destination: DestinationId) {
+        tracing::info!(
+            destination,
+            delivered = self.delivered,
+            rejected = self.rejected,
+            with_retry_after = self.with_retry_after,
+            failed = self.failed,
+            in_flight_ms = self.in_flight_time / MICROS_PER_MILLI,
+            buffered = self.buffered,
+            limit_remaining = self.limit_remaining,
+            limit = self.limit,
+            "destination traffic"
+        );
     }
 }
 
-/// Counts since the last line.
+/// Counts for the log since the last summary.
 pub struct LogSummary {
-    counts: BTreeMap<RejectionCause, BTreeMap<Option<DestinationId>, u32>>,
-    told: Instant,
+    rejections: BTreeMap<RejectionCause, RejectionCounts>,
+    rejections_logged_at: Instant,
     traffic: Traffic,
-    traffic_told: Instant,
+    traffic_logged_at: Instant,
 }
 
 impl LogSummary {
+    /// Starts with nothing counted.
     pub fn new() -> Self {
-        let (counts, traffic, now) = (BTreeMap::new(), Traffic::default(), Instant::now());
-        Self { counts, told: now, traffic, traffic_told: now }
+        let now = Instant::now();
+        Self {
+            rejections: BTreeMap::new(),
+            rejections_logged_at: now,
+            traffic: Traffic::default(),
+            traffic_logged_at: now,
+        }
     }
 
-    /// Counts what the module is told.
+    /// Counts an event that is reported to the controller.
     pub fn record_event(&mut self, event: &Event) {
         match event {
-            Event::MessageSubmitted(MessageSubmission { order_key, tenant, .. }) => {
-                self.traffic.taken += 1;
-                self.traffic.ordered += u32::from(order_key.is_some());
-                self.traffic.with_tenant += u32::from(tenant.is_some());
+            Event::MessageSubmitted(submission) => {
+                self.traffic.accepted += 1;
+                self.traffic.ordered += u32::from(submission.order_key.is_some());
+                self.traffic.with_tenant += u32::from(submission.tenant.is_some());
             }
             Event::AttemptEnded(AttemptEnd { outcome, .. }) => {
-                *self.traffic.outcomes.entry(*outcome).or_default() += 1
+                *self.traffic.outcomes.entry(*outcome).or_default() += 1;
             }
             _ => {}
         }
     }
 
-    /// Counts a message's first call.
-    pub fn record_first_attempt(&mut self, after: Micros) {
-        self.traffic.first_calls += 1;
-        let (sum, most) = self.traffic.first_call_after;
-        self.traffic.first_call_after = (sum.saturating_add(after), most.max(after));
+    /// Counts a message's first attempt, made so long after the message was accepted.
+    pub fn record_first_attempt(&mut self, delay: Micros) {
+        self.traffic.first_attempt_delay.record(delay);
     }
 
-    /// Counts a call that ended, and the time for which it held a slot.
+    /// Counts an attempt that ended, and the time for which it was in flight.
     pub fn record_attempt_end(
         &mut self,
         destination: DestinationId,
         elapsed: Micros,
-        ending: &AttemptResult,
+        result: &AttemptResult,
     ) {
-        let calls = self.traffic.by_destination.entry(destination).or_default();
-        calls.held = calls.held.saturating_add(elapsed);
-        match ending.outcome {
-            AttemptOutcome::Delivered => calls.delivered += 1,
-            AttemptOutcome::Rejected => {
-                (calls.full, calls.told) = (calls.full + 1, calls.told + u32::from(ending.wait > 0))
-            }
-            AttemptOutcome::NotSent | AttemptOutcome::Cancelled => {}
-            _ => calls.failed += 1,
-        }
-        if let Some(load) = ending.load {
-            (calls.left, calls.limit) = (load.limit_remaining, load.limit);
-        }
+        self.traffic.by_destination.entry(destination).or_default().record(elapsed, result);
     }
 
-    /// Logs the traffic, if there was any and it is time.
-    pub fn log_traffic(&mut self, held_for: impl ExactSizeIterator<Item = DestinationId>, out: usize) {
-        let idle = self.traffic.taken == 0 && self.traffic.outcomes.is_empty();
-        if idle || self.traffic_told.elapsed() < TRAFFIC_EVERY {
-            return;
-        }
-        self.traffic_told = Instant::now();
-        let held = held_for.len();
-        for destination in held_for {
-            self.traffic.by_destination.entry(destination).or_default().waiting += 1;
+    /// Counts a message that was not delivered.
+    pub fn count_rejection(&mut self, cause: RejectionCause, destination: DestinationId) {
+        let counts = self.rejections.entry(cause).or_default();
+        counts.messages += 1;
+        if cause.is_counted_by_destination() {
+            *counts.by_destination.entry(destination).or_default() += 1;
         }
-        let Traffic { taken, ordered, with_tenant, first_calls, first_call_after, outcomes, by_destination } =
-            std::mem::take(&mut self.traffic);
-        let (sum, most) = first_call_after;
-        let (mean_ms, most_ms) = (sum / 1000 / Micros::from(first_calls.max(1)), most / 1000);
-        let mut busiest: Vec<_> = by_destination.into_iter().collect();
-        busiest.sort_by_key(|(_, calls)| std::cmp::Reverse(calls.held));
-        busiest.truncate(BUSIEST);
-        let busiest = busiest.iter().map(|(to, calls)| calls.line(*to)).collect::<Vec<_>>().join("; ");
-        tracing::info!(
-            held,
-            out,
-            taken,
-            ordered,
-            with_tenant,
-            first_calls,
-            mean_ms,
-            most_ms,
-            ?outcomes,
-            busiest,
-            "traffic"
-        );
     }
 
-    pub fn count_rejection(&mut self, cause: RejectionCause, destination: DestinationId) {
-        // Clients may name any number of destinations that do not exist: those are counted together.
-        let listed =
-            !matches!(cause, RejectionCause::UndeterminedDestination | RejectionCause::UnknownDestination);
-        *self.counts.entry(cause).or_default().entry(listed.then_some(destination)).or_default() += 1;
+    /// When rejections are to be logged next, if there are any.
+    pub fn rejections_due(&self) -> Option<Instant> {
+        if self.rejections.is_empty() {
+            return None;
+        }
+        Some(self.rejections_logged_at + REJECTION_INTERVAL)
     }
 
-    /// When the next line is due, if there is anything to tell.
-    pub fn due(&self) -> Option<Instant> {
-        (!self.counts.is_empty()).then_some(self.told + EVERY)
+    /// Logs an event for each cause of rejections, if they are due.
+    pub fn log_rejections(&mut self) {
+        if self.rejections_due().is_none_or(|due| due > Instant::now()) {
+            return;
+        }
+        self.rejections_logged_at = Instant::now();
+        for (cause, counts) in std::mem::take(&mut self.rejections) {
+            let RejectionCounts { messages, by_destination } = counts;
+            tracing::warn!(?cause, messages, ?by_destination, "messages not delivered");
+        }
     }
 
-    /// Logs a line for each cause, if it is time.
-    pub fn log_rejections(&mut self) {
-        if self.due().is_none_or(|due| due > Instant::now()) {
+    /// Logs the traffic, if there was any and it is due: an event for all of it, then one for each of the busiest
+    /// destinations.
+    pub fn log_traffic(
+        &mut self,
+        buffered_for: impl ExactSizeIterator<Item = DestinationId>,
+        in_flight: usize,
+    ) {
+        if self.traffic.is_empty() || self.traffic_logged_at.elapsed() < TRAFFIC_INTERVAL {
             return;
         }
-        self.told = Instant::now();
-        for (cause, counts) in std::mem::take(&mut self.counts) {
-            let messages: u32 = counts.values().sum();
-            let listed = counts.iter().filter_map(|(destination, count)| Some(((*destination)?, *count)));
-            let by_destination: BTreeMap<_, _> = listed.collect();
-            tracing::warn!(?cause, messages, ?by_destination, "not delivered");
+        self.traffic_logged_at = Instant::now();
+        let buffered = buffered_for.len();
+        let mut traffic = std::mem::take(&mut self.traffic);
+        for destination in buffered_for {
+            traffic.by_destination.entry(destination).or_default().buffered += 1;
+        }
+        tracing::info!(
+            buffered,
+            in_flight,
+            accepted = traffic.accepted,
+            ordered = traffic.ordered,
+            with_tenant = traffic.with_tenant,
+            first_attempts = traffic.first_attempt_delay.count,
+            mean_first_attempt_delay_ms = traffic.first_attempt_delay.mean_ms(),
+            max_first_attempt_delay_ms = traffic.first_attempt_delay.max_ms(),
+            outcomes = ?traffic.outcomes,
+            "traffic"
+        );
+        for (destination, destination_traffic) in traffic.busiest_destinations() {
+            destination_traffic.log(destination);
         }
     }
 }
--- /dev/null
+++ b/crates/message-sender/src/event_loop/timers.rs
@@ -0,0 +1,41 @@
+//! The timers that the controller has set.
+
+use std::collections::BTreeSet;
+
+use delivery_control::Micros;
+
+/// Pending timers, by the time at which they are due. Setting the same timer twice has no effect.
+#[derive(Default)]
+pub struct Timers {
+    pending: BTreeSet<(Micros, u64)>,
+}
+
+impl Timers {
+    /// Restores the timers that a predecessor handed over.
+    pub fn restore(entries: Vec<(Micros, u64)>) -> Self {
+        Self { pending: entries.into_iter().collect() }
+    }
+
+    /// Sets a timer; the token comes back when it fires.
+    pub fn set(&mut self, at: Micros, token: u64) {
+        self.pending.insert((at, token));
+    }
+
+    /// When the first timer is due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.pending.first().map(|(at, _)| *at)
+    }
+
+    /// Removes the first timer that is due by now, and returns its token.
+    pub fn pop_due(&mut self, now: Micros) -> Option<u64> {
+        if self.next_due()? > now {
+            return None;
+        }
+        self.pending.pop_first().map(|(_, token)| token)
+    }
+
+    /// All timers in the form in which they are handed over: when each is due, and its token.
+    pub fn entries(&self) -> Vec<(Micros, u64)> {
+        self.pending.iter().copied().collect()
+    }
+}
--- a/crates/message-sender/src/handover/relay.rs
+++ b/crates/message-sender/src/handover/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::connection_limiter::ConnectionLimiter;
 use crate::delivery::AttemptResult;
-use crate::drain::DRAIN_ENDS;
+use crate::drain::DRAIN_DEADLINE;
 use crate::event::SenderEvent;
 use crate::handover::{read, write, HandoverError};
 use crate::submission::{Submission, SubmissionReply};
@@ -156,7 +156,7 @@
 
     /// Late after SIGTERM cuts off the calls that are out, and stays until the new process has heard so.
     fn is_over(&mut self, limiter: &ConnectionLimiter) -> bool {
-        if self.told_to_end.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
+        if self.told_to_end.is_some_and(|since| since.elapsed() >= DRAIN_DEADLINE) {
             if std::mem::replace(&mut self.cut_off, true) {
                 return true;
             }
