--- a/crates/message-sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -118,8 +118,8 @@
     stage.endpoint.next();
     assert_eq!(sender.hand_in("m2", 1_500, "x"), TAKEN_ON);
     assert!(sender.hand_in("m3", 1_500, "x").contains("503"));
-    sender.await_log(&["not delivered", "cause=BufferFull", "messages=1", "{7: 1}"]);
-    sender.await_log(&["not delivered", "cause=Rejected", "{7:"]);
+    sender.await_log(&["messages not delivered", "cause=BufferFull", "messages=1", "{7: 1}"]);
+    sender.await_log(&["messages not delivered", "cause=Rejected", "{7:"]);
 }
 
 /// Guards against refused attempts being taken for such as may have run once the process has died.
@@ -200,7 +200,7 @@
     let sizes = std::fs::read_dir(&stage.state).unwrap();
     let bytes: u64 = sizes.map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum();
     assert!(bytes <= 500_000, "{bytes}");
-    sender.await_log(&["not delivered", "JournalFull", "{7: 1}"]);
+    sender.await_log(&["messages not delivered", "JournalFull", "{7: 1}"]);
 }
 
 /// A listener whose queue is full: connections to it do not come up. Closing what fills it lets them.
@@ -264,7 +264,7 @@
     };
     let known = vec![line("s-1", stage.endpoint.address, 7, "up")];
     let mut sender = Sender::launch(&stage.state, discovery, known, &stage.terms);
-    sender.await_log(&["resumes", "untried=12 tried=1"]);
+    sender.await_log(&["recovered messages from the journal", "unattempted=12 attempted=1 pending_notices="]);
     sender.await_ready();
     // Until all are over.
     sender.await_figure("in_progress", 0);
--- a/crates/message-sender/tests/upgrade.rs
+++ b/crates/message-sender/tests/upgrade.rs
@@ -316,7 +316,7 @@
     idle.get_mut().write_all(b"GET /healthz HTTP/1.1\r\nHost: n\r\n\r\n").unwrap();
     assert!(read_message(&mut idle).unwrap().line.contains(" 200 "));
     let mut new = stage.launch(&Terms { tenant: "other", ..Terms::default() });
-    old.await_log(&["drains for a new process"]);
+    old.await_log(&["draining for a successor that reads only the journal"]);
     assert_eq!(old.operate("GET", "/status", "").0, 503);
     assert!(read_message(&mut idle).is_none(), "clients are sent away between requests");
     assert!(old.wait().success());
