Give the process, the turn and the inputs of the event loop modules of their own; test its parts

The clock, timers, in-flight attempts, open messages, shutdown and log summary had no tests of their own.

--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -1,7 +1,6 @@
 //! The event loop: the only owner of the controller. It turns what happens on sockets into the controller's
 //! events, and carries out the controller's actions. It decides nothing.
 
-mod actions;
 mod attempts;
 mod clock;
 mod commands;
@@ -9,15 +8,19 @@
 mod events;
 mod handover;
 mod in_flight;
+mod inputs;
 mod open_messages;
 mod recovery;
 mod shutdown;
 mod submissions;
 mod summary;
 mod timers;
+mod turn;
+
+#[cfg(test)]
+mod tests;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,21 +32,21 @@
 
 use self::clock::UnixClock;
 use self::in_flight::InFlightAttempts;
+pub use self::inputs::EventLoopInputs;
 use self::open_messages::OpenMessages;
 use self::shutdown::Shutdown;
 use self::submissions::PendingReply;
 use self::summary::LogSummary;
 use self::timers::Timers;
-use crate::connection_limiter::ConnectionLimiter;
 use crate::delivery::DeliveryClient;
 use crate::discovery::NoticeQueue;
 use crate::endpoint_registry::EndpointRegistry;
 use crate::event::SenderEvent;
 use crate::handover::relay::Predecessor;
-use crate::handover::{OwnershipLock, Successor};
+use crate::handover::OwnershipLock;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::operator_api::{CommandResult, Order};
+use crate::operator_api::CommandResult;
 use crate::time::duration;
 
 /// Without any input, a turn is run this often.
@@ -73,25 +76,6 @@
     pub event_sender: mpsc::Sender<SenderEvent>,
 }
 
-/// What a running event loop listens to.
-pub struct EventLoopInputs<'a> {
-    /// What happens on sockets.
-    pub events: &'a mut mpsc::Receiver<SenderEvent>,
-    /// The operators' commands.
-    pub commands: &'a mut mpsc::Receiver<Order>,
-    /// Processes that want to become the sender.
-    pub successors: &'a mut mpsc::Receiver<Successor>,
-    /// The clients' connections, which may have a request that is still being read.
-    pub limiter: &'a ConnectionLimiter,
-}
-
-impl EventLoopInputs<'_> {
-    /// Whether no client's request is on its way.
-    fn are_quiet(&self) -> bool {
-        self.events.is_empty() && !self.limiter.has_pending_request()
-    }
-}
-
 /// How an event loop ends.
 pub enum LoopEnd {
     /// The process is to end.
@@ -180,8 +164,7 @@
             self.turn();
             self.update_gauges();
             self.acknowledge_commands();
-            self.summary.log_rejections();
-            self.summary.log_traffic(self.open_messages.destinations(), self.in_flight.len());
+            self.log_summary();
             successor = successor.or_else(|| inputs.successors.try_recv().ok());
             if !self.is_between_turns() {
                 continue;
@@ -196,17 +179,6 @@
         LoopEnd::Finished
     }
 
-    /// Waits until something happens or a turn is due. Returns a successor that has arrived.
-    async fn wait_for_input(&mut self, inputs: &mut EventLoopInputs<'_>) -> Option<Successor> {
-        tokio::select! {
-            Some(order) = inputs.commands.recv() => self.handle_command(order),
-            Some(event) = inputs.events.recv() => self.handle_event(event),
-            Some(successor) = inputs.successors.recv() => return Some(successor),
-            () = sleep_until(self.next_wake_up()) => {}
-        }
-        None
-    }
-
     /// Waits until the last turn is long enough ago.
     async fn wait_for_turn_interval(&self) {
         if let Some(last_turn_at) = self.last_turn_at {
@@ -214,22 +186,6 @@
         }
     }
 
-    fn take_in_commands(&mut self, inputs: &mut EventLoopInputs<'_>) {
-        while let Ok(order) = inputs.commands.try_recv() {
-            self.handle_command(order);
-        }
-    }
-
-    /// Takes in the events that are queued now, and none that arrive meanwhile: a flood would keep the turn from
-    /// coming.
-    fn take_in_events(&mut self, inputs: &mut EventLoopInputs<'_>) {
-        for _ in 0..inputs.events.len() {
-            if let Ok(event) = inputs.events.try_recv() {
-                self.handle_event(event);
-            }
-        }
-    }
-
     /// When the next turn is due without any input.
     fn next_wake_up(&self) -> Instant {
         let now = Instant::now();
@@ -257,28 +213,9 @@
         self.events.is_empty() || self.shutdown.attempts_have_stopped()
     }
 
-    /// Runs a turn of the controller. Clients hear that their message was accepted or rejected before any action
-    /// is carried out: a client that is gone has withdrawn its message by then.
-    fn turn(&mut self) {
-        let now = self.clock.now();
-        if self.shutdown.attempts_have_stopped() {
-            self.events.clear();
-            self.send_replies(&BTreeMap::new());
-            return;
-        }
-        while let Some(token) = self.timers.pop_due(now) {
-            self.events.push(Event::TimerFired { token });
-        }
-        for event in &self.events {
-            self.summary.record_event(event);
-        }
-        let events = std::mem::take(&mut self.events);
-        let mut actions = Vec::new();
-        self.controller.turn(now, &events, &mut actions);
-        self.send_replies(&submissions::rejections(&actions));
-        for action in actions {
-            self.execute(now, action);
-        }
+    fn log_summary(&mut self) {
+        self.summary.log_rejections();
+        self.summary.log_traffic(self.open_messages.destinations(), self.in_flight.len());
     }
 
     fn update_gauges(&self) {
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use delivery_control::{Action, Event, MessageId, MessageSubmission, Micros};
+use delivery_control::{Event, MessageId, MessageSubmission, Micros};
 use tokio::sync::oneshot;
 
 use super::open_messages::{MessageOrigin, OpenMessage};
@@ -190,14 +190,3 @@
         }
     }
 }
-
-/// The messages that a turn rejects, each with its Retry-After.
-pub fn rejections(actions: &[Action]) -> BTreeMap<MessageId, Micros> {
-    let mut rejections = BTreeMap::new();
-    for action in actions {
-        if let Action::Reject { id, retry_after } = action {
-            rejections.insert(*id, *retry_after);
-        }
-    }
-    rejections
-}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -0,0 +1,225 @@
+//! Tests of the event loop's parts; the whole is tested with sockets in the crate's `tests`.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use delivery_control::{AttemptOutcome, DestinationId, LoadReport};
+use tokio::sync::oneshot::error::TryRecvError;
+use tokio::time::{advance, Instant};
+use tracing::subscriber::DefaultGuard;
+
+use super::clock::UnixClock;
+use super::in_flight::InFlightAttempts;
+use super::open_messages::{MessageOrigin, OpenMessage, OpenMessages};
+use super::shutdown::Shutdown;
+use super::summary::{LogSummary, RejectionCause};
+use super::timers::Timers;
+use crate::delivery::AttemptResult;
+use crate::event::AttemptId;
+
+/// The log of the present test's thread.
+#[derive(Clone, Default)]
+struct CapturedLog(Arc<Mutex<Vec<u8>>>);
+
+impl CapturedLog {
+    fn start() -> (Self, DefaultGuard) {
+        let log = Self::default();
+        let writer = log.clone();
+        let subscriber = tracing_subscriber::fmt()
+            .with_writer(move || writer.clone())
+            .without_time()
+            .with_target(false)
+            .with_ansi(false)
+            .finish();
+        (log, tracing::subscriber::set_default(subscriber))
+    }
+
+    fn lines(&self) -> Vec<String> {
+        let bytes = self.0.lock().unwrap();
+        std::str::from_utf8(&bytes).unwrap().lines().map(|line| line.trim().to_owned()).collect()
+    }
+}
+
+impl io::Write for CapturedLog {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn message(call_id: &str, destination: DestinationId) -> OpenMessage {
+    OpenMessage {
+        call_id: call_id.to_owned(),
+        class: 0,
+        idempotency_key: None,
+        destination,
+        body: Bytes::new(),
+        attempts: 0,
+        accepted_at: 0,
+        origin: MessageOrigin::Submitted,
+    }
+}
+
+/// Guards against time that goes back, or leaps, when a process continues another's work.
+#[tokio::test(start_paused = true)]
+async fn a_restored_clock_follows_the_predecessor_only_where_the_two_disagree() {
+    let mut clock = UnixClock::start();
+    let now = clock.now();
+    clock.restore(now);
+    clock.restore(now - 1_999_999);
+    assert_eq!(clock.now(), now);
+    clock.restore(now + 1);
+    assert_eq!(clock.now(), now + 1);
+    clock.restore(now - 2_000_000);
+    assert_eq!(clock.now(), now - 2_000_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_clock_advances_with_monotonic_time_and_names_instants() {
+    let clock = UnixClock::start();
+    let (now, instant) = (clock.now(), Instant::now());
+    advance(Duration::from_micros(7)).await;
+    assert_eq!(clock.now(), now + 7);
+    assert_eq!(clock.instant(now + 12), instant + Duration::from_micros(12));
+}
+
+#[test]
+fn timers_fire_in_order_once_they_are_due_and_only_once() {
+    let mut timers = Timers::restore(vec![(30, 1), (10, 2)]);
+    timers.set(20, 3);
+    timers.set(20, 3);
+    assert_eq!(timers.entries(), [(10, 2), (20, 3), (30, 1)]);
+    assert_eq!(timers.next_due(), Some(10));
+    assert_eq!(timers.pop_due(9), None);
+    let fired: Vec<_> = std::iter::from_fn(|| timers.pop_due(29)).collect();
+    assert_eq!(fired, [2, 3]);
+    assert_eq!(timers.entries(), [(30, 1)]);
+}
+
+/// Guards against attempts that go on although the controller cancelled them.
+#[test]
+fn removing_an_attempt_cancels_it_and_no_other() {
+    let mut in_flight = InFlightAttempts::default();
+    let mut first = in_flight.start(AttemptId { message_id: 1, attempt: 0 });
+    let mut second = in_flight.start(AttemptId { message_id: 1, attempt: 1 });
+    in_flight.remove(AttemptId { message_id: 1, attempt: 0 });
+    assert_eq!(first.try_recv(), Err(TryRecvError::Closed));
+    assert_eq!(second.try_recv(), Err(TryRecvError::Empty));
+    assert_eq!(in_flight.handover_ids(), [(1, 1)]);
+    drop(in_flight);
+    assert_eq!(second.try_recv(), Err(TryRecvError::Closed));
+}
+
+/// Guards against a message that is accepted twice, and against an id that is taken for good.
+#[test]
+fn an_open_message_is_found_by_the_id_that_its_client_gave() {
+    let mut messages = OpenMessages::default();
+    messages.insert(5, message("m5", 7));
+    messages.insert(4, message("m4", 8));
+    assert_eq!(messages.find_by_call_id("m5"), Some(5));
+    assert_eq!(messages.destinations().collect::<Vec<_>>(), [8, 7]);
+    assert_eq!(messages.remove(5).map(|message| message.call_id), Some("m5".to_owned()));
+    assert!(messages.remove(5).is_none());
+    assert_eq!(messages.find_by_call_id("m5"), None);
+    assert_eq!((messages.len(), messages.contains(4)), (1, true));
+}
+
+/// Guards against a process that outstays SIGTERM until SIGKILL, and against one that leaves before its clients know.
+#[tokio::test(start_paused = true)]
+async fn a_shutdown_ends_when_idle_and_at_its_deadline() {
+    let mut shutdown = Shutdown::default();
+    assert!(!shutdown.is_requested() && !shutdown.is_complete(|| true));
+    shutdown.request();
+    let requested_at = shutdown.requested_at();
+    assert!(!shutdown.is_complete(|| true));
+    advance(Duration::from_millis(1_000)).await;
+    // A second request changes nothing.
+    shutdown.request();
+    assert_eq!(shutdown.requested_at(), requested_at);
+    assert!(shutdown.is_complete(|| true) && !shutdown.is_complete(|| false));
+    advance(Duration::from_millis(1_399)).await;
+    assert!(!shutdown.attempts_have_stopped());
+    advance(Duration::from_millis(1)).await;
+    assert!(shutdown.attempts_have_stopped());
+    advance(Duration::from_millis(899)).await;
+    assert!(!shutdown.is_complete(|| false));
+    advance(Duration::from_millis(1)).await;
+    assert!(shutdown.is_complete(|| false));
+}
+
+/// Guards against a flood of log lines from a sender in trouble.
+#[tokio::test(start_paused = true)]
+async fn rejections_are_logged_by_cause_once_a_second_at_most() {
+    let (log, _guard) = CapturedLog::start();
+    let mut summary = LogSummary::new();
+    assert_eq!(summary.rejections_due(), None);
+    summary.count_rejection(RejectionCause::BufferFull, 7);
+    summary.count_rejection(RejectionCause::BufferFull, 7);
+    summary.count_rejection(RejectionCause::UnknownDestination, 8);
+    summary.count_rejection(RejectionCause::UnknownDestination, 9);
+    advance(Duration::from_millis(999)).await;
+    summary.log_rejections();
+    assert!(log.lines().is_empty());
+    advance(Duration::from_millis(1)).await;
+    assert_eq!(summary.rejections_due(), Some(Instant::now()));
+    summary.log_rejections();
+    summary.log_rejections();
+    let expected = [
+        "WARN messages not delivered cause=BufferFull messages=2 by_destination={7: 2}",
+        "WARN messages not delivered cause=UnknownDestination messages=2 by_destination={}",
+    ];
+    assert_eq!(log.lines(), expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn traffic_is_logged_every_five_seconds_at_most_with_the_busiest_destinations() {
+    let (log, _guard) = CapturedLog::start();
+    let mut summary = LogSummary::new();
+    advance(Duration::from_secs(5)).await;
+    summary.log_traffic(std::iter::empty(), 0);
+    assert!(log.lines().is_empty(), "nothing without traffic");
+    summary.record_event(&delivery_control::Event::AttemptEnded(delivery_control::AttemptEnd {
+        id: 1,
+        attempt: 0,
+        endpoint: 1,
+        outcome: AttemptOutcome::Delivered,
+        elapsed: 0,
+        is_final: true,
+        retry_after: 0,
+        load_report: None,
+    }));
+    summary.record_first_attempt(3_000);
+    summary.record_first_attempt(5_000);
+    for destination in 0..20 {
+        let elapsed = 1_000 * destination as i64;
+        summary.record_attempt_end(destination, elapsed, &AttemptOutcome::Delivered.into());
+    }
+    let load = LoadReport { limit_remaining: Some(0.25), limit: Some(4.0), ..LoadReport::default() };
+    let rejected = AttemptResult { wait: 1, load: Some(load), ..AttemptOutcome::Rejected.into() };
+    summary.record_attempt_end(19, 1_000, &rejected);
+    summary.record_attempt_end(18, 0, &AttemptOutcome::Timeout.into());
+    summary.record_attempt_end(18, 0, &AttemptOutcome::Cancelled.into());
+    summary.log_traffic([18, 18, 3].into_iter(), 2);
+    let lines = log.lines();
+    assert_eq!(lines.len(), 13, "all of it, and twelve destinations");
+    assert_eq!(
+        lines[..3],
+        [
+            "INFO traffic buffered=3 in_flight=2 accepted=0 ordered=0 with_tenant=0 first_attempts=2 \
+             mean_first_attempt_delay_ms=4 max_first_attempt_delay_ms=5 outcomes={Delivered: 1}",
+            "INFO destination traffic destination=19 delivered=1 rejected=1 with_retry_after=1 failed=0 \
+             in_flight_ms=20 buffered=0 limit_remaining=0.25 limit=4.0",
+            "INFO destination traffic destination=18 delivered=1 rejected=0 with_retry_after=0 failed=1 \
+             in_flight_ms=18 buffered=2",
+        ]
+    );
+    assert!(lines[12].starts_with("INFO destination traffic destination=8 "), "{}", lines[12]);
+    summary.record_attempt_end(1, 0, &AttemptOutcome::Delivered.into());
+    summary.log_traffic(std::iter::empty(), 0);
+    assert_eq!(log.lines().len(), 13, "not again so soon");
+}
--- /dev/null
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -0,0 +1,66 @@
+//! A turn of the controller: it takes in the events, and its actions are carried out.
+
+use std::collections::BTreeMap;
+
+use delivery_control::{Action, Event, MessageId, Micros};
+
+use super::attempts::AttemptLimits;
+use super::EventLoop;
+use crate::event::AttemptId;
+use crate::notice::NoticeResult;
+
+impl EventLoop {
+    /// Runs a turn of the controller. Clients hear that their message was accepted or rejected before any action
+    /// is carried out: a client that is gone has withdrawn its message by then.
+    pub(super) fn turn(&mut self) {
+        let now = self.clock.now();
+        if self.shutdown.attempts_have_stopped() {
+            self.events.clear();
+            self.send_replies(&BTreeMap::new());
+            return;
+        }
+        while let Some(token) = self.timers.pop_due(now) {
+            self.events.push(Event::TimerFired { token });
+        }
+        for event in &self.events {
+            self.summary.record_event(event);
+        }
+        let events = std::mem::take(&mut self.events);
+        let mut actions = Vec::new();
+        self.controller.turn(now, &events, &mut actions);
+        self.send_replies(&rejections(&actions));
+        for action in actions {
+            self.execute(now, action);
+        }
+    }
+
+    fn execute(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, endpoint, timeout, begin_by } => {
+                self.start_attempt(now, id, endpoint, AttemptLimits { timeout, begin_by });
+            }
+            Action::Cancel { id, attempt } => self.in_flight.remove(AttemptId { message_id: id, attempt }),
+            Action::Reject { id, retry_after } => {
+                self.end_with_notice(id, NoticeResult::Rejected { retry_after });
+            }
+            Action::Fail { id } => self.end_with_notice(id, NoticeResult::Failed),
+            Action::SetTimer { at, token } => self.timers.set(at, token),
+            Action::CloseIdle { endpoint } => self.delivery.close_idle(endpoint),
+            Action::Log { text } => tracing::info!("{text}"),
+            // The watch runs all the time; endpoints are not probed, and senders exchange no notes.
+            Action::Subscribe { .. } | Action::FetchList => {}
+            Action::Probe { .. } | Action::SendNote { .. } => {}
+        }
+    }
+}
+
+/// The messages that a turn rejects, each with its Retry-After.
+fn rejections(actions: &[Action]) -> BTreeMap<MessageId, Micros> {
+    let mut rejections = BTreeMap::new();
+    for action in actions {
+        if let Action::Reject { id, retry_after } = action {
+            rejections.insert(*id, *retry_after);
+        }
+    }
+    rejections
+}
--- a/crates/message-sender/src/process.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -1,17 +1,20 @@
 //! The life of a sender process: it acquires the ownership of the state directory, serves as the sender, hands over
 //! to a successor, and takes the work back if that dies.
 
+mod error;
+mod startup;
+
 use std::cell::Cell;
-use std::io;
 use std::net::{self, SocketAddr};
 use std::rc::Rc;
 
-use delivery_control::{Controller, SettingsError};
+use delivery_control::Controller;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{spawn_local, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+pub use self::error::ProcessError;
 use crate::client_api::ClientApi;
 use crate::config::Config;
 use crate::connection_limiter::ConnectionLimiter;
@@ -22,44 +25,14 @@
 use crate::event_loop::{EventLoop, EventLoopConfig, EventLoopInputs, LoopEnd};
 use crate::handover::relay::{self, Predecessor, RelayEnd};
 use crate::handover::{self, HandoverListener, Ownership, OwnershipLock, Successor};
-use crate::journal::{Journal, JournalError};
+use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::operator_api::{self, OperatorApi, Order};
+use crate::operator_api::Order;
 use crate::serving_state::ServingState;
-use crate::signals::{self, Signals};
+use crate::signals::Signals;
 
-/// Events that wait for the event loop; whoever reports more waits too.
-const EVENT_QUEUE: usize = 1024;
-/// Successors that wait to be offered the state; the listener accepts one at a time.
-const SUCCESSOR_QUEUE: usize = 1;
 const BYTES_PER_MEGABYTE: f64 = 1e6;
 
-/// Why a sender process can't go on.
-#[derive(Debug, thiserror::Error)]
-pub enum ProcessError {
-    /// No handler could be installed for a signal.
-    #[error("signal handlers cannot be installed")]
-    Signals(#[source] io::Error),
-    /// The listener for operators could not be bound.
-    #[error("the management address is not free")]
-    ManagementAddress(#[source] io::Error),
-    /// The listener for clients could not be bound.
-    #[error("the listening address is not free")]
-    ListeningAddress(#[source] io::Error),
-    /// The ownership lock of the state directory could not be taken.
-    #[error("the state directory cannot be used")]
-    StateDirectory(#[source] io::Error),
-    /// The journal could not be opened.
-    #[error("the journal cannot be opened")]
-    Journal(#[from] JournalError),
-    /// The controller does not accept the settings.
-    #[error("the settings are not valid")]
-    Settings(#[from] SettingsError),
-    /// A listening socket failed.
-    #[error("a listening socket cannot be used")]
-    Socket(#[source] io::Error),
-}
-
 /// Runs a sender process until it is told to end, or a successor has taken everything over.
 pub async fn run(config: Config) -> Result<(), ProcessError> {
     // Before anything else: until then a signal ends the process.
@@ -92,60 +65,6 @@
 }
 
 impl SenderProcess {
-    /// Starts what every process runs: the operators' listener, the signal handlers, and the maintenance of
-    /// connections.
-    async fn start(config: Config, signals: Signals) -> Result<Self, ProcessError> {
-        let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
-        let (command_sender, commands) = mpsc::channel(operator_api::ORDERS);
-        let (successor_sender, successors) = mpsc::channel(SUCCESSOR_QUEUE);
-        let (discovery_sender, discovery) = watch::channel(config.discovery);
-        let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
-        let ready = Rc::new(Cell::new(false));
-        let metrics = Rc::new(Metrics::new(&config.names));
-        if let Some(address) = config.management {
-            let operator_api = OperatorApi {
-                serving_state: serving_state.clone(),
-                ready: ready.clone(),
-                metrics: metrics.clone(),
-                orders: command_sender,
-            };
-            serve_operators(address, operator_api).await?;
-        }
-        spawn_local(signals::reload_configuration(signals.reload, discovery_sender));
-        spawn_local(signals::shut_down_on_signal(
-            signals.shutdown,
-            serving_state.clone(),
-            event_sender.clone(),
-        ));
-        let shares = config.limits.shares(config.settings.limits.max_in_flight);
-        let delivery = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.attempts.clone());
-        let limiter = ConnectionLimiter::new(shares.clients);
-        let clients = Rc::new(ClientApi {
-            settings: config.settings.clone(),
-            names: config.names.clone(),
-            inbox: event_sender.clone(),
-            serving_state: serving_state.subscribe(),
-            limiter: limiter.clone(),
-        });
-        spawn_local(delivery.clone().run_maintenance());
-        spawn_local(limiter.clone().run_maintenance());
-        Ok(Self {
-            config,
-            discovery,
-            serving_state,
-            ready,
-            metrics,
-            delivery,
-            limiter,
-            clients,
-            event_sender,
-            events,
-            commands,
-            successor_sender,
-            successors,
-        })
-    }
-
     /// Becomes the sender. `None` if the process is told to end before.
     async fn acquire_ownership(&self) -> Result<Option<Ownership>, ProcessError> {
         let mut serving_state = self.serving_state.subscribe();
@@ -298,14 +217,3 @@
         tracing::info!("ended");
     }
 }
-
-/// Serves operators on a listener of their own, for as long as the process lives.
-async fn serve_operators(address: SocketAddr, operator_api: OperatorApi) -> Result<(), ProcessError> {
-    let listener = TcpListener::bind(address).await.map_err(ProcessError::ManagementAddress)?;
-    let management = listener.local_addr().map_err(ProcessError::Socket)?;
-    tracing::info!(%management, "listening for operators");
-    let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
-    spawn_local(limiter.clone().run_maintenance());
-    spawn_local(Rc::new(operator_api).serve(listener, limiter));
-    Ok(())
-}
--- /dev/null
+++ b/crates/message-sender/src/process/startup.rs
@@ -0,0 +1,86 @@
+//! What every process starts, whether it is the sender or not.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+use super::{ProcessError, SenderProcess};
+use crate::client_api::ClientApi;
+use crate::config::Config;
+use crate::connection_limiter::ConnectionLimiter;
+use crate::delivery::DeliveryClient;
+use crate::metrics::Metrics;
+use crate::operator_api::{self, OperatorApi};
+use crate::serving_state::ServingState;
+use crate::signals::Signals;
+
+/// Events that wait for the event loop; whoever reports more waits too.
+const EVENT_QUEUE: usize = 1024;
+/// Successors that wait to be offered the state; the listener accepts one at a time.
+const SUCCESSOR_QUEUE: usize = 1;
+
+impl SenderProcess {
+    /// Starts what every process runs: the operators' listener, the signal handlers, and the maintenance of
+    /// connections.
+    pub(super) async fn start(config: Config, signals: Signals) -> Result<Self, ProcessError> {
+        let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
+        let (command_sender, commands) = mpsc::channel(operator_api::ORDERS);
+        let (successor_sender, successors) = mpsc::channel(SUCCESSOR_QUEUE);
+        let (discovery_sender, discovery) = watch::channel(config.discovery);
+        let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
+        let ready = Rc::new(Cell::new(false));
+        let metrics = Rc::new(Metrics::new(&config.names));
+        if let Some(address) = config.management {
+            let operator_api = OperatorApi {
+                serving_state: serving_state.clone(),
+                ready: ready.clone(),
+                metrics: metrics.clone(),
+                orders: command_sender,
+            };
+            serve_operators(address, operator_api).await?;
+        }
+        signals.spawn_handlers(discovery_sender, serving_state.clone(), event_sender.clone());
+        let shares = config.limits.shares(config.settings.limits.max_in_flight);
+        let delivery = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.attempts.clone());
+        let limiter = ConnectionLimiter::new(shares.clients);
+        let clients = Rc::new(ClientApi {
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            inbox: event_sender.clone(),
+            serving_state: serving_state.subscribe(),
+            limiter: limiter.clone(),
+        });
+        spawn_local(delivery.clone().run_maintenance());
+        spawn_local(limiter.clone().run_maintenance());
+        Ok(Self {
+            config,
+            discovery,
+            serving_state,
+            ready,
+            metrics,
+            delivery,
+            limiter,
+            clients,
+            event_sender,
+            events,
+            commands,
+            successor_sender,
+            successors,
+        })
+    }
+}
+
+/// Serves operators on a listener of their own, for as long as the process lives.
+async fn serve_operators(address: SocketAddr, operator_api: OperatorApi) -> Result<(), ProcessError> {
+    let listener = TcpListener::bind(address).await.map_err(ProcessError::ManagementAddress)?;
+    let management = listener.local_addr().map_err(ProcessError::Socket)?;
+    tracing::info!(%management, "listening for operators");
+    let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
+    spawn_local(limiter.clone().run_maintenance());
+    spawn_local(Rc::new(operator_api).serve(listener, limiter));
+    Ok(())
+}
--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -6,31 +6,43 @@
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
 
 use crate::config::Config;
 use crate::event::SenderEvent;
 use crate::serving_state::ServingState;
 
-/// The handlers of the process's signals. Until they are installed, each of these signals ends the process.
+/// The process's signals. Until they are installed, each of them ends the process.
 pub struct Signals {
-    /// SIGHUP: read the configuration again.
-    pub reload: Signal,
-    /// SIGTERM and SIGINT: shut down gracefully.
-    pub shutdown: ShutdownSignals,
+    /// Asks to read the configuration again.
+    hangup: Signal,
+    /// Ask for a graceful shutdown.
+    shutdown: ShutdownSignals,
 }
 
 impl Signals {
-    /// Installs the handlers.
+    /// Catches the signals from now on.
     pub fn install() -> io::Result<Self> {
-        let reload = signal(SignalKind::hangup())?;
+        let hangup = signal(SignalKind::hangup())?;
         let terminate = signal(SignalKind::terminate())?;
         let interrupt = signal(SignalKind::interrupt())?;
-        Ok(Self { reload, shutdown: ShutdownSignals { terminate, interrupt } })
+        Ok(Self { hangup, shutdown: ShutdownSignals { terminate, interrupt } })
+    }
+
+    /// Starts the tasks that act on the signals, for as long as the process lives.
+    pub fn spawn_handlers(
+        self,
+        discovery: watch::Sender<SocketAddr>,
+        serving_state: Rc<watch::Sender<ServingState>>,
+        events: mpsc::Sender<SenderEvent>,
+    ) {
+        spawn_local(reload_configuration(self.hangup, discovery));
+        spawn_local(shut_down_on_signal(self.shutdown, serving_state, events));
     }
 }
 
 /// The signals that ask the process to end.
-pub struct ShutdownSignals {
+struct ShutdownSignals {
     terminate: Signal,
     interrupt: Signal,
 }
@@ -46,8 +58,8 @@
 
 /// On each SIGHUP follows discovery to the address that the configuration file names then. A file that cannot be
 /// read changes nothing: a discovery service that may soon be gone is better than none.
-pub async fn reload_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>) {
-    while reload.recv().await.is_some() {
+async fn reload_configuration(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
         match Config::discovery_now() {
             Ok(address) => {
                 tracing::info!(discovery = %address, "configuration reloaded");
@@ -63,7 +75,7 @@
 
 /// Begins the graceful shutdown on the first SIGTERM or SIGINT. Clients are sent away, unless a successor serves
 /// them already. Never returns.
-pub async fn shut_down_on_signal(
+async fn shut_down_on_signal(
     mut signals: ShutdownSignals,
     serving_state: Rc<watch::Sender<ServingState>>,
     events: mpsc::Sender<SenderEvent>,
