--- a/crates/message-sender/src/event.rs
+++ b/crates/message-sender/src/event.rs
@@ -37,6 +37,6 @@
     EndpointListReceived(EndpointList),
     /// The platform acknowledged the notices of these messages.
     NoticesAcknowledged(Vec<MessageId>),
-    /// The process was told to end.
+    /// The process was asked to end.
     ShutdownRequested,
 }
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use delivery_control::Controller;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -24,7 +24,7 @@
 use crate::event::SenderEvent;
 use crate::event_loop::{EventLoop, EventLoopConfig, EventLoopInputs, LoopEnd};
 use crate::handover::relay::{self, Predecessor, RelayEnd};
-use crate::handover::{self, HandoverListener, Ownership, OwnershipLock, Successor};
+use crate::handover::{self, HandoverListener, HandoverState, Ownership, OwnershipLock, Successor};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::operator_api::Order;
@@ -33,7 +33,7 @@
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
 
-/// Runs a sender process until it is told to end, or a successor has taken everything over.
+/// Runs a sender process until it is asked to end, or a successor has taken everything over.
 pub async fn run(config: Config) -> Result<(), ProcessError> {
     // Before anything else: until then a signal ends the process.
     let signals = Signals::install().map_err(ProcessError::Signals)?;
@@ -65,7 +65,7 @@
 }
 
 impl SenderProcess {
-    /// Becomes the sender. `None` if the process is told to end before.
+    /// Becomes the sender. `None` if the process is asked to end before that.
     async fn acquire_ownership(&self) -> Result<Option<Ownership>, ProcessError> {
         let mut serving_state = self.serving_state.subscribe();
         tokio::select! {
@@ -123,11 +123,7 @@
         let mut event_loop = self.new_event_loop(ownership.lock, notices.clone())?;
         // Before the first connection is accepted: to answer at all means to be ready.
         match ownership.inherited {
-            Some((state, stream)) => {
-                let remote_calls = event_loop.restore(*state, self.config.seed)?;
-                let event_sender = self.event_sender.clone();
-                relay::relay_predecessor(stream, remote_calls, event_sender, self.limiter.clone());
-            }
+            Some((state, stream)) => self.continue_predecessor(&mut event_loop, *state, stream)?,
             None => event_loop.recover(self.config.known.clone()),
         }
         event_loop.replay_missed_events(missed_events);
@@ -152,6 +148,18 @@
         Ok(Some(predecessor))
     }
 
+    /// Restores a predecessor's state, and receives what its clients and attempts still bring.
+    fn continue_predecessor(
+        &self,
+        event_loop: &mut EventLoop,
+        state: HandoverState,
+        stream: UnixStream,
+    ) -> Result<(), ProcessError> {
+        let remote_calls = event_loop.restore(state, self.config.seed)?;
+        relay::relay_predecessor(stream, remote_calls, self.event_sender.clone(), self.limiter.clone());
+        Ok(())
+    }
+
     fn new_event_loop(
         &self,
         lock: OwnershipLock,
--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -1,4 +1,4 @@
-//! The signals that the process heeds: SIGHUP, SIGTERM and SIGINT.
+//! The signals that the process handles: SIGHUP, SIGTERM and SIGINT.
 
 use std::io;
 use std::net::SocketAddr;
