--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -122,7 +122,8 @@
         });
     }
 
-    /// How a call records its progress in the journal. The function returns false where the call must not go on.
+    /// How a call records its progress in the journal. The function returns false where the call must not go
+    /// on.
     fn phase_recorder(&self, id: MessageId, start: AttemptStart) -> Box<dyn Fn(AttemptPhase) -> bool> {
         let journal = Rc::downgrade(&self.journal);
         Box::new(move |phase| {
--- a/crates/message-sender/src/event_loop/clock.rs
+++ b/crates/message-sender/src/event_loop/clock.rs
@@ -10,8 +10,8 @@
 /// The clocks of two processes differ by no more, unless somebody has set the system's time in between.
 const MAX_CLOCK_DIFFERENCE: Micros = 2_000_000;
 
-/// A clock that reads the system's time once, at its start, and is monotonic from then on. Times in the journal
-/// and in the controller are therefore the same.
+/// A clock that reads the system's time once, at its start, and is monotonic from then on. Times in the
+/// journal and in the controller are therefore the same.
 #[derive(Clone, Copy)]
 pub struct UnixClock {
     started: Instant,
--- a/crates/message-sender/src/event_loop/commands.rs
+++ b/crates/message-sender/src/event_loop/commands.rs
@@ -7,7 +7,8 @@
 use crate::operator_api::{CommandResult, OperatorCommand, Order};
 
 impl EventLoop {
-    /// Carries out an operator's command. It is stored first, and acknowledged after the controller's next turn.
+    /// Carries out an operator's command. It is stored first, and acknowledged after the controller's next
+    /// turn.
     pub(super) fn handle_command(&mut self, order: Order) {
         let (command, reply) = order;
         // If the caller is gone, nothing was promised; so below.
--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -11,8 +11,8 @@
 use crate::notice::{Notice, NoticeResult};
 
 impl EventLoop {
-    /// Ends a message about which the platform needs no notice. Without an outcome it is not counted: its client
-    /// never heard that it was accepted.
+    /// Ends a message about which the platform needs no notice. Without an outcome it is not counted: its
+    /// client never heard that it was accepted.
     pub(super) fn end_without_notice(&mut self, id: MessageId, outcome: Option<MessageOutcome>) {
         if self.close_message(id, outcome).is_some() {
             log_journal_error(self.journal.borrow_mut().record_end(id, None));
@@ -67,8 +67,8 @@
     }
 }
 
-/// What became of a message that an attempt ended. One that was not delivered is past its deadline, or was given up
-/// by its client.
+/// What became of a message that an attempt ended. One that was not delivered is past its deadline, or was
+/// given up by its client.
 pub fn final_outcome(result: &AttemptResult) -> MessageOutcome {
     if result.outcome == AttemptOutcome::Delivered {
         MessageOutcome::Delivered
@@ -77,8 +77,8 @@
     }
 }
 
-/// Logs that a record of a message's end is missing. Its last steps may then be repeated after a restart, which the
-/// idempotency key makes harmless.
+/// Logs that a record of a message's end is missing. Its last steps may then be repeated after a restart,
+/// which the idempotency key makes harmless.
 pub fn log_journal_error(written: Result<(), JournalError>) {
     if let Err(error) = written {
         tracing::error!(%error, "message end not journalled");
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -29,8 +29,8 @@
         }
     }
 
-    /// Takes in events that this process received while a successor was the sender. Of this process's attempts the
-    /// journal knows that they were in flight; a message that one of them has ended is over.
+    /// Takes in events that this process received while a successor was the sender. Of this process's
+    /// attempts the journal knows that they were in flight; a message that one of them has ended is over.
     pub fn replay_missed_events(&mut self, events: Vec<SenderEvent>) {
         for event in events {
             match event {
@@ -90,8 +90,8 @@
         self.events.push(Event::NoticeAcknowledged { id });
     }
 
-    /// Reports an endpoint list to the controller. Endpoints that are gone, draining or elsewhere get no attempt
-    /// that was decided on before.
+    /// Reports an endpoint list to the controller. Endpoints that are gone, draining or elsewhere get no
+    /// attempt that was decided on before.
     pub(super) fn report_endpoints(&mut self, version: u64, update: RegistryUpdate) {
         for endpoint in update.departed {
             self.delivery.drain(endpoint);
--- a/crates/message-sender/src/event_loop/handover.rs
+++ b/crates/message-sender/src/event_loop/handover.rs
@@ -7,9 +7,9 @@
 use crate::handover::{self, HandoverState, Successor};
 
 impl EventLoop {
-    /// Offers everything to a successor. Returns the connection to it once it is ready to take over; until then
-    /// nothing changes for this process. A successor that can only read the journal gets this process's end: it
-    /// shuts down.
+    /// Offers everything to a successor. Returns the connection to it once it is ready to take over; until
+    /// then nothing changes for this process. A successor that can only read the journal gets this process's
+    /// end: it shuts down.
     pub(super) async fn offer(&mut self, successor: Successor) -> Option<UnixStream> {
         let state = if successor.reads_state() { self.handover_state() } else { None };
         let is_complete = state.is_some();
@@ -27,8 +27,8 @@
         }
     }
 
-    /// What a successor needs beyond the journal; `None` late in a shutdown, when events are not reported to the
-    /// controller any more.
+    /// What a successor needs beyond the journal; `None` late in a shutdown, when events are not reported to
+    /// the controller any more.
     fn handover_state(&self) -> Option<HandoverState> {
         if self.shutdown.attempts_have_stopped() {
             return None;
--- a/crates/message-sender/src/event_loop/inputs.rs
+++ b/crates/message-sender/src/event_loop/inputs.rs
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Takes in the events that are queued now, and none that arrive meanwhile: a flood would keep the turn from
-    /// coming.
+    /// Takes in the events that are queued now, and none that arrive meanwhile: a flood would keep the turn
+    /// from coming.
     pub(super) fn take_in_events(&mut self, inputs: &mut EventLoopInputs<'_>) {
         for _ in 0..inputs.events.len() {
             if let Ok(event) = inputs.events.try_recv() {
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -91,7 +91,8 @@
     settings: Settings,
     names: Names,
     clock: UnixClock,
-    /// Shared with attempts, which write when they begin to be sent; nobody writes once the event loop is gone.
+    /// Shared with attempts, which write when they begin to be sent; nobody writes once the event loop is
+    /// gone.
     journal: Rc<RefCell<Journal>>,
     delivery: Rc<DeliveryClient>,
     notices: Rc<NoticeQueue>,
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Continues from the state that a predecessor handed over. Returns the predecessor's attempts that are in
-    /// flight, each with the receiver that completes when it is to be cancelled.
+    /// Continues from the state that a predecessor handed over. Returns the predecessor's attempts that are
+    /// in flight, each with the receiver that completes when it is to be cancelled.
     pub fn restore(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteCall>, SettingsError> {
         self.controller = state.controller.restore(self.settings.clone(), seed)?;
         self.registry.restore(state.registry);
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -13,8 +13,8 @@
 use crate::metrics::MessageOutcome;
 use crate::submission::{Submission, SubmissionReply};
 
-/// Advice to a client whose message can't be buffered, journalled or attempted now, or whose destination is not
-/// known yet.
+/// Advice to a client whose message can't be buffered, journalled or attempted now, or whose destination is
+/// not known yet.
 const UNAVAILABLE_RETRY_AFTER: Micros = 1_000_000;
 
 /// Whether a submission brought its message, or named one that had been accepted before.
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -1,5 +1,5 @@
-//! The periodic summary in the log: what the sender accepted, how its attempts ended, and what became of messages
-//! that were not delivered, by cause and destination.
+//! The periodic summary in the log: what the sender accepted, how its attempts ended, and what became of
+//! messages that were not delivered, by cause and destination.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -239,8 +239,8 @@
         }
     }
 
-    /// Logs the traffic, if there was any and it is due: an event for all of it, then one for each of the busiest
-    /// destinations.
+    /// Logs the traffic, if there was any and it is due: an event for all of it, then one for each of the
+    /// busiest destinations.
     pub fn log_traffic(
         &mut self,
         buffered_for: impl ExactSizeIterator<Item = DestinationId>,
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -129,7 +129,8 @@
     assert_eq!((messages.len(), messages.contains(4)), (1, true));
 }
 
-/// Guards against a process that outstays SIGTERM until SIGKILL, and against one that leaves before its clients know.
+/// Guards against a process that outstays SIGTERM until SIGKILL, and against one that leaves before its
+/// clients know.
 #[tokio::test(start_paused = true)]
 async fn a_shutdown_ends_when_idle_and_at_its_deadline() {
     let mut shutdown = Shutdown::default();
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -10,8 +10,8 @@
 use crate::notice::NoticeResult;
 
 impl EventLoop {
-    /// Runs a turn of the controller. Clients hear that their message was accepted or rejected before any action
-    /// is carried out: a client that is gone has withdrawn its message by then.
+    /// Runs a turn of the controller. Clients hear that their message was accepted or rejected before any
+    /// action is carried out: a client that is gone has withdrawn its message by then.
     pub(super) fn turn(&mut self) {
         let now = self.clock.now();
         if self.shutdown.attempts_have_stopped() {
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -1,4 +1,5 @@
-//! `message-sender`: accepts messages from clients and delivers each by a call to an endpoint of its destination.
+//! `message-sender`: accepts messages from clients and delivers each by a call to an endpoint of its
+//! destination.
 //!
 //! All of its settings come from the environment; see [`config::Config::from_environment`].
 #![forbid(unsafe_code)]
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -1,5 +1,5 @@
-//! The life of a sender process: it acquires the ownership of the state directory, serves as the sender, hands over
-//! to a successor, and takes the work back if that dies.
+//! The life of a sender process: it acquires the ownership of the state directory, serves as the sender,
+//! hands over to a successor, and takes the work back if that dies.
 
 mod error;
 mod startup;
@@ -98,8 +98,8 @@
         }
     }
 
-    /// The clients' listener: the predecessor's, or one of this process. Comes before the journal is opened: an
-    /// older version that knows no ownership lock would hold the address, and write the journal.
+    /// The clients' listener: the predecessor's, or one of this process. Comes before the journal is opened:
+    /// an older version that knows no ownership lock would hold the address, and write the journal.
     async fn bind_client_listener(
         &self,
         inherited: Option<net::TcpListener>,
@@ -111,8 +111,8 @@
         Ok(Rc::new(listener.into_std().map_err(ProcessError::Socket)?))
     }
 
-    /// Serves as the sender. Returns this process's side of the relay once a successor has taken over, or `None`
-    /// when the process is to end.
+    /// Serves as the sender. Returns this process's side of the relay once a successor has taken over, or
+    /// `None` when the process is to end.
     async fn serve(
         &mut self,
         ownership: Ownership,
--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// On each SIGHUP follows discovery to the address that the configuration file names then. A file that cannot be
-/// read changes nothing: a discovery service that may soon be gone is better than none.
+/// On each SIGHUP follows discovery to the address that the configuration file names then. A file that cannot
+/// be read changes nothing: a discovery service that may soon be gone is better than none.
 async fn reload_configuration(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         match Config::discovery_now() {
@@ -73,8 +73,8 @@
     }
 }
 
-/// Begins the graceful shutdown on the first SIGTERM or SIGINT. Clients are sent away, unless a successor serves
-/// them already. Never returns.
+/// Begins the graceful shutdown on the first SIGTERM or SIGINT. Clients are sent away, unless a successor
+/// serves them already. Never returns.
 async fn shut_down_on_signal(
     mut signals: ShutdownSignals,
     serving_state: Rc<watch::Sender<ServingState>>,
