--- /dev/null
+++ b/crates/message-sender/src/process/mod.rs
@@ -0,0 +1,227 @@
+//! The life of a sender process: it acquires the ownership of the state directory, serves as the sender,
+//! hands over to a successor, and takes the work back if that dies.
+
+mod error;
+mod startup;
+
+use std::cell::Cell;
+use std::net::{self, SocketAddr};
+use std::rc::Rc;
+
+use delivery_control::Controller;
+use tokio::net::{TcpListener, UnixStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+pub use self::error::ProcessError;
+use crate::client_api::ClientApi;
+use crate::config::Config;
+use crate::connection_limiter::ConnectionLimiter;
+use crate::delivery::DeliveryClient;
+use crate::discovery::{self, NoticeQueue, PollPolicy};
+use crate::drain::FINAL_REPLY_TIMEOUT;
+use crate::event::SenderEvent;
+use crate::event_loop::{EventLoop, EventLoopConfig, EventLoopInputs, LoopEnd};
+use crate::handover::relay::{self, Predecessor, RelayEnd};
+use crate::handover::{self, HandoverListener, HandoverState, Ownership, OwnershipLock, Successor};
+use crate::journal::Journal;
+use crate::metrics::Metrics;
+use crate::operator_api::Order;
+use crate::serving_state::ServingState;
+use crate::signals::Signals;
+
+const BYTES_PER_MEGABYTE: f64 = 1e6;
+
+/// Runs a sender process until it is asked to end, or a successor has taken everything over.
+pub async fn run(config: Config) -> Result<(), ProcessError> {
+    // Before anything else: until then a signal ends the process.
+    let signals = Signals::install().map_err(ProcessError::Signals)?;
+    let mut process = SenderProcess::start(config, signals).await?;
+    if let Some(ownership) = process.acquire_ownership().await? {
+        process.serve_while_owner(ownership).await?;
+        process.finish().await;
+    }
+    Ok(())
+}
+
+/// What the process has in all its phases, whether it is the sender or not.
+struct SenderProcess {
+    config: Config,
+    /// Where discovery is; follows the configuration file.
+    discovery: watch::Receiver<SocketAddr>,
+    serving_state: Rc<watch::Sender<ServingState>>,
+    /// Whether messages can be accepted.
+    ready: Rc<Cell<bool>>,
+    metrics: Rc<Metrics>,
+    delivery: Rc<DeliveryClient>,
+    limiter: Rc<ConnectionLimiter>,
+    clients: Rc<ClientApi>,
+    event_sender: mpsc::Sender<SenderEvent>,
+    events: mpsc::Receiver<SenderEvent>,
+    commands: mpsc::Receiver<Order>,
+    successor_sender: mpsc::Sender<Successor>,
+    successors: mpsc::Receiver<Successor>,
+}
+
+impl SenderProcess {
+    /// Becomes the sender. `None` if the process is asked to end before that.
+    async fn acquire_ownership(&self) -> Result<Option<Ownership>, ProcessError> {
+        let mut serving_state = self.serving_state.subscribe();
+        tokio::select! {
+            ownership = handover::acquire_ownership(&self.config.state, &self.config.names) => {
+                ownership.map(Some).map_err(ProcessError::StateDirectory)
+            }
+            _ = serving_state.wait_for(|state| *state == ServingState::ShuttingDown) => Ok(None),
+        }
+    }
+
+    /// Serves as the sender, and again each time that a successor dies, until the process is to end.
+    async fn serve_while_owner(&mut self, ownership: Ownership) -> Result<(), ProcessError> {
+        let mut ownership = ownership;
+        let mut missed_events = Vec::new();
+        loop {
+            let listener = self.bind_client_listener(ownership.listener.take()).await?;
+            let served = self.serve(ownership, &listener, std::mem::take(&mut missed_events)).await?;
+            let Some(predecessor) = served else { return Ok(()) };
+            match predecessor.run(&mut self.events, &self.limiter).await {
+                RelayEnd::Over => return Ok(()),
+                RelayEnd::Orphaned(events) => missed_events = events,
+            }
+            let reacquired = handover::reacquire_ownership(&self.config.state).await;
+            let Some(reacquired) = reacquired.map_err(ProcessError::StateDirectory)? else { return Ok(()) };
+            tracing::warn!("successor died, taking the work back");
+            let listener = listener.try_clone().map_err(ProcessError::Socket)?;
+            ownership = Ownership { listener: Some(listener), ..reacquired };
+            self.delivery.resume();
+            self.serving_state.send_replace(ServingState::Serving);
+        }
+    }
+
+    /// The clients' listener: the predecessor's, or one of this process. Comes before the journal is opened:
+    /// an older version that knows no ownership lock would hold the address, and write the journal.
+    async fn bind_client_listener(
+        &self,
+        inherited: Option<net::TcpListener>,
+    ) -> Result<Rc<net::TcpListener>, ProcessError> {
+        if let Some(listener) = inherited {
+            return Ok(Rc::new(listener));
+        }
+        let listener = TcpListener::bind(self.config.listen).await.map_err(ProcessError::ListeningAddress)?;
+        Ok(Rc::new(listener.into_std().map_err(ProcessError::Socket)?))
+    }
+
+    /// Serves as the sender. Returns this process's side of the relay once a successor has taken over, or
+    /// `None` when the process is to end.
+    async fn serve(
+        &mut self,
+        ownership: Ownership,
+        listener: &Rc<net::TcpListener>,
+        missed_events: Vec<SenderEvent>,
+    ) -> Result<Option<Predecessor>, ProcessError> {
+        let notices = Rc::new(NoticeQueue::default());
+        let mut event_loop = self.new_event_loop(ownership.lock, notices.clone())?;
+        // Before the first connection is accepted: to answer at all means to be ready.
+        match ownership.inherited {
+            Some((state, stream)) => self.continue_predecessor(&mut event_loop, *state, stream)?,
+            None => event_loop.recover(self.config.known.clone()),
+        }
+        event_loop.replay_missed_events(missed_events);
+
+        let accepting = listener.try_clone().and_then(TcpListener::from_std).map_err(ProcessError::Socket)?;
+        let listen = accepting.local_addr().map_err(ProcessError::Socket)?;
+        let mut owner_tasks = self.spawn_owner_tasks(listener, accepting, notices);
+        self.ready.set(true);
+        tracing::info!(name = self.config.name, %listen, "ready");
+
+        let inputs = EventLoopInputs {
+            events: &mut self.events,
+            commands: &mut self.commands,
+            successors: &mut self.successors,
+            limiter: &self.limiter,
+        };
+        let LoopEnd::HandedOver(predecessor) = event_loop.run(inputs).await else { return Ok(None) };
+        // The successor serves clients from now on.
+        self.ready.set(false);
+        self.serving_state.send_replace(ServingState::HandedOver);
+        owner_tasks.shutdown().await;
+        Ok(Some(predecessor))
+    }
+
+    /// Restores a predecessor's state, and receives what its clients and attempts still bring.
+    fn continue_predecessor(
+        &self,
+        event_loop: &mut EventLoop,
+        state: HandoverState,
+        stream: UnixStream,
+    ) -> Result<(), ProcessError> {
+        let remote_calls = event_loop.restore(state, self.config.seed)?;
+        relay::relay_predecessor(stream, remote_calls, self.event_sender.clone(), self.limiter.clone());
+        Ok(())
+    }
+
+    fn new_event_loop(
+        &self,
+        lock: OwnershipLock,
+        notices: Rc<NoticeQueue>,
+    ) -> Result<EventLoop, ProcessError> {
+        let config = &self.config;
+        let controller = Controller::new(config.settings.clone(), config.seed)?;
+        let disk_bytes = (config.limits.disk_mb * BYTES_PER_MEGABYTE) as u64;
+        let journal = Journal::open(&config.state, disk_bytes)?;
+        Ok(EventLoop::new(EventLoopConfig {
+            controller,
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            lock,
+            journal,
+            delivery: self.delivery.clone(),
+            notices,
+            metrics: self.metrics.clone(),
+            event_sender: self.event_sender.clone(),
+        }))
+    }
+
+    /// Starts all that only the sender may do; it ends when the set is dropped.
+    fn spawn_owner_tasks(
+        &self,
+        listener: &Rc<net::TcpListener>,
+        accepting: TcpListener,
+        notices: Rc<NoticeQueue>,
+    ) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
+        match HandoverListener::bind(&self.config.state) {
+            Ok(handover_listener) => {
+                tasks.spawn_local(handover_listener.serve(
+                    listener.clone(),
+                    self.serving_state.clone(),
+                    self.successor_sender.clone(),
+                ));
+            }
+            // It serves all the same; an upgrade is a restart then.
+            Err(error) => tracing::error!(%error, "handover not available"),
+        }
+        tasks.spawn_local(discovery::watch(
+            self.discovery.clone(),
+            self.event_sender.clone(),
+            PollPolicy::new(&self.config.settings),
+            self.config.known.as_ref().map(|list| list.version),
+        ));
+        tasks.spawn_local(notices.send(self.discovery.clone(), self.event_sender.clone()));
+        tasks.spawn_local(self.clients.clone().serve(accepting));
+        tasks
+    }
+
+    /// Waits for the last replies to reach their clients.
+    async fn finish(self) {
+        // Clients whose submission nobody will decide on get an error for a reply.
+        drop(self.events);
+        if timeout(FINAL_REPLY_TIMEOUT, self.limiter.wait_until_quiet()).await.is_err() {
+            tracing::warn!(
+                connections = self.limiter.open_connections(),
+                "ending with a request in progress"
+            );
+        }
+        tracing::info!("ended");
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/signals.rs
@@ -0,0 +1,93 @@
+//! The signals that the process handles: SIGHUP, SIGTERM and SIGINT.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+use crate::config::Config;
+use crate::event::SenderEvent;
+use crate::serving_state::ServingState;
+
+/// The process's signals. Until they are installed, each of them ends the process.
+pub struct Signals {
+    /// Asks to read the configuration again.
+    hangup: Signal,
+    /// Ask for a graceful shutdown.
+    shutdown: ShutdownSignals,
+}
+
+impl Signals {
+    /// Catches the signals from now on.
+    pub fn install() -> io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { hangup, shutdown: ShutdownSignals { terminate, interrupt } })
+    }
+
+    /// Starts the tasks that act on the signals, for as long as the process lives.
+    pub fn spawn_handlers(
+        self,
+        discovery: watch::Sender<SocketAddr>,
+        serving_state: Rc<watch::Sender<ServingState>>,
+        events: mpsc::Sender<SenderEvent>,
+    ) {
+        spawn_local(reload_configuration(self.hangup, discovery));
+        spawn_local(shut_down_on_signal(self.shutdown, serving_state, events));
+    }
+}
+
+/// The signals that ask the process to end.
+struct ShutdownSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl ShutdownSignals {
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// On each SIGHUP follows discovery to the address that the configuration file names then. A file that cannot
+/// be read changes nothing: a discovery service that may soon be gone is better than none.
+async fn reload_configuration(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::discovery_now() {
+            Ok(address) => {
+                tracing::info!(discovery = %address, "configuration reloaded");
+                discovery.send_if_modified(|current| std::mem::replace(current, address) != address);
+            }
+            Err(error) => {
+                let error = format!("{error:#}");
+                tracing::error!(error, "configuration not reloaded");
+            }
+        }
+    }
+}
+
+/// Begins the graceful shutdown on the first SIGTERM or SIGINT. Clients are sent away, unless a successor
+/// serves them already. Never returns.
+async fn shut_down_on_signal(
+    mut signals: ShutdownSignals,
+    serving_state: Rc<watch::Sender<ServingState>>,
+    events: mpsc::Sender<SenderEvent>,
+) {
+    signals.recv().await;
+    tracing::info!("draining");
+    serving_state.send_modify(|state| {
+        if *state != ServingState::HandedOver {
+            *state = ServingState::ShuttingDown;
+        }
+    });
+    // The receiver is gone only when the process ends.
+    let _ = events.send(SenderEvent::ShutdownRequested).await;
+    std::future::pending::<()>().await;
+}
