Split the handover into modules of one job each, in the field's terms

Lock, protocol, descriptor passing, both sides of the handover and both sides of the relay stood in two files, with tuples for an attempt and for an inherited state, one error whose messages did not say what was read or written, and the house's words. Steps, their order, timings and frames stay (the relay frame ClientApi is now OpenConnections, the state's field out is in_flight: both part of protocol 3, which no released version speaks).

--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -30,7 +30,7 @@
 use crate::endpoint_registry::{DestinationStatus, EndpointRegistry, RegistryUpdate};
 use crate::event::SenderEvent;
 use crate::handover::relay::{Predecessor, RemoteCall};
-use crate::handover::{self, HandoverState, OwnershipLock, Successor};
+use crate::handover::{self, AttemptId, HandoverState, OwnershipLock, Successor};
 use crate::journal::{
     AcceptedMessage, AttemptHistory, AttemptStart, Body, Journal, JournalEntry, JournalError,
 };
@@ -208,12 +208,12 @@
                 JournalEntry::Open(taken, past) => self.resume_message(id, taken, past),
             }
         }
-        let remote = |call| {
+        let remote = |attempt: AttemptId| {
             let (cancel, cancelled) = oneshot::channel();
-            self.calls.insert(call, cancel);
-            (call, cancelled)
+            self.calls.insert((attempt.message_id, attempt.attempt), cancel);
+            RemoteCall { attempt, cancelled }
         };
-        Ok(state.out.into_iter().map(remote).collect())
+        Ok(state.in_flight.into_iter().map(remote).collect())
     }
 
     /// What the next process is to know, if this one can still tell it.
@@ -224,7 +224,7 @@
             controller: self.controller.clone(),
             registry: self.registry.snapshot(),
             timers: self.timers.iter().copied().collect(),
-            out: self.calls.keys().copied().collect(),
+            in_flight: self.calls.keys().copied().map(AttemptId::from).collect(),
         })
     }
 
--- /dev/null
+++ b/crates/message-sender/src/handover/listener.rs
@@ -0,0 +1,122 @@
+//! The predecessor's side of a handover, up to the commit.
+
+use std::io;
+use std::net::TcpListener;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use super::descriptor::send_listener;
+use super::error::HandoverError;
+use super::ownership::OwnershipLock;
+use super::protocol::{
+    read_frame, read_frame_within, write_frame, Commit, Hello, Offer, Prepared, PROTOCOL_VERSION,
+};
+use super::socket_path::SocketPath;
+use super::state::HandoverState;
+use crate::serving_state::ServingState;
+
+/// How long the predecessor stops deciding for a successor that does not go on.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a successor that failed: the cause, such as no descriptor left, will not be gone at once.
+const FAILURE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A process that asks to become the sender.
+pub struct Successor {
+    stream: UnixStream,
+    reads_state: bool,
+    listener: Rc<TcpListener>,
+    serving_state: Rc<watch::Sender<ServingState>>,
+}
+
+impl Successor {
+    /// Whether it asks for the state beside the journal, and understands it.
+    pub fn reads_state(&self) -> bool {
+        self.reads_state
+    }
+
+    /// Offers it the state, and the listening socket. It has read both once this returns; until the commit nothing
+    /// has changed. Without a state it waits for this process's end, and clients are sent away.
+    pub async fn offer(self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
+        match timeout(SUCCESSOR_TIMEOUT, self.send_offer(state)).await {
+            Ok(offered) => offered,
+            Err(_) => Err(HandoverError::Timeout { awaited: "successor to read the offer" }),
+        }
+    }
+
+    async fn send_offer(mut self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
+        send_listener(&self.stream, &self.listener).await?;
+        let has_state = state.is_some();
+        write_frame(&mut self.stream, &Offer { state }).await?;
+        if has_state {
+            let Prepared = read_frame(&mut self.stream).await?;
+        } else {
+            self.serving_state.send_replace(ServingState::ShuttingDown);
+        }
+        Ok(self.stream)
+    }
+}
+
+/// Gives up being the sender. If the commit does not reach the successor, that is dead, and the relay will notice.
+pub async fn commit(stream: &mut UnixStream, lock: OwnershipLock) {
+    // The successor takes it as soon as it reads the commit.
+    drop(lock);
+    if let Err(error) = write_frame(stream, &Commit).await {
+        tracing::warn!(%error, "successor lost");
+    }
+}
+
+/// Waits for successors, one at a time. Only the sender does.
+pub struct HandoverListener {
+    socket: UnixListener,
+}
+
+impl HandoverListener {
+    /// Listens in this state folder, in the place of whoever did before.
+    pub fn bind(folder: &Path) -> io::Result<Self> {
+        let path = SocketPath::in_folder(folder)?;
+        match std::fs::remove_file(path.as_path()) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+            _ => {}
+        }
+        Ok(Self { socket: UnixListener::bind(path.as_path())? })
+    }
+
+    /// Brings successors to the event loop, each with what an offer to it needs.
+    pub async fn serve(
+        self,
+        listener: Rc<TcpListener>,
+        serving_state: Rc<watch::Sender<ServingState>>,
+        successors: mpsc::Sender<Successor>,
+    ) {
+        loop {
+            let (stream, hello) = match self.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    tracing::warn!(%error, "handover request failed");
+                    sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+            };
+            let successor = Successor {
+                stream,
+                reads_state: hello.protocol_version == Some(PROTOCOL_VERSION),
+                listener: listener.clone(),
+                serving_state: serving_state.clone(),
+            };
+            if successors.send(successor).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn accept(&self) -> Result<(UnixStream, Hello), HandoverError> {
+        let (mut stream, _) = self.socket.accept().await.map_err(HandoverError::Accept)?;
+        let hello = read_frame_within(&mut stream, SUCCESSOR_TIMEOUT).await?;
+        Ok((stream, hello))
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/handover/ownership.rs
@@ -0,0 +1,154 @@
+//! Who is the sender: the holder of the lock in the state folder, and how a process becomes it.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use simulator_adapter::wire::Names;
+use tokio::time::{sleep, Instant};
+
+use super::error::HandoverError;
+use super::request::{request_handover, InheritedState, RequestedTransfer};
+
+const LOCK_FILE: &str = "lock";
+/// Pause before the lock is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a process whose successor has died tries for the lock: the kernel releases it a moment later.
+const REACQUIRE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a process cannot become the sender at all.
+#[derive(Debug, thiserror::Error)]
+pub enum OwnershipError {
+    /// The state folder is not there and cannot be made.
+    #[error("cannot create the state folder {}: {source}", path.display())]
+    CreateFolder {
+        /// The folder.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The file of the lock cannot be opened or locked, whoever holds it.
+    #[error("cannot lock {}: {source}", path.display())]
+    Lock {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
+/// The right to be the sender, released when dropped.
+pub struct OwnershipLock {
+    /// The system releases the lock when the file is closed.
+    _file: File,
+}
+
+impl OwnershipLock {
+    /// Takes the lock; `None` while another process holds it.
+    pub(super) fn try_acquire(folder: &Path) -> Result<Option<Self>, OwnershipError> {
+        let path = folder.join(LOCK_FILE);
+        let opened = OpenOptions::new().write(true).create(true).truncate(false).open(&path);
+        let file = match opened {
+            Ok(file) => file,
+            Err(source) => return Err(OwnershipError::Lock { path, source }),
+        };
+        match file.try_lock() {
+            Ok(()) => Ok(Some(Self { _file: file })),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(source)) => Err(OwnershipError::Lock { path, source }),
+        }
+    }
+}
+
+/// What a process has that has become the sender.
+pub struct Ownership {
+    /// Its right to be so.
+    pub lock: OwnershipLock,
+    /// The listening socket of the clients, where a predecessor passed it on.
+    pub listener: Option<TcpListener>,
+    /// The state of a predecessor that handed it over.
+    pub inherited: Option<InheritedState>,
+}
+
+/// Becomes the sender: at once where there is none, else by a handover, or by the end of whoever is.
+pub async fn acquire_ownership(folder: &Path, names: &Names) -> Result<Ownership, OwnershipError> {
+    std::fs::create_dir_all(folder)
+        .map_err(|source| OwnershipError::CreateFolder { path: folder.to_owned(), source })?;
+    let mut acquisition = Acquisition::new(folder, names);
+    loop {
+        if let Some(lock) = OwnershipLock::try_acquire(folder)? {
+            return Ok(Ownership { lock, listener: acquisition.listener, inherited: None });
+        }
+        // Once the predecessor drains for this process, only its end is left to wait for.
+        if acquisition.listener.is_none() {
+            if let Some(ownership) = acquisition.request().await? {
+                return Ok(ownership);
+            }
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Becomes the sender again after the successor's death. `None` if another process is: two old versions must not pass
+/// the work to and fro.
+pub async fn reacquire_ownership(folder: &Path) -> Result<Option<Ownership>, OwnershipError> {
+    let started = Instant::now();
+    while started.elapsed() < REACQUIRE_TIMEOUT {
+        if let Some(lock) = OwnershipLock::try_acquire(folder)? {
+            return Ok(Some(Ownership { lock, listener: None, inherited: None }));
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+    Ok(None)
+}
+
+/// How far a process has come that is not the sender yet.
+struct Acquisition<'a> {
+    folder: &'a Path,
+    names: &'a Names,
+    transfer: RequestedTransfer,
+    /// The listening socket of a predecessor that drains for this process.
+    listener: Option<TcpListener>,
+    /// So that an error which comes again and again is logged once.
+    logged_error: String,
+}
+
+impl<'a> Acquisition<'a> {
+    fn new(folder: &'a Path, names: &'a Names) -> Self {
+        let transfer = RequestedTransfer::State;
+        Self { folder, names, transfer, listener: None, logged_error: String::new() }
+    }
+
+    /// Asks for a handover once. `None` where this process does not become the sender by it, or not yet.
+    async fn request(&mut self) -> Result<Option<Ownership>, OwnershipError> {
+        let granted = match request_handover(self.folder, self.names, self.transfer).await {
+            Ok(granted) => granted,
+            Err(error) => {
+                self.note_failure(&error);
+                return Ok(None);
+            }
+        };
+        let Some(inherited) = granted.inherited else {
+            self.listener = Some(granted.listener);
+            return Ok(None);
+        };
+        // Released before the commit was sent. Another process that was quicker is the sender now.
+        let Some(lock) = OwnershipLock::try_acquire(self.folder)? else {
+            return Ok(None);
+        };
+        Ok(Some(Ownership { lock, listener: Some(granted.listener), inherited: Some(inherited) }))
+    }
+
+    fn note_failure(&mut self, error: &HandoverError) {
+        let text = error.to_string();
+        if self.logged_error != text {
+            tracing::info!(%error, "no handover yet");
+            self.logged_error = text;
+        }
+        if error.is_about_state() {
+            self.transfer = RequestedTransfer::JournalOnly;
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -0,0 +1,129 @@
+//! The successor's side of the relay.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use delivery_control::AttemptOutcome;
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::UnixStream;
+use tokio::sync::{mpsc, oneshot};
+
+use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
+use crate::connection_limiter::ConnectionLimiter;
+use crate::event::SenderEvent;
+use crate::handover::attempt_id::AttemptId;
+use crate::handover::protocol::{read_frame, write_frame};
+use crate::submission::{Submission, SubmissionReply};
+
+/// An attempt that the predecessor has in flight.
+pub struct RemoteCall {
+    /// Which attempt.
+    pub attempt: AttemptId,
+    /// Ends when the event loop drops its end, which cancels the attempt.
+    pub cancelled: oneshot::Receiver<()>,
+}
+
+/// Brings what the predecessor relays to the event loop, and the event loop's answers and cancellations to it.
+pub fn relay_predecessor(
+    stream: UnixStream,
+    remote_calls: Vec<RemoteCall>,
+    inbox: mpsc::Sender<SenderEvent>,
+    limiter: Rc<ConnectionLimiter>,
+) {
+    let (reader, writer) = stream.into_split();
+    let (outgoing, queued) = mpsc::channel(FRAME_QUEUE_CAPACITY);
+    let in_flight = remote_calls.iter().map(|call| call.attempt).collect();
+    for call in remote_calls {
+        tokio::task::spawn_local(relay_cancellation(call, outgoing.clone()));
+    }
+    let receiver = PredecessorReceiver { reader, in_flight, outgoing, inbox, limiter };
+    tokio::task::spawn_local(write_frames(writer, queued));
+    tokio::task::spawn_local(receiver.run());
+}
+
+async fn relay_cancellation(call: RemoteCall, outgoing: mpsc::Sender<SuccessorFrame>) {
+    // The event loop drops its end; also when the attempt has ended, which the predecessor then passes over.
+    let _ = call.cancelled.await;
+    let AttemptId { message_id, attempt } = call.attempt;
+    // Fails with the predecessor's end, which ends the attempt too.
+    let _ = outgoing.send(SuccessorFrame::Cancel { id: message_id, attempt }).await;
+}
+
+async fn relay_reply(
+    number: u64,
+    reply: oneshot::Receiver<SubmissionReply>,
+    outgoing: mpsc::Sender<SuccessorFrame>,
+) {
+    if let Ok(reply) = reply.await {
+        // Fails with the predecessor's end, and the client's connection ended with that.
+        let _ = outgoing.send(SuccessorFrame::Answered(number, reply)).await;
+    }
+}
+
+async fn write_frames(mut writer: OwnedWriteHalf, mut queued: mpsc::Receiver<SuccessorFrame>) {
+    while let Some(frame) = queued.recv().await {
+        if write_frame(&mut writer, &frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Receives what the predecessor relays, until its end.
+struct PredecessorReceiver {
+    reader: OwnedReadHalf,
+    /// The predecessor's attempts whose end has not come yet.
+    in_flight: BTreeSet<AttemptId>,
+    outgoing: mpsc::Sender<SuccessorFrame>,
+    inbox: mpsc::Sender<SenderEvent>,
+    limiter: Rc<ConnectionLimiter>,
+}
+
+impl PredecessorReceiver {
+    async fn run(mut self) {
+        while let Ok(frame) = read_frame(&mut self.reader).await {
+            let Some(event) = self.handle(frame) else { continue };
+            if self.inbox.send(event).await.is_err() {
+                return;
+            }
+        }
+        tracing::info!(attempts_reset = self.in_flight.len(), "predecessor ended");
+        self.limiter.reserve_for_predecessor(0);
+        self.reset_attempts().await;
+    }
+
+    fn handle(&mut self, frame: PredecessorFrame) -> Option<SenderEvent> {
+        match frame {
+            PredecessorFrame::Submitted(number, submission) => Some(self.submit(number, submission)),
+            PredecessorFrame::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
+                self.in_flight.remove(&AttemptId { message_id: id, attempt });
+                Some(SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result })
+            }
+            PredecessorFrame::OpenConnections(open) => {
+                self.limiter.reserve_for_predecessor(open);
+                None
+            }
+        }
+    }
+
+    fn submit(&self, number: u64, submission: Box<Submission>) -> SenderEvent {
+        let (sender, reply) = oneshot::channel();
+        tokio::task::spawn_local(relay_reply(number, reply, self.outgoing.clone()));
+        SenderEvent::Submitted(submission, sender)
+    }
+
+    /// The connections of the predecessor's attempts ended with it.
+    async fn reset_attempts(self) {
+        for AttemptId { message_id, attempt } in self.in_flight {
+            let event = SenderEvent::AttemptEnded {
+                id: message_id,
+                attempt,
+                endpoint: 0,
+                elapsed: 0,
+                result: AttemptOutcome::Reset.into(),
+            };
+            if self.inbox.send(event).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/handover/request.rs
@@ -0,0 +1,82 @@
+//! The successor's side of a handover, up to the commit.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::Duration;
+
+use simulator_adapter::wire::Names;
+use tokio::net::UnixStream;
+use tokio::time::timeout;
+
+use super::descriptor::receive_listener;
+use super::error::HandoverError;
+use super::protocol::{read_frame_within, write_frame, Commit, Hello, Offer, Prepared, PROTOCOL_VERSION};
+use super::socket_path::SocketPath;
+use super::state::HandoverState;
+
+/// How long the successor waits for each frame of the predecessor.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a successor asks its predecessor for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestedTransfer {
+    /// The state beside the journal.
+    State,
+    /// The journal alone, as soon as the predecessor has drained.
+    JournalOnly,
+}
+
+/// What a predecessor knew, and the way to it: it still has attempts in flight, and clients.
+pub struct InheritedState {
+    /// What it knew.
+    pub state: Box<HandoverState>,
+    /// The connection to it, for the relay.
+    pub stream: UnixStream,
+}
+
+/// A predecessor's consent.
+pub struct GrantedHandover {
+    /// The listening socket of the clients.
+    pub listener: TcpListener,
+    /// The state of a predecessor that has committed; `None` for one that drains.
+    pub inherited: Option<InheritedState>,
+}
+
+/// Asks the process that is the sender to hand its work over. With an inherited state the lock has been released.
+pub async fn request_handover(
+    folder: &Path,
+    names: &Names,
+    transfer: RequestedTransfer,
+) -> Result<GrantedHandover, HandoverError> {
+    let mut stream = connect(folder).await?;
+    let protocol_version = match transfer {
+        RequestedTransfer::State => Some(PROTOCOL_VERSION),
+        RequestedTransfer::JournalOnly => None,
+    };
+    write_frame(&mut stream, &Hello { protocol_version }).await?;
+    let listener = receive_listener_within(&stream, RESPONSE_TIMEOUT).await?;
+    let offer: Offer = read_frame_within(&mut stream, RESPONSE_TIMEOUT).await?;
+    let Some(state) = offer.state.map(Box::new) else {
+        return Ok(GrantedHandover { listener, inherited: None });
+    };
+    if state.names != *names {
+        return Err(HandoverError::DifferentNames);
+    }
+    write_frame(&mut stream, &Prepared).await?;
+    // Whatever else comes, or nothing: the predecessor is the sender still, or dead, which the lock tells.
+    let Commit = read_frame_within(&mut stream, RESPONSE_TIMEOUT).await?;
+    Ok(GrantedHandover { listener, inherited: Some(InheritedState { state, stream }) })
+}
+
+async fn connect(folder: &Path) -> Result<UnixStream, HandoverError> {
+    let connect_error = |source| HandoverError::Connect { path: folder.to_owned(), source };
+    let socket = SocketPath::in_folder(folder).map_err(connect_error)?;
+    UnixStream::connect(socket.as_path()).await.map_err(connect_error)
+}
+
+async fn receive_listener_within(stream: &UnixStream, limit: Duration) -> Result<TcpListener, HandoverError> {
+    match timeout(limit, receive_listener(stream)).await {
+        Ok(received) => received,
+        Err(_) => Err(HandoverError::Timeout { awaited: "listening socket" }),
+    }
+}
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -41,7 +41,7 @@
 use discovery::NoticeQueue;
 use event::SenderEvent;
 use event_loop::EventLoop;
-use handover::{relay, HandoverListener, Ownership};
+use handover::{relay, HandoverListener, InheritedState, Ownership};
 use journal::Journal;
 use metrics::Metrics;
 use operator_api::OperatorApi;
@@ -112,7 +112,7 @@
             EventLoop::new(controller, terms, kept, ends, notices.clone(), counts, inbox.clone());
         // Before the first connection is accepted: to answer at all means to be ready.
         match inherited {
-            Some((state, stream)) => {
+            Some(InheritedState { state, stream }) => {
                 let out = driver.restore(*state, config.seed)?;
                 relay::relay_predecessor(stream, out, inbox.clone(), limiter.clone());
             }
