--- a/crates/message-sender/src/handover/descriptor.rs
+++ b/crates/message-sender/src/handover/descriptor.rs
@@ -1,5 +1,5 @@
-//! Passes the listening socket of the clients from process to process. Connections in its queue stay there, whoever
-//! accepts them.
+//! Passes the listening socket of the clients from process to process. Connections in its queue stay there,
+//! whoever accepts them.
 
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
--- a/crates/message-sender/src/handover/error.rs
+++ b/crates/message-sender/src/handover/error.rs
@@ -6,50 +6,50 @@
 /// A step of a handover, or of the relay after it, that failed.
 #[derive(Debug, thiserror::Error)]
 pub enum HandoverError {
-    /// Nobody listens on the handover socket, or it cannot be reached.
+    /// No process listens on the handover socket, or it cannot be reached.
     #[error("cannot connect to the handover socket in {}: {source}", path.display())]
     Connect {
         /// The state folder.
         path: PathBuf,
-        /// What the system says.
+        /// The system's error.
         source: io::Error,
     },
     /// The handover socket gives no connection.
     #[error("cannot accept a connection on the handover socket: {0}")]
     Accept(#[source] io::Error),
-    /// The other process has gone while a frame was awaited.
+    /// The other process disconnected while a frame was awaited.
     #[error("cannot read the {frame}: {source}")]
     Read {
         /// Which frame.
         frame: &'static str,
-        /// What the system says.
+        /// The system's error.
         source: io::Error,
     },
-    /// The other process has gone before it had a frame.
+    /// The other process disconnected before a frame was written.
     #[error("cannot write the {frame}: {source}")]
     Write {
         /// Which frame.
         frame: &'static str,
-        /// What the system says.
+        /// The system's error.
         source: io::Error,
     },
-    /// A frame has come that means nothing to this version.
+    /// A frame cannot be decoded by this version.
     #[error("cannot decode the {frame}: {source}")]
     Decode {
         /// Which frame.
         frame: &'static str,
-        /// What is wrong with it.
+        /// The codec's error.
         source: rmp_serde::decode::Error,
     },
-    /// A frame cannot be put into its wire form.
+    /// A frame cannot be encoded.
     #[error("cannot encode the {frame}: {source}")]
     Encode {
         /// Which frame.
         frame: &'static str,
-        /// What is wrong with it.
+        /// The codec's error.
         source: rmp_serde::encode::Error,
     },
-    /// A frame is longer than any that makes sense.
+    /// A frame is longer than the limit.
     #[error("the {frame} has {length} bytes, which is too long")]
     FrameTooLong {
         /// Which frame.
@@ -57,16 +57,16 @@
         /// Its length in bytes.
         length: usize,
     },
-    /// The other process does not answer.
+    /// The other process did not respond in time.
     #[error("timed out waiting for the {awaited}")]
     Timeout {
-        /// What should have come.
+        /// What was awaited.
         awaited: &'static str,
     },
-    /// The listening socket cannot be passed on.
+    /// The listening socket cannot be sent.
     #[error("cannot send the listening socket: {0}")]
     SendListener(#[source] io::Error),
-    /// The other process has gone before it passed its listening socket on.
+    /// The other process disconnected before it sent its listening socket.
     #[error("cannot receive the listening socket: {0}")]
     ReceiveListener(#[source] io::Error),
     /// The predecessor's message came without a descriptor.
--- a/crates/message-sender/src/handover/listener.rs
+++ b/crates/message-sender/src/handover/listener.rs
@@ -22,10 +22,10 @@
 
 /// How long the predecessor stops deciding for a successor that does not go on.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause after a successor that failed: the cause, such as no descriptor left, will not be gone at once.
+/// Pause after a successor that failed: the cause, such as a lack of descriptors, may last.
 const FAILURE_PAUSE: Duration = Duration::from_millis(20);
 
-/// A process that asks to become the sender.
+/// A process that requests to become the sender.
 pub struct Successor {
     stream: UnixStream,
     reads_state: bool,
@@ -34,13 +34,14 @@
 }
 
 impl Successor {
-    /// Whether it asks for the state beside the journal, and understands it.
+    /// Whether it requested the state beside the journal, and understands it.
     pub fn reads_state(&self) -> bool {
         self.reads_state
     }
 
-    /// Offers it the state, and the listening socket. It has read both once this returns; until the commit nothing
-    /// has changed. Without a state it waits for this process's end, and clients are sent away.
+    /// Offers it the state and the listening socket. It has read both when this returns, and nothing has
+    /// changed before the commit. Without a state it waits for this process to end, and clients are sent
+    /// away.
     pub async fn offer(self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
         match timeout(SUCCESSOR_TIMEOUT, self.send_offer(state)).await {
             Ok(offered) => offered,
@@ -61,7 +62,8 @@
     }
 }
 
-/// Gives up being the sender. If the commit does not reach the successor, that is dead, and the relay will notice.
+/// Gives up being the sender. If the commit cannot be written, the successor has died, and the relay will
+/// notice.
 pub async fn commit(stream: &mut UnixStream, lock: OwnershipLock) {
     // The successor takes it as soon as it reads the commit.
     drop(lock);
@@ -70,13 +72,13 @@
     }
 }
 
-/// Waits for successors, one at a time. Only the sender does.
+/// Accepts successors, one at a time. Only the sender listens.
 pub struct HandoverListener {
     socket: UnixListener,
 }
 
 impl HandoverListener {
-    /// Listens in this state folder, in the place of whoever did before.
+    /// Listens in this state folder and replaces the socket of an earlier process.
     pub fn bind(folder: &Path) -> io::Result<Self> {
         let path = SocketPath::in_folder(folder)?;
         match std::fs::remove_file(path.as_path()) {
@@ -86,7 +88,7 @@
         Ok(Self { socket: UnixListener::bind(path.as_path())? })
     }
 
-    /// Brings successors to the event loop, each with what an offer to it needs.
+    /// Accepts successors and passes them to the event loop.
     pub async fn serve(
         self,
         listener: Rc<TcpListener>,
--- a/crates/message-sender/src/handover/ownership.rs
+++ b/crates/message-sender/src/handover/ownership.rs
@@ -21,7 +21,7 @@
 /// Why a process cannot become the sender at all.
 #[derive(Debug, thiserror::Error)]
 pub enum OwnershipError {
-    /// The state folder is not there and cannot be made.
+    /// The state folder does not exist and cannot be created.
     #[error("cannot create the state folder {}: {source}", path.display())]
     CreateFolder {
         /// The folder.
@@ -29,7 +29,7 @@
         /// What the system says.
         source: io::Error,
     },
-    /// The file of the lock cannot be opened or locked, whoever holds it.
+    /// The lock file cannot be opened, or the system cannot lock it.
     #[error("cannot lock {}: {source}", path.display())]
     Lock {
         /// The file.
@@ -64,7 +64,7 @@
 
 /// What a process has that has become the sender.
 pub struct Ownership {
-    /// Its right to be so.
+    /// The right to be the sender.
     pub lock: OwnershipLock,
     /// The listening socket of the clients, where a predecessor passed it on.
     pub listener: Option<TcpListener>,
@@ -72,7 +72,7 @@
     pub inherited: Option<InheritedState>,
 }
 
-/// Becomes the sender: at once where there is none, else by a handover, or by the end of whoever is.
+/// Becomes the sender: at once where there is none, else by a handover or when the current sender has ended.
 pub async fn acquire_ownership(folder: &Path, names: &Names) -> Result<Ownership, OwnershipError> {
     std::fs::create_dir_all(folder)
         .map_err(|source| OwnershipError::CreateFolder { path: folder.to_owned(), source })?;
@@ -91,8 +91,8 @@
     }
 }
 
-/// Becomes the sender again after the successor's death. `None` if another process is: two old versions must not pass
-/// the work to and fro.
+/// Becomes the sender again after the successor has died. `None` if another process is the sender by now: two
+/// processes of the old version must not hand the work back and forth.
 pub async fn reacquire_ownership(folder: &Path) -> Result<Option<Ownership>, OwnershipError> {
     let started = Instant::now();
     while started.elapsed() < REACQUIRE_TIMEOUT {
@@ -104,14 +104,14 @@
     Ok(None)
 }
 
-/// How far a process has come that is not the sender yet.
+/// The progress of a process that is not the sender yet.
 struct Acquisition<'a> {
     folder: &'a Path,
     names: &'a Names,
     transfer: RequestedTransfer,
     /// The listening socket of a predecessor that drains for this process.
     listener: Option<TcpListener>,
-    /// So that an error which comes again and again is logged once.
+    /// The last error logged, so that a repeated one is logged once.
     logged_error: String,
 }
 
@@ -121,7 +121,7 @@
         Self { folder, names, transfer, listener: None, logged_error: String::new() }
     }
 
-    /// Asks for a handover once. `None` where this process does not become the sender by it, or not yet.
+    /// Requests a handover once. `None` if this process has not become the sender by it.
     async fn request(&mut self) -> Result<Option<Ownership>, OwnershipError> {
         let granted = match request_handover(self.folder, self.names, self.transfer).await {
             Ok(granted) => granted,
@@ -134,7 +134,7 @@
             self.listener = Some(granted.listener);
             return Ok(None);
         };
-        // Released before the commit was sent. Another process that was quicker is the sender now.
+        // The lock was released before the commit was sent; another process may have taken it first.
         let Some(lock) = OwnershipLock::try_acquire(self.folder)? else {
             return Ok(None);
         };
--- a/crates/message-sender/src/handover/relay/mod.rs
+++ b/crates/message-sender/src/handover/relay/mod.rs
@@ -1,5 +1,5 @@
-//! Between two processes after a handover: the predecessor relays what it still reads from its clients and how its
-//! attempts end; the successor, the sender now, decides and answers.
+//! Between two processes after a handover: the predecessor relays what it still reads from its clients and
+//! how its attempts end; the successor, the sender now, decides and answers.
 
 mod predecessor;
 mod successor;
@@ -22,7 +22,18 @@
     /// A message that a client submits, under a number that the answer names.
     Submitted(u64, Box<Submission>),
     /// An attempt that was in flight at the handover has ended.
-    AttemptEnded { id: MessageId, attempt: u32, endpoint: EndpointId, elapsed: Micros, result: AttemptResult },
+    AttemptEnded {
+        /// The message.
+        id: MessageId,
+        /// The number of the attempt.
+        attempt: u32,
+        /// Where it was sent, by the identifier that both processes use.
+        endpoint: EndpointId,
+        /// How long it took.
+        elapsed: Micros,
+        /// How it ended.
+        result: AttemptResult,
+    },
     /// So many client connections are still open there.
     OpenConnections(usize),
 }
@@ -32,7 +43,8 @@
 enum SuccessorFrame {
     /// The reply to the submission with this number.
     Answered(u64, SubmissionReply),
-    /// The attempt is to be called off. Also sent for one that has ended, which the predecessor then passes over.
+    /// The attempt is to be called off. Also sent for one that has ended, which the predecessor then passes
+    /// over.
     Cancel { id: MessageId, attempt: u32 },
 }
 
--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -52,8 +52,8 @@
 }
 
 impl Predecessor {
-    /// Goes on over the connection of the handover. `in_flight` are the attempts by message and number, each with the
-    /// way to cancel it.
+    /// Goes on over the connection of the handover. `in_flight` are the attempts by message and number, each
+    /// with the way to cancel it.
     pub fn new(
         stream: UnixStream,
         in_flight: HashMap<(MessageId, u32), oneshot::Sender<()>>,
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Runs until clients and attempts are gone, or the time after SIGTERM is up, or the successor has died.
+    /// Runs until no client and no attempt is left, or the time after SIGTERM is up, or the successor has
+    /// died.
     pub async fn run(
         mut self,
         inbox: &mut mpsc::Receiver<SenderEvent>,
@@ -117,7 +118,8 @@
                 self.shutdown_requested_at = self.shutdown_requested_at.or(Some(Instant::now()));
                 return Ok(());
             }
-            // The successor watches for itself, and sends again the notices whose acknowledgement it has not seen.
+            // The successor watches for itself, and sends again the notices whose acknowledgement it has not
+            // seen.
             SenderEvent::EndpointListReceived(_) | SenderEvent::NoticesAcknowledged(_) => return Ok(()),
         };
         write_frame(&mut self.writer, &frame).await
@@ -146,7 +148,7 @@
         match frame {
             SuccessorFrame::Answered(number, answer) => {
                 if let Some(pending) = self.pending.remove(&number) {
-                    // A client that is gone by now submits its message again, and the successor knows it then.
+                    // A client that has disconnected submits its message again.
                     let _ = pending.reply.send(answer);
                 }
             }
@@ -156,7 +158,8 @@
         }
     }
 
-    /// Late after SIGTERM cancels the attempts in flight, and stays until the successor has received their ends.
+    /// When the time after SIGTERM is up it cancels the attempts in flight, and stays until the next poll so that
+    /// their ends are relayed.
     fn is_over(&mut self, limiter: &ConnectionLimiter) -> bool {
         if self.shutdown_requested_at.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
             if self.cut_off {
@@ -168,7 +171,8 @@
         self.in_flight.is_empty() && self.pending.is_empty() && limiter.open_connections() == 0
     }
 
-    /// Ends the attempts in flight, lest a message go twice at a time once the journal is read again.
+    /// Ends the attempts in flight first: otherwise a message could have two at once when the journal is read
+    /// again.
     async fn into_orphaned(self, inbox: &mut mpsc::Receiver<SenderEvent>) -> RelayEnd {
         if self.shutdown_requested_at.is_some() {
             return RelayEnd::Over;
@@ -190,7 +194,7 @@
     }
 }
 
-/// Its end, however it comes, is that of the successor.
+/// Ends, and closes the channel, when the successor has died or sent what cannot be read.
 async fn read_frames(mut reader: OwnedReadHalf, sender: mpsc::Sender<SuccessorFrame>) {
     while let Ok(frame) = read_frame(&mut reader).await {
         if sender.send(frame).await.is_err() {
--- a/crates/message-sender/src/handover/relay/successor.rs
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -23,7 +23,8 @@
     pub cancelled: oneshot::Receiver<()>,
 }
 
-/// Brings what the predecessor relays to the event loop, and the event loop's answers and cancellations to it.
+/// Brings what the predecessor relays to the event loop, and the event loop's answers and cancellations to
+/// it.
 pub fn relay_predecessor(
     stream: UnixStream,
     remote_calls: Vec<RemoteCall>,
--- a/crates/message-sender/src/handover/request.rs
+++ b/crates/message-sender/src/handover/request.rs
@@ -17,7 +17,7 @@
 /// How long the successor waits for each frame of the predecessor.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What a successor asks its predecessor for.
+/// What a successor requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestedTransfer {
     /// The state beside the journal.
@@ -26,15 +26,15 @@
     JournalOnly,
 }
 
-/// What a predecessor knew, and the way to it: it still has attempts in flight, and clients.
+/// The state of a predecessor, which still has attempts in flight and clients.
 pub struct InheritedState {
-    /// What it knew.
+    /// What it knew at the commit.
     pub state: Box<HandoverState>,
     /// The connection to it, for the relay.
     pub stream: UnixStream,
 }
 
-/// A predecessor's consent.
+/// What a predecessor grants.
 pub struct GrantedHandover {
     /// The listening socket of the clients.
     pub listener: TcpListener,
@@ -42,7 +42,7 @@
     pub inherited: Option<InheritedState>,
 }
 
-/// Asks the process that is the sender to hand its work over. With an inherited state the lock has been released.
+/// Requests a handover from the current sender. It has released the lock if this returns an inherited state.
 pub async fn request_handover(
     folder: &Path,
     names: &Names,
@@ -63,7 +63,7 @@
         return Err(HandoverError::DifferentNames);
     }
     write_frame(&mut stream, &Prepared).await?;
-    // Whatever else comes, or nothing: the predecessor is the sender still, or dead, which the lock tells.
+    // Without a commit the predecessor is still the sender or has died; the lock shows which.
     let Commit = read_frame_within(&mut stream, RESPONSE_TIMEOUT).await?;
     Ok(GrantedHandover { listener, inherited: Some(InheritedState { state, stream }) })
 }
--- a/crates/message-sender/src/handover/socket_path.rs
+++ b/crates/message-sender/src/handover/socket_path.rs
@@ -10,7 +10,8 @@
 /// In bytes. The system takes no longer path for a socket.
 const MAX_SOCKET_PATH_LENGTH: usize = 100;
 
-/// A path by which the handover socket of a state folder can be bound and connected to while this value lives.
+/// A path by which the handover socket of a state folder can be bound and connected to while this value
+/// lives.
 pub struct SocketPath {
     path: PathBuf,
     /// The folder of a path that is too long, which then goes by way of this descriptor.
--- a/crates/message-sender/src/handover/state.rs
+++ b/crates/message-sender/src/handover/state.rs
@@ -7,7 +7,7 @@
 use super::attempt_id::AttemptId;
 use crate::endpoint_registry::RegistrySnapshot;
 
-/// What a sender knows between two turns and the journal does not tell. The field names are part of the protocol:
+/// What a sender knows between two turns beyond its journal. The field names are part of the protocol:
 /// another name needs another [`PROTOCOL_VERSION`](super::protocol::PROTOCOL_VERSION).
 #[derive(Serialize, Deserialize)]
 pub struct HandoverState {
--- a/crates/message-sender/src/handover/tests.rs
+++ b/crates/message-sender/src/handover/tests.rs
@@ -45,7 +45,8 @@
     assert!(OwnershipLock::try_acquire(folder.path()).unwrap().is_some());
 }
 
-/// Guards against a state folder whose path is too long for a socket's address: no upgrade would ever be a handover.
+/// Guards against a state folder whose path is too long for a socket's address: no upgrade would ever be a
+/// handover.
 #[tokio::test]
 async fn a_state_folder_with_a_long_path_has_a_handover_socket() {
     let base = tempfile::tempdir().unwrap();
--- a/crates/message-sender/tests/handover_compatibility.rs
+++ b/crates/message-sender/tests/handover_compatibility.rs
@@ -1,6 +1,6 @@
-//! Upgrades from, and downgrades to, the version that speaks handover protocol 2, played from frames and a journal
-//! which that version wrote (`tests/data/handover`). Its state frame cannot be read here, so the journal alone
-//! passes from one process to the other, and no message may be lost on the way.
+//! Upgrades from, and downgrades to, the version that speaks handover protocol 2, played from frames and a
+//! journal which that version wrote (`tests/data/handover`). Its state frame cannot be read here, so the
+//! journal alone passes from one process to the other, and no message may be lost on the way.
 
 mod common;
 
@@ -33,8 +33,9 @@
 
 const EARLIER_PROTOCOL: u32 = 2;
 const CURRENT_PROTOCOL: u32 = 3;
-/// The journal was written under a clock a century ahead, so that its messages are in time whenever a test runs. Only
-/// a class whose messages are idempotent without a key may repeat an attempt that seems to lie in the future.
+/// The journal was written under a clock a century ahead, so that its messages are in time whenever a test
+/// runs. Only a class whose messages are idempotent without a key may repeat an attempt that seems to lie in
+/// the future.
 const IDEMPOTENT: &str = "pure";
 /// The class of the recorded messages.
 const WITH_IDEMPOTENCY_KEY: &str = "token";
@@ -95,8 +96,8 @@
         self.single.is_quiet() && self.busy.is_quiet() && self.drained.is_quiet()
     }
 
-    /// The recorded journal holds m1 with an ambiguous attempt, m2 that was rejected with a Retry-After, m3 and m4
-    /// without an attempt, the pending notice of m0, and the drained endpoint s-3.
+    /// The recorded journal holds m1 with an ambiguous attempt, m2 that was rejected with a Retry-After, m3
+    /// and m4 without an attempt, the pending notice of m0, and the drained endpoint s-3.
     fn assert_everything_in_the_journal_is_resumed(&self, successor: &Sender) {
         let ambiguous = self.single.next();
         assert_eq!(ambiguous.headers["x-call-id"], "m1");
@@ -141,8 +142,8 @@
     }
 }
 
-/// Stands for a process of the earlier version that is the sender: it owns the lock, the recorded journal and the
-/// clients' listening socket.
+/// Stands for a process of the earlier version that is the sender: it owns the lock, the recorded journal and
+/// the clients' listening socket.
 struct EarlierPredecessor {
     lock: File,
     handover: UnixListener,
@@ -251,8 +252,8 @@
     assert!(OFFER_WITH_STATE.len() > 100 * OFFER_WITHOUT_STATE.len());
 }
 
-/// Guards against messages that are lost in an upgrade from the earlier version, which offers no state to a version
-/// it does not know, drains and ends.
+/// Guards against messages that are lost in an upgrade from the earlier version, which offers no state to a
+/// version it does not know, drains and ends.
 #[test]
 fn an_upgrade_from_the_earlier_version_resumes_from_its_journal() {
     let fixture = Fixture::new(vec![OK]);
@@ -269,8 +270,8 @@
     fixture.assert_everything_in_the_journal_is_resumed(&successor);
 }
 
-/// Guards against a message without an outcome where nobody can tell how long ago its ambiguous attempt was: it fails,
-/// once, and the others are resumed.
+/// Guards against a message without an outcome where nobody can tell how long ago its ambiguous attempt was:
+/// it fails, once, and the others are resumed.
 #[test]
 fn an_ambiguous_attempt_of_the_earlier_version_outside_the_idempotency_window_fails_with_a_notice() {
     let fixture = Fixture::new(vec![OK]);
@@ -286,7 +287,8 @@
     fixture.assert_settled(&successor, 3);
 }
 
-/// Guards against a state that is read as something it does not mean: the successor asks again, for the journal alone.
+/// Guards against a state that is read as something it does not mean: the successor requests the journal
+/// alone instead.
 #[test]
 fn the_state_of_the_earlier_version_is_declined_and_the_journal_is_read() {
     let fixture = Fixture::new(vec![OK]);
@@ -325,8 +327,8 @@
     fixture.assert_everything_in_the_journal_is_resumed(&successor);
 }
 
-/// Guards against a downgrade that hands the earlier version a state which it would misread, and against messages that
-/// are lost in it.
+/// Guards against a downgrade that hands the earlier version a state which it would misread, and against
+/// messages that are lost in it.
 #[test]
 fn a_downgrade_to_the_earlier_version_passes_the_journal_alone() {
     let fixture = Fixture::new(vec![Reply::Hang, OK]);
@@ -348,7 +350,8 @@
     assert_eq!(again.headers["idempotency-key"], "key-of-m1");
 }
 
-/// Guards against frames around the state that come to differ from version to version: those must stay readable.
+/// Guards against frames around the state that come to differ from version to version: those must stay
+/// readable.
 #[test]
 fn the_frames_around_the_state_are_those_of_the_earlier_version() {
     let fixture = Fixture::new(vec![OK]);
