--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -158,8 +158,8 @@
         }
     }
 
-    /// When the time after SIGTERM is up it cancels the attempts in flight, and stays until the next poll so that
-    /// their ends are relayed.
+    /// When the time after SIGTERM is up it cancels the attempts in flight, and stays until the next poll so
+    /// that their ends are relayed.
     fn is_over(&mut self, limiter: &ConnectionLimiter) -> bool {
         if self.shutdown_requested_at.is_some_and(|since| since.elapsed() >= DRAIN_ENDS) {
             if self.cut_off {
