--- a/crates/message-sender/src/event.rs
+++ b/crates/message-sender/src/event.rs
@@ -7,15 +7,6 @@
 use crate::endpoint_list::EndpointList;
 use crate::submission::{Submission, SubmissionReply};
 
-/// Identifies one attempt to deliver a message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptId {
-    /// The message.
-    pub message_id: MessageId,
-    /// Number of the attempt, counted from 0.
-    pub attempt: u32,
-}
-
 /// Something that happened on a socket.
 pub enum SenderEvent {
     /// A client submitted a message and waits for the reply. A client that goes away closes the channel.
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant;
 
 use super::EventLoop;
+use crate::attempt_id::AttemptId;
 use crate::delivery::{AttemptPhase, Call};
-use crate::event::{AttemptId, SenderEvent};
+use crate::event::SenderEvent;
 use crate::journal::{AttemptStart, JournalError};
 use crate::time::{duration, micros};
 
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -4,9 +4,10 @@
 
 use super::completion::{final_outcome, log_journal_error};
 use super::EventLoop;
+use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
 use crate::endpoint_registry::RegistryUpdate;
-use crate::event::{AttemptId, SenderEvent};
+use crate::event::SenderEvent;
 
 impl EventLoop {
     /// Takes in what happened on a socket.
--- a/crates/message-sender/src/event_loop/handover.rs
+++ b/crates/message-sender/src/event_loop/handover.rs
@@ -39,7 +39,7 @@
             controller: self.controller.clone(),
             registry: self.registry.snapshot(),
             timers: self.timers.entries(),
-            out: self.in_flight.handover_ids(),
+            in_flight: self.in_flight.ids(),
         })
     }
 
--- a/crates/message-sender/src/event_loop/in_flight.rs
+++ b/crates/message-sender/src/event_loop/in_flight.rs
@@ -2,10 +2,9 @@
 
 use std::collections::HashMap;
 
-use delivery_control::MessageId;
 use tokio::sync::oneshot;
 
-use crate::event::AttemptId;
+use crate::attempt_id::AttemptId;
 
 /// Attempts in flight, each with its cancellation handle: dropping the handle cancels the attempt.
 #[derive(Default)]
@@ -36,15 +35,13 @@
         self.cancel_handles.is_empty()
     }
 
-    /// The attempts in the form in which they are handed over: message and number of the attempt.
-    pub fn handover_ids(&self) -> Vec<(MessageId, u32)> {
-        let ids = self.cancel_handles.keys();
-        ids.map(|id| (id.message_id, id.attempt)).collect()
+    /// The attempts, in no order.
+    pub fn ids(&self) -> Vec<AttemptId> {
+        self.cancel_handles.keys().copied().collect()
     }
 
-    /// The cancellation handles by message and number of the attempt, for the relay to a successor.
-    pub fn into_cancel_handles(self) -> HashMap<(MessageId, u32), oneshot::Sender<()>> {
-        let handles = self.cancel_handles.into_iter();
-        handles.map(|(id, cancel)| ((id.message_id, id.attempt), cancel)).collect()
+    /// The cancellation handles by attempt, for the relay to a successor.
+    pub fn into_cancel_handles(self) -> HashMap<AttemptId, oneshot::Sender<()>> {
+        self.cancel_handles
     }
 }
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -6,7 +6,6 @@
 use super::timers::Timers;
 use super::EventLoop;
 use crate::endpoint_list::EndpointList;
-use crate::event::AttemptId;
 use crate::handover::relay::RemoteCall;
 use crate::handover::HandoverState;
 use crate::journal::{AcceptedMessage, AttemptHistory, Body, JournalEntry};
@@ -82,10 +81,10 @@
                 JournalEntry::Open(accepted, history) => self.recover_message(id, accepted, history),
             }
         }
-        let mut remote_calls = Vec::with_capacity(state.out.len());
-        for (message_id, attempt) in state.out {
-            let cancelled = self.in_flight.start(AttemptId { message_id, attempt });
-            remote_calls.push(((message_id, attempt), cancelled));
+        let mut remote_calls = Vec::with_capacity(state.in_flight.len());
+        for attempt in state.in_flight {
+            let cancelled = self.in_flight.start(attempt);
+            remote_calls.push(RemoteCall { attempt, cancelled });
         }
         Ok(remote_calls)
     }
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -16,8 +16,8 @@
 use super::shutdown::Shutdown;
 use super::summary::{LogSummary, RejectionCause};
 use super::timers::Timers;
+use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
-use crate::event::AttemptId;
 
 /// The log of the present test's thread.
 #[derive(Clone, Default)]
@@ -110,7 +110,7 @@
     in_flight.remove(AttemptId { message_id: 1, attempt: 0 });
     assert_eq!(first.try_recv(), Err(TryRecvError::Closed));
     assert_eq!(second.try_recv(), Err(TryRecvError::Empty));
-    assert_eq!(in_flight.handover_ids(), [(1, 1)]);
+    assert_eq!(in_flight.ids(), [AttemptId { message_id: 1, attempt: 1 }]);
     drop(in_flight);
     assert_eq!(second.try_recv(), Err(TryRecvError::Closed));
 }
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -6,7 +6,7 @@
 
 use super::attempts::AttemptLimits;
 use super::EventLoop;
-use crate::event::AttemptId;
+use crate::attempt_id::AttemptId;
 use crate::notice::NoticeResult;
 
 impl EventLoop {
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -11,6 +11,7 @@
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
 
+mod attempt_id;
 mod client_api;
 mod config;
 mod connection_limiter;
--- a/crates/message-sender/src/process/error.rs
+++ b/crates/message-sender/src/process/error.rs
@@ -4,6 +4,7 @@
 
 use delivery_control::SettingsError;
 
+use crate::handover::OwnershipError;
 use crate::journal::JournalError;
 
 /// Why a sender process can't go on.
@@ -20,7 +21,7 @@
     ListeningAddress(#[source] io::Error),
     /// The ownership lock of the state directory could not be taken.
     #[error("the state directory cannot be used")]
-    StateDirectory(#[source] io::Error),
+    StateDirectory(#[source] OwnershipError),
     /// The journal could not be opened.
     #[error("the journal cannot be opened")]
     Journal(#[from] JournalError),
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use delivery_control::Controller;
-use tokio::net::{TcpListener, UnixStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -24,7 +24,7 @@
 use crate::event::SenderEvent;
 use crate::event_loop::{EventLoop, EventLoopConfig, EventLoopInputs, LoopEnd};
 use crate::handover::relay::{self, Predecessor, RelayEnd};
-use crate::handover::{self, HandoverListener, HandoverState, Ownership, OwnershipLock, Successor};
+use crate::handover::{self, HandoverListener, InheritedState, Ownership, OwnershipLock, Successor};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::operator_api::Order;
@@ -123,7 +123,7 @@
         let mut event_loop = self.new_event_loop(ownership.lock, notices.clone())?;
         // Before the first connection is accepted: to answer at all means to be ready.
         match ownership.inherited {
-            Some((state, stream)) => self.continue_predecessor(&mut event_loop, *state, stream)?,
+            Some(inherited) => self.continue_predecessor(&mut event_loop, inherited)?,
             None => event_loop.recover(self.config.known.clone()),
         }
         event_loop.replay_missed_events(missed_events);
@@ -152,10 +152,10 @@
     fn continue_predecessor(
         &self,
         event_loop: &mut EventLoop,
-        state: HandoverState,
-        stream: UnixStream,
+        inherited: InheritedState,
     ) -> Result<(), ProcessError> {
-        let remote_calls = event_loop.restore(state, self.config.seed)?;
+        let InheritedState { state, stream } = inherited;
+        let remote_calls = event_loop.restore(*state, self.config.seed)?;
         relay::relay_predecessor(stream, remote_calls, self.event_sender.clone(), self.limiter.clone());
         Ok(())
     }
