Split the simulator's wire by role and give its types the field's names

Cause: wire.rs held the configuration, both directions of the line protocol and the names by index in one file, under the wire's words.

--- /dev/null
+++ b/crates/simulator-adapter/src/endpoint_list.rs
@@ -0,0 +1,99 @@
+//! Endpoint lists as the simulator sends them.
+
+use delivery_control::{EndpointEntry, Event, ListingState, UpdateKind};
+use serde::Deserialize;
+
+use crate::time::micros_from_millis;
+use crate::wire::Names;
+
+/// One endpoint of a list.
+#[derive(Deserialize)]
+pub struct ListedEndpoint {
+    destination: u64,
+    state: ListedState,
+    #[serde(rename = "capacityHint")]
+    rate: Option<f64>,
+    #[serde(rename = "model")]
+    kind: Option<String>,
+    #[serde(rename = "site")]
+    zone: Option<String>,
+    #[serde(rename = "onlineSinceMs")]
+    online_since_ms: Option<f64>,
+    endpoint: u64,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+enum ListedState {
+    #[serde(rename = "live")]
+    Live,
+    #[serde(rename = "quiescing")]
+    Draining,
+    #[serde(rename = "dead")]
+    Removed,
+}
+
+/// How a list is to be read.
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed endpoints only.
+    #[serde(rename = "diff")]
+    Delta,
+    /// The complete list.
+    #[serde(rename = "snapshot")]
+    Snapshot,
+    /// The complete list as last stored on disk.
+    #[serde(rename = "disk")]
+    Cached,
+    /// The list could not be fetched.
+    #[serde(rename = "error")]
+    Failed,
+}
+
+impl From<ListKind> for UpdateKind {
+    fn from(kind: ListKind) -> Self {
+        match kind {
+            ListKind::Delta => Self::Delta,
+            ListKind::Snapshot => Self::Snapshot,
+            ListKind::Cached => Self::Cached,
+            ListKind::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<ListedState> for ListingState {
+    fn from(state: ListedState) -> Self {
+        match state {
+            ListedState::Live => Self::Live,
+            ListedState::Draining => Self::Draining,
+            ListedState::Removed => Self::Removed,
+        }
+    }
+}
+
+impl ListedEndpoint {
+    fn entry(&self, names: &Names) -> EndpointEntry {
+        EndpointEntry {
+            endpoint: self.endpoint,
+            destination: self.destination,
+            listing: self.state.into(),
+            rate: self.rate.unwrap_or(0.0),
+            kind: names.kind(self.kind.as_ref()),
+            zone: names.zone(self.zone.as_ref()),
+            online_since: self.online_since_ms.filter(|millis| *millis > 0.0).map(micros_from_millis),
+        }
+    }
+}
+
+/// The event that an endpoint list makes; a list without a version has version 0.
+pub fn update_event(
+    kind: ListKind,
+    version: Option<u64>,
+    endpoints: &[ListedEndpoint],
+    names: &Names,
+) -> Event {
+    Event::EndpointsUpdated {
+        update: kind.into(),
+        version: version.unwrap_or(0),
+        entries: endpoints.iter().map(|endpoint| endpoint.entry(names)).collect(),
+    }
+}
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,4 +1,5 @@
-//! Hosts delivery controllers behind the line-based JSON wire: reads batches, writes replies.
+//! Hosts delivery controllers behind the simulator's line protocol: reads batches of JSON lines, writes
+//! replies.
 #![forbid(unsafe_code)]
 
 use std::io::{self, BufRead, Write};
@@ -6,25 +7,34 @@
 
 mod host;
 
-fn run() -> Result<(), host::Fault> {
+use host::{Host, InputError, LineError};
+
+fn run() -> Result<(), InputError> {
+    // A controller's panic is reported in the reply; standard error carries nothing but input errors.
     std::panic::set_hook(Box::new(|_| {}));
-    let mut host = host::Host::default();
-    let mut out = io::stdout().lock();
+    let mut host = Host::default();
+    let mut output = io::stdout().lock();
     for (index, line) in io::stdin().lock().split(b'\n').enumerate() {
-        let line = line.map_err(|error| host::Fault::new(index + 1, error.to_string()))?;
-        if let Some(reply) = host.line(index + 1, &line)? {
-            let written = out.write_all(reply.as_bytes()).and_then(|()| out.flush());
-            written.map_err(|error| host::Fault::new(index + 1, error.to_string()))?;
+        let number = index + 1;
+        let stream_error = |error| InputError { line: number, reason: LineError::Stream(error) };
+        let line = line.map_err(stream_error)?;
+        if let Some(reply) = host.handle_line(number, &line)? {
+            write_reply(&mut output, &reply).map_err(stream_error)?;
         }
     }
     host.finish()
 }
 
+fn write_reply(output: &mut impl Write, reply: &str) -> io::Result<()> {
+    output.write_all(reply.as_bytes())?;
+    output.flush()
+}
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("simulator-adapter: {fault}");
+        Err(error) => {
+            eprintln!("simulator-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/crates/simulator-adapter/src/outgoing.rs
@@ -0,0 +1,170 @@
+//! Lines to the simulator, made of the controller's actions.
+
+use std::any::Any;
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use delivery_control::Action;
+use serde::Serialize;
+
+use crate::time::millis_from_micros;
+
+/// On the wire, the target of a note that goes to all senders.
+const ALL_SENDERS: i64 = -1;
+
+/// Stands for the message of a panic that carries none.
+const NO_PANIC_MESSAGE: &str = "panic without text";
+
+/// A line to the simulator.
+#[derive(Serialize)]
+#[serde(tag = "event_type")]
+enum OutgoingLine<'a> {
+    #[serde(rename = "try")]
+    Send {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "req")]
+        id: u64,
+        endpoint: u64,
+        #[serde(rename = "withinMs")]
+        timeout_ms: f64,
+    },
+    #[serde(rename = "retract")]
+    Cancel {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "req")]
+        id: u64,
+        attempt: u32,
+    },
+    #[serde(rename = "bounce")]
+    Reject {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "req")]
+        id: u64,
+        #[serde(rename = "backoffMs")]
+        retry_after_ms: f64,
+    },
+    #[serde(rename = "reportFailure")]
+    Fail {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "req")]
+        id: u64,
+    },
+    #[serde(rename = "timer")]
+    SetTimer {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "fireAtMs")]
+        at_ms: f64,
+        #[serde(rename = "ctx")]
+        token: u64,
+    },
+    #[serde(rename = "soundOut")]
+    Probe {
+        #[serde(rename = "i")]
+        instance: u64,
+        endpoint: u64,
+    },
+    #[serde(rename = "shutIdle")]
+    CloseIdle {
+        #[serde(rename = "i")]
+        instance: u64,
+        endpoint: u64,
+    },
+    #[serde(rename = "tell")]
+    SendNote {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "target")]
+        to: i64,
+        #[serde(rename = "blob")]
+        base64: String,
+    },
+    #[serde(rename = "follow")]
+    Subscribe {
+        #[serde(rename = "i")]
+        instance: u64,
+        on: bool,
+    },
+    #[serde(rename = "readList")]
+    FetchList {
+        #[serde(rename = "i")]
+        instance: u64,
+    },
+    #[serde(rename = "writeLog")]
+    Log {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "reasonText")]
+        text: String,
+    },
+    #[serde(rename = "panic")]
+    Panic {
+        #[serde(rename = "i")]
+        instance: u64,
+        #[serde(rename = "reasonText")]
+        text: &'a str,
+    },
+    #[serde(rename = "ready")]
+    BatchReply { round: u64 },
+}
+
+impl OutgoingLine<'_> {
+    fn from_action(instance: u64, action: Action) -> Self {
+        match action {
+            // In the simulator, what is sent arrives in the same moment: it needs no limit for its beginning.
+            Action::Send { id, endpoint, timeout, begin_by: _ } => {
+                Self::Send { instance, id, endpoint, timeout_ms: millis_from_micros(timeout) }
+            }
+            Action::Cancel { id, attempt } => Self::Cancel { instance, id, attempt },
+            Action::Reject { id, retry_after } => {
+                Self::Reject { instance, id, retry_after_ms: millis_from_micros(retry_after) }
+            }
+            Action::Fail { id } => Self::Fail { instance, id },
+            Action::SetTimer { at, token } => {
+                Self::SetTimer { instance, at_ms: millis_from_micros(at), token }
+            }
+            Action::Probe { endpoint } => Self::Probe { instance, endpoint },
+            Action::CloseIdle { endpoint } => Self::CloseIdle { instance, endpoint },
+            Action::SendNote { to, bytes } => Self::SendNote {
+                instance,
+                to: to.map_or(ALL_SENDERS, i64::from),
+                base64: BASE64_STANDARD.encode(bytes),
+            },
+            Action::Subscribe { on } => Self::Subscribe { instance, on },
+            Action::FetchList => Self::FetchList { instance },
+            Action::Log { text } => Self::Log { instance, text },
+        }
+    }
+
+    fn append_to(&self, reply: &mut String) {
+        // Plain numbers and texts always serialize.
+        reply.push_str(&serde_json::to_string(self).unwrap_or_default());
+        reply.push('\n');
+    }
+}
+
+/// Appends an action's line to a reply.
+pub fn append_action(reply: &mut String, instance: u64, action: Action) {
+    OutgoingLine::from_action(instance, action).append_to(reply);
+}
+
+/// Appends the line that reports a panic in the controller.
+pub fn append_panic(reply: &mut String, instance: u64, payload: &(dyn Any + Send)) {
+    OutgoingLine::Panic { instance, text: panic_message(payload) }.append_to(reply);
+}
+
+/// Appends the line that ends a reply.
+pub fn append_batch_end(reply: &mut String, round: u64) {
+    OutgoingLine::BatchReply { round }.append_to(reply);
+}
+
+/// The message of a panic: formatted ones carry a `String`, plain ones a `&str`.
+fn panic_message(payload: &(dyn Any + Send)) -> &str {
+    if let Some(text) = payload.downcast_ref::<String>() {
+        return text;
+    }
+    payload.downcast_ref::<&str>().copied().unwrap_or(NO_PANIC_MESSAGE)
+}
