--- a/crates/simulator-adapter/src/config.rs
+++ b/crates/simulator-adapter/src/config.rs
@@ -31,9 +31,9 @@
     #[serde(rename = "overShareWorth")]
     over_quota_value: Option<f64>,
     #[serde(rename = "membershipMode")]
-    discovery: DiscoveryConfig,
+    discovery: String,
     #[serde(rename = "weights")]
-    listed_weights: Option<ListedWeights>,
+    listed_weights: Option<String>,
     #[serde(rename = "resolutionMs")]
     turn_interval_ms: f64,
     limits: LimitsConfig,
@@ -47,7 +47,7 @@
     name: String,
     effect: String,
     #[serde(rename = "dedupScope")]
-    idempotency_scope: Option<ScopeConfig>,
+    idempotency_scope: Option<String>,
     #[serde(rename = "windowMs")]
     idempotency_window_ms: Option<f64>,
     #[serde(rename = "aimMs")]
@@ -65,15 +65,6 @@
     stream: Option<bool>,
 }
 
-/// Which endpoints share the record of idempotency keys: all, or by any other word those of a zone.
-#[derive(Deserialize, Clone, Copy)]
-enum ScopeConfig {
-    #[serde(rename = "all")]
-    All,
-    #[serde(other)]
-    Zone,
-}
-
 /// What the family of deployments has in common; lists are in the order of the kinds or zones.
 #[derive(Deserialize)]
 struct FamilyConfig {
@@ -81,7 +72,7 @@
     per_endpoint_limits: Option<Vec<bool>>,
     #[serde(rename = "bundleMax")]
     max_batch_sizes: Option<Vec<usize>>,
-    decay: Option<DecayConfig>,
+    decay: Option<String>,
     #[serde(rename = "refusalCost")]
     rejection_price: Option<f64>,
     #[serde(rename = "maxCalls")]
@@ -90,36 +81,6 @@
     zone_fees: Option<Vec<f64>>,
 }
 
-#[derive(Deserialize, Clone, Copy)]
-enum DecayConfig {
-    #[serde(rename = "halves")]
-    Exponential,
-    #[serde(other)]
-    Linear,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-enum DiscoveryConfig {
-    #[serde(rename = "subscribe")]
-    Subscribe,
-    #[serde(other)]
-    Push,
-}
-
-/// What the weights in endpoint lists mean.
-#[derive(Deserialize, Clone, Copy)]
-enum ListedWeights {
-    /// Calls per second.
-    #[serde(rename = "nominal")]
-    Nominal,
-    /// Calls per second, by estimate.
-    #[serde(rename = "rough")]
-    Rough,
-    /// Nothing that the controller uses.
-    #[serde(other)]
-    Other,
-}
-
 #[derive(Deserialize)]
 struct TenantConfig {
     name: String,
@@ -237,24 +198,22 @@
     }
 
     fn value_decay(&self) -> ValueDecay {
-        match self.family.decay {
-            Some(DecayConfig::Exponential) => ValueDecay::Exponential,
-            Some(DecayConfig::Linear) | None => ValueDecay::Linear,
+        match self.family.decay.as_deref() {
+            Some("halves") => ValueDecay::Exponential,
+            _ => ValueDecay::Linear,
         }
     }
 
     fn discovery_mode(&self) -> DiscoveryMode {
-        match self.discovery {
-            DiscoveryConfig::Subscribe => DiscoveryMode::Subscribe,
-            DiscoveryConfig::Push => DiscoveryMode::Push,
+        match self.discovery.as_str() {
+            "subscribe" => DiscoveryMode::Subscribe,
+            _ => DiscoveryMode::Push,
         }
     }
 
+    /// Other weights, if any, don't mean calls per second.
     fn rates_are_listed(&self) -> bool {
-        match self.listed_weights {
-            Some(ListedWeights::Nominal | ListedWeights::Rough) => true,
-            Some(ListedWeights::Other) | None => false,
-        }
+        matches!(self.listed_weights.as_deref(), Some("nominal" | "rough"))
     }
 
     fn prices(&self) -> Prices {
@@ -271,10 +230,7 @@
     fn message_class(&self) -> Result<MessageClass, SettingsError> {
         Ok(MessageClass {
             idempotency: self.idempotency()?,
-            idempotency_scope: match self.idempotency_scope {
-                None | Some(ScopeConfig::All) => IdempotencyScope::All,
-                Some(ScopeConfig::Zone) => IdempotencyScope::Zone,
-            },
+            idempotency_scope: self.idempotency_scope(),
             idempotency_window: micros_or_zero(self.idempotency_window_ms),
             latency_objective: micros_from_millis(self.latency_objective_ms),
             latency_objective_stretch: self.latency_objective_stretch.unwrap_or(0.0),
@@ -295,6 +251,13 @@
             other => other.parse(),
         }
     }
+
+    fn idempotency_scope(&self) -> IdempotencyScope {
+        match self.idempotency_scope.as_deref() {
+            None | Some("all") => IdempotencyScope::All,
+            Some(_) => IdempotencyScope::Zone,
+        }
+    }
 }
 
 impl LimitsConfig {
--- a/crates/simulator-adapter/src/incoming.rs
+++ b/crates/simulator-adapter/src/incoming.rs
@@ -159,7 +159,7 @@
 
 /// A tenant's name, or 0 for none.
 #[derive(Deserialize)]
-#[serde(untagged)]
+#[serde(untagged, expecting = "field `project` is neither a name nor a number")]
 enum TenantReference {
     Name(String),
     Number(u64),
