Split client API, connection limiter and operator API into modules with typed errors

Cause: each held server, routing, decoding and responses in one file, with bare status codes as errors and a tuple as the operators' request. Change: modules by role; RequestError, OperatorError, Route, OperatorRequest; the limiter's slot owns its state; tests in files of their own; new tests for decoding of clients' heads and operators' paths.

--- a/crates/message-sender/src/client_api/request.rs
+++ b/crates/message-sender/src/client_api/request.rs
@@ -1,107 +1,155 @@
-//! Reads the head of a client's message. Nothing that is malformed gets past this.
+//! Decodes the head of a client's request. Nothing that is malformed gets past this.
 
 use bytes::Bytes;
 use delivery_control::{Idempotency, Micros, Settings};
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{StatusCode, Uri};
+use hyper::Uri;
 use simulator_adapter::wire::Names;
 
+use super::error::RequestError;
 use crate::submission::Submission;
 
 /// The longest body that the protocol allows.
-pub const BODY_BYTES: u64 = 64 * 1024;
-const TEXT_MOST: usize = 256;
+pub const MAX_BODY_BYTES: u64 = 64 * 1024;
+/// The longest header value or order key that is accepted.
+const MAX_TEXT_BYTES: usize = 256;
 
-/// The length of the body that follows a head. One that comes in chunks is refused: clients state the length,
-/// and a request that does both may hide another one in its body.
-pub fn body_length(headers: &HeaderMap) -> Result<u64, StatusCode> {
+const MICROS_PER_MILLI: u64 = 1000;
+
+const CLASS_HEADER: &str = "x-call-class";
+const KEY_HEADER: &str = "idempotency-key";
+const CALL_ID_HEADER: &str = "x-call-id";
+/// How long the client waits, in milliseconds.
+const BUDGET_HEADER: &str = "x-budget-ms";
+/// Names the destination, as in `dest=7`.
+const DESTINATION_HEADER: &str = "x-consignee";
+const DESTINATION_PARAMETER: &str = "dest";
+const TENANT_HEADER: &str = "x-caller";
+/// Marks a message that was submitted before.
+const RESUBMISSION_HEADER: &str = "x-again";
+/// Another sender had accepted the message before it died.
+const RETURNED: &str = "again";
+/// The client retries.
+const REPEAT: &str = "1";
+/// The query parameter that holds the order key, with its separator.
+const ORDER_KEY_PARAMETER: &str = "subject=";
+
+/// The length of the body that follows a head. A chunked body is rejected: clients state the length, and a
+/// request that does both may hide another one in its body.
+pub fn body_length(headers: &HeaderMap) -> Result<u64, RequestError> {
     if headers.contains_key(TRANSFER_ENCODING) {
-        return Err(StatusCode::NOT_IMPLEMENTED);
+        return Err(RequestError::ChunkedBody);
     }
     let Some(length) = headers.get(CONTENT_LENGTH) else { return Ok(0) };
-    let length = length.to_str().ok().and_then(number).ok_or(StatusCode::BAD_REQUEST)?;
-    if length > BODY_BYTES {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    let length = length.to_str().ok().and_then(parse_digits);
+    let length = length.ok_or(RequestError::Header("content-length"))?;
+    if length > MAX_BODY_BYTES {
+        return Err(RequestError::BodyTooLong);
     }
     Ok(length)
 }
 
-/// Reads the head of a message.
+/// Decodes the head of a message. The body of the submission is empty.
 pub fn decode(
     settings: &Settings,
     names: &Names,
     uri: &Uri,
     headers: &HeaderMap,
-) -> Result<Submission, StatusCode> {
-    let bad = StatusCode::BAD_REQUEST;
-    let name = first_part(uri.path());
-    let class = names.class(name).ok_or(StatusCode::NOT_FOUND)?;
-    if text(headers, "x-call-class")? != Some(name) {
-        return Err(bad);
+) -> Result<Submission, RequestError> {
+    let class_name = class_name(uri.path());
+    let class = names.class(class_name).ok_or(RequestError::UnknownClass)?;
+    if header(headers, CLASS_HEADER)? != Some(class_name) {
+        return Err(RequestError::Header(CLASS_HEADER));
     }
     let rules = &settings.classes[class];
-    let key = text(headers, "idempotency-key")?.filter(|key| !key.is_empty()).map(str::to_owned);
+    let key = non_empty_header(headers, KEY_HEADER)?;
     if rules.idempotency == Idempotency::WithKey && key.is_none() {
-        return Err(bad);
-    }
-    let call_id = text(headers, "x-call-id")?.filter(|id| !id.is_empty()).ok_or(bad)?.to_owned();
-    let budget_ms = text(headers, "x-budget-ms")?.and_then(number).ok_or(bad)?;
-    let consignee = text(headers, "x-consignee")?.ok_or(bad)?;
-    let destination = parameter(consignee, "dest").and_then(number).ok_or(bad)?;
-    // One that the settings do not list has no share to keep to.
-    let tenant = text(headers, "x-caller")?.and_then(|name| names.tenant(name));
-    let order_key = order_key(uri).filter(|_| rules.ordered);
-    if order_key.is_some_and(|key| key.len() > TEXT_MOST) {
-        return Err(bad);
+        return Err(RequestError::Header(KEY_HEADER));
     }
-    let again = text(headers, "x-again")?;
-    let budget = Micros::try_from(budget_ms.saturating_mul(1000)).unwrap_or(Micros::MAX);
+    let call_id = non_empty_header(headers, CALL_ID_HEADER)?.ok_or(RequestError::Header(CALL_ID_HEADER))?;
+    let budget = budget(headers)?;
+    let destination = destination(headers)?;
+    // A tenant that the settings do not list has no quota.
+    let tenant = header(headers, TENANT_HEADER)?.and_then(|name| names.tenant(name));
+    let order_key = if rules.ordered { order_key(uri)? } else { None };
+    let resubmission = header(headers, RESUBMISSION_HEADER)?;
     Ok(Submission {
-        call_id,
-        key,
+        call_id: call_id.to_owned(),
+        key: key.map(str::to_owned),
         class,
-        class_name: name.to_owned(),
+        class_name: class_name.to_owned(),
         destination,
         tenant,
         order_key: order_key.map(str::to_owned),
-        // No message is held for longer than its class allows, whatever its client would wait.
+        // No message is buffered for longer than its class allows, however long its client would wait.
         time_left: budget.min(rules.deadline),
-        returned: again == Some("again"),
-        repeat: again == Some("1"),
+        returned: resubmission == Some(RETURNED),
+        repeat: resubmission == Some(REPEAT),
         body: Bytes::new(),
     })
 }
 
-pub fn first_part(path: &str) -> &str {
+/// The class that a path names: its first segment.
+pub fn class_name(path: &str) -> &str {
     path.trim_start_matches('/').split('/').next().unwrap_or_default()
 }
 
-/// What the message is about, as the client wrote it: it is only compared, never read.
-fn order_key(uri: &Uri) -> Option<&str> {
+/// How long the client waits.
+fn budget(headers: &HeaderMap) -> Result<Micros, RequestError> {
+    let millis = header(headers, BUDGET_HEADER)?.and_then(parse_digits);
+    let millis = millis.ok_or(RequestError::Header(BUDGET_HEADER))?;
+    Ok(Micros::try_from(millis.saturating_mul(MICROS_PER_MILLI)).unwrap_or(Micros::MAX))
+}
+
+fn destination(headers: &HeaderMap) -> Result<u64, RequestError> {
+    let parameters = header(headers, DESTINATION_HEADER)?;
+    let destination =
+        parameters.and_then(|list| parameter(list, DESTINATION_PARAMETER)).and_then(parse_digits);
+    destination.ok_or(RequestError::Header(DESTINATION_HEADER))
+}
+
+/// The order key as the client wrote it: it is only compared, never decoded.
+fn order_key(uri: &Uri) -> Result<Option<&str>, RequestError> {
     let parameters = uri.query().unwrap_or_default().split('&');
-    parameters.filter_map(|pair| pair.strip_prefix("subject=")).find(|key| !key.is_empty())
+    let mut keys = parameters.filter_map(|parameter| parameter.strip_prefix(ORDER_KEY_PARAMETER));
+    match keys.find(|key| !key.is_empty()) {
+        Some(key) if key.len() > MAX_TEXT_BYTES => Err(RequestError::OrderKeyTooLong),
+        key => Ok(key),
+    }
 }
 
-/// A header's value, if it stands there once, is plain text and is not too long.
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, StatusCode> {
+/// A header's value without the spaces around it, if it stands there once, is plain text and is not too long.
+fn header<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else { return Ok(None) };
-    let value = value.to_str().map_err(|_| StatusCode::BAD_REQUEST)?.trim();
-    if values.next().is_some() || value.len() > TEXT_MOST {
-        return Err(StatusCode::BAD_REQUEST);
+    let value = value.to_str().map_err(|_| RequestError::Header(name))?.trim();
+    if values.next().is_some() || value.len() > MAX_TEXT_BYTES {
+        return Err(RequestError::Header(name));
     }
     Ok(Some(value))
 }
 
+/// As [`header`]; an empty value counts as none.
+fn non_empty_header<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
+    let value = header(headers, name)?;
+    Ok(value.filter(|value| !value.is_empty()))
+}
+
 /// Digits only: no sign, no spaces.
-fn number(text: &str) -> Option<u64> {
-    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+fn parse_digits(text: &str) -> Option<u64> {
+    if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok()
 }
 
 /// The value of a name in a list such as `dest=7, other=x`.
 fn parameter<'a>(list: &'a str, name: &str) -> Option<&'a str> {
-    list.split([',', ';'])
-        .filter_map(|part| part.trim().split_once('='))
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+    let pairs = list.split([',', ';']).filter_map(|part| part.trim().split_once('='));
+    for (key, value) in pairs {
+        if key == name {
+            return Some(value);
+        }
+    }
+    None
 }
--- /dev/null
+++ b/crates/message-sender/src/client_api/response.rs
@@ -0,0 +1,51 @@
+//! Responses to clients. None has a body.
+
+use bytes::Bytes;
+use delivery_control::Micros;
+use http_body_util::Empty;
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::submission::SubmissionReply;
+
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// What a request leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// A health check's status.
+    Health(StatusCode),
+    /// What became of a message.
+    Submission(SubmissionReply),
+}
+
+impl Reply {
+    /// The response to the client.
+    pub fn into_response(self) -> Response<Empty<Bytes>> {
+        match self {
+            Self::Health(status) => empty(status),
+            Self::Submission(SubmissionReply::Accepted) => empty(StatusCode::ACCEPTED),
+            Self::Submission(SubmissionReply::UnknownDestination) => empty(StatusCode::NOT_FOUND),
+            Self::Submission(SubmissionReply::Rejected(retry_after)) => rejected(retry_after),
+        }
+    }
+}
+
+/// A response with a status and no more.
+pub fn empty(status: StatusCode) -> Response<Empty<Bytes>> {
+    let mut response = Response::new(Empty::new());
+    *response.status_mut() = status;
+    response
+}
+
+/// A rejection; a Retry-After of 0 is left out.
+fn rejected(retry_after: Micros) -> Response<Empty<Bytes>> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    if retry_after > 0 {
+        let seconds = format!("{:.3}", retry_after as f64 / MICROS_PER_SECOND);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/message-sender/src/client_api/tests.rs
@@ -0,0 +1,131 @@
+//! Tests of the decoding of requests, without sockets.
+
+use delivery_control::Settings;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{StatusCode, Uri};
+use simulator_adapter::wire::{Config, Names};
+
+use super::error::RequestError;
+use super::request::{body_length, decode};
+use super::response::Reply;
+use crate::submission::{Submission, SubmissionReply};
+
+const DEADLINE_MS: f64 = 8000.0;
+
+fn terms() -> (Settings, Names) {
+    let config = serde_json::json!({
+        "balancers": 1, "ordinal": 0,
+        "categories": [
+            {"name": "keyed", "effect": "token", "aimMs": 1000.0, "deadlineMs": DEADLINE_MS, "worth": 1.0},
+            {"name": "ordered", "effect": "pure", "aimMs": 1000.0, "deadlineMs": DEADLINE_MS, "worth": 1.0,
+                "fifoByKey": true},
+        ],
+        "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
+        "orgs": [{"name": "acme", "allowancePerS": 1.0}],
+        "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
+    });
+    let config: Config = serde_json::from_value(config).expect("a configuration");
+    (config.settings().expect("settings"), config.names())
+}
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes()).expect("a header name");
+        headers.append(name, HeaderValue::from_str(value).expect("a header value"));
+    }
+    headers
+}
+
+const KEYED: [(&str, &str); 5] = [
+    ("x-call-class", "keyed"),
+    ("idempotency-key", "k1"),
+    ("x-call-id", "c1"),
+    ("x-budget-ms", "2000"),
+    ("x-consignee", "other=x, dest=7"),
+];
+
+fn decode_from(uri: &str, headers: &HeaderMap) -> Result<Submission, RequestError> {
+    let (settings, names) = terms();
+    decode(&settings, &names, &Uri::try_from(uri).expect("a URI"), headers)
+}
+
+#[test]
+fn a_complete_head_is_decoded() {
+    let mut pairs = KEYED.to_vec();
+    pairs.push(("x-caller", "acme"));
+    pairs.push(("x-again", "1"));
+    let submission = decode_from("/keyed/more?subject=s", &headers(&pairs)).expect("a message");
+    assert_eq!((submission.call_id.as_str(), submission.key.as_deref()), ("c1", Some("k1")));
+    assert_eq!((submission.class, submission.class_name.as_str()), (0, "keyed"));
+    assert_eq!((submission.destination, submission.tenant), (7, Some(0)));
+    assert_eq!((submission.time_left, submission.order_key), (2_000_000, None));
+    assert_eq!((submission.returned, submission.repeat), (false, true));
+}
+
+#[test]
+fn a_header_that_is_missing_or_malformed_is_named() {
+    for (name, value) in [
+        ("x-call-class", "ordered"),
+        ("idempotency-key", ""),
+        ("x-call-id", ""),
+        ("x-budget-ms", "-1"),
+        ("x-consignee", "dest=+7"),
+    ] {
+        let without: Vec<_> = KEYED.into_iter().filter(|(other, _)| *other != name).collect();
+        let mut malformed = without.clone();
+        malformed.push((name, value));
+        let mut twice = KEYED.to_vec();
+        twice.push((name, "x"));
+        for pairs in [without, malformed, twice] {
+            let error = decode_from("/keyed", &headers(&pairs)).expect_err(name);
+            assert_eq!((error, error.status()), (RequestError::Header(name), StatusCode::BAD_REQUEST));
+        }
+    }
+}
+
+#[test]
+fn an_unknown_class_is_not_found() {
+    let error = decode_from("/parcel", &headers(&KEYED)).expect_err("no such class");
+    assert_eq!((error, error.status()), (RequestError::UnknownClass, StatusCode::NOT_FOUND));
+}
+
+#[test]
+fn the_order_key_is_read_for_ordered_classes_only_and_is_bounded() {
+    let ordered = headers(&[
+        ("x-call-class", "ordered"),
+        ("x-call-id", "c1"),
+        ("x-budget-ms", "99999999999999999"),
+        ("x-consignee", "dest=7"),
+    ]);
+    let submission = decode_from("/ordered?subject=&x=1&subject=a%20b", &ordered).expect("a message");
+    assert_eq!(submission.order_key.as_deref(), Some("a%20b"));
+    assert_eq!(submission.time_left, 8_000_000, "no longer than the class allows");
+    let long = format!("/ordered?subject={}", "x".repeat(257));
+    assert_eq!(decode_from(&long, &ordered).expect_err("too long"), RequestError::OrderKeyTooLong);
+    let unordered = format!("/keyed?subject={}", "x".repeat(257));
+    assert_eq!(decode_from(&unordered, &headers(&KEYED)).expect("a message").order_key, None);
+}
+
+#[test]
+fn the_length_of_a_body_is_checked_before_it_is_read() {
+    assert_eq!(body_length(&headers(&[])), Ok(0));
+    assert_eq!(body_length(&headers(&[("content-length", "65536")])), Ok(65_536));
+    let cases = [
+        ("content-length", "65537", StatusCode::PAYLOAD_TOO_LARGE),
+        ("content-length", "+1", StatusCode::BAD_REQUEST),
+        ("transfer-encoding", "chunked", StatusCode::NOT_IMPLEMENTED),
+    ];
+    for (name, value, status) in cases {
+        let error = body_length(&headers(&[(name, value)])).expect_err(value);
+        assert_eq!(error.status(), status, "{value}");
+    }
+}
+
+#[test]
+fn a_rejection_carries_its_retry_after_in_seconds() {
+    let response = |retry_after| Reply::Submission(SubmissionReply::Rejected(retry_after)).into_response();
+    assert_eq!(response(1_234_567).headers()["retry-after"], "1.235");
+    assert!(!response(0).headers().contains_key("retry-after"));
+    assert_eq!(response(0).status(), StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -36,7 +36,7 @@
 };
 use crate::metrics::{MessageOutcome, Metrics};
 use crate::notice::{Notice, NoticeResult};
-use crate::operator_api::{CommandResult, OperatorCommand, Order};
+use crate::operator_api::{CommandResult, OperatorCommand, OperatorRequest};
 use crate::submission::{Submission, SubmissionReply};
 use crate::time::duration;
 
@@ -287,7 +287,7 @@
     pub async fn run(
         mut self,
         inbox: &mut mpsc::Receiver<SenderEvent>,
-        orders: &mut mpsc::Receiver<Order>,
+        orders: &mut mpsc::Receiver<OperatorRequest>,
         successors: &mut mpsc::Receiver<Successor>,
         limiter: &ConnectionLimiter,
     ) -> LoopEnd {
@@ -296,7 +296,7 @@
         while !self.is_done(inbox.is_empty() && !limiter.has_pending_request()) {
             if self.events.is_empty() && self.waiting.is_empty() && successor.is_none() {
                 tokio::select! {
-                    Some((command, reply)) = orders.recv() => self.command(command, reply),
+                    Some(OperatorRequest { command, reply }) = orders.recv() => self.command(command, reply),
                     Some(happening) = inbox.recv() => self.note(happening),
                     Some(came) = successors.recv() => successor = Some(came),
                     () = sleep_until(self.wake()) => {}
@@ -305,7 +305,7 @@
             if let Some(turned) = self.turned {
                 sleep_until(turned + duration(self.settings.turn_interval)).await;
             }
-            while let Ok((command, reply)) = orders.try_recv() {
+            while let Ok(OperatorRequest { command, reply }) = orders.try_recv() {
                 self.command(command, reply);
             }
             // Once round the queue at most, lest a flood keep the turn from coming.
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -56,7 +56,7 @@
     let terminate = signal(SignalKind::terminate())?;
     let interrupt = signal(SignalKind::interrupt())?;
     let (inbox, mut happenings) = mpsc::channel(INBOX);
-    let (orders, mut ordered) = mpsc::channel(operator_api::ORDERS);
+    let (orders, mut ordered) = mpsc::channel(operator_api::REQUEST_QUEUE_CAPACITY);
     let (post, mut successors) = mpsc::channel(1);
     let (moved, discovery) = watch::channel(config.discovery);
     let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
@@ -67,7 +67,7 @@
         tracing::info!(management = %listener.local_addr()?, "listens for operators");
         let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
         let (serving_state, ready, metrics) = (serving_state.clone(), ready.clone(), metrics.clone());
-        let management = Rc::new(OperatorApi { serving_state, ready, metrics, orders });
+        let management = Rc::new(OperatorApi { serving_state, ready, metrics, requests: orders });
         tokio::task::spawn_local(limiter.clone().run_maintenance());
         tokio::task::spawn_local(management.serve(listener, limiter));
     }
@@ -181,7 +181,7 @@
                 tracing::info!(discovery = %address, "the configuration was read again");
                 moved.send_if_modified(|now| std::mem::replace(now, address) != address);
             }
-            Err(error) => tracing::error!(?error, "the configuration stays as it was"),
+            Err(error) => tracing::error!(%error, "the configuration stays as it was"),
         }
     }
 }
--- /dev/null
+++ b/crates/message-sender/src/operator_api/server.rs
@@ -0,0 +1,171 @@
+//! Serves operators' connections and carries out their calls.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use super::command::{CommandResult, OperatorCommand, OperatorRequest};
+use super::error::OperatorError;
+use super::route::Route;
+use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
+use crate::instrumented_stream::InstrumentedStream;
+use crate::metrics::Metrics;
+use crate::serving_state::ServingState;
+
+/// Callers at once; one that sends nothing makes way for the next.
+pub const MAX_CONNECTIONS: usize = 16;
+/// Requests that wait for the event loop: as many as there are callers.
+pub const REQUEST_QUEUE_CAPACITY: usize = MAX_CONNECTIONS;
+/// The longest head of a call.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// The longest name of an endpoint.
+const MAX_NAME_BYTES: usize = 256;
+/// A caller waits 1 s: a later answer would not be received.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(900);
+
+const SERVING: &str = "serving\n";
+const STANDBY: &str = "standby\n";
+const DONE: &str = "done\n";
+
+/// What all callers' connections share.
+pub struct OperatorApi {
+    /// Operators set it to standby and back.
+    pub serving_state: Rc<watch::Sender<ServingState>>,
+    /// This process is the sender: messages can be accepted.
+    pub ready: Rc<Cell<bool>>,
+    /// The metrics that operators fetch.
+    pub metrics: Rc<Metrics>,
+    /// Where commands go to the event loop.
+    pub requests: mpsc::Sender<OperatorRequest>,
+}
+
+impl OperatorApi {
+    /// Accepts calls until it is dropped.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, limiter: Rc<ConnectionLimiter>) {
+        let handle = |stream, slot| self.clone().serve_connection(stream, limiter.clone(), slot);
+        limiter.clone().serve(listener, handle).await;
+    }
+
+    async fn serve_connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+        limiter: Rc<ConnectionLimiter>,
+        slot: Rc<ConnectionSlot>,
+    ) {
+        let io = TokioIo::new(InstrumentedStream { stream: Rc::new(stream), observer: slot.clone() });
+        let service = service_fn(move |request| {
+            let api = self.clone();
+            let limiter = limiter.clone();
+            let slot = slot.clone();
+            async move {
+                let response = response(api.answer(request, &slot).await);
+                limiter.mark_answered(&slot);
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let mut server = http1::Builder::new();
+        // The slot has the time-out, one for head and body together.
+        server.header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES).keep_alive(false);
+        if let Err(error) = server.serve_connection(io, service).await {
+            tracing::debug!(%error, "operator connection failed");
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        slot: &ConnectionSlot,
+    ) -> Result<String, OperatorError> {
+        let (head, body) = request.into_parts();
+        let route = Route::find(&head.method, head.uri.path())?;
+        let body = Limited::new(body, MAX_NAME_BYTES).collect().await.map_err(|_| OperatorError::Body)?;
+        slot.mark_request_received();
+        match route {
+            Route::Metrics => Ok(self.metrics.render()),
+            Route::Status => self.status(),
+            Route::Standby => self.change_serving_state(ServingState::Standby, STANDBY),
+            Route::Activate => self.change_serving_state(ServingState::Serving, SERVING),
+            Route::DrainEndpoint => {
+                self.execute(OperatorCommand::Drain(endpoint_name(&body.to_bytes())?)).await
+            }
+            Route::RestoreEndpoint => {
+                self.execute(OperatorCommand::Restore(endpoint_name(&body.to_bytes())?)).await
+            }
+        }
+    }
+
+    fn state(&self) -> ServingState {
+        *self.serving_state.borrow()
+    }
+
+    fn status(&self) -> Result<String, OperatorError> {
+        if self.ready.get() && self.state().is_serving() {
+            Ok(SERVING.to_owned())
+        } else {
+            Err(OperatorError::Unavailable)
+        }
+    }
+
+    /// Clients' connections and health checks follow at once.
+    fn change_serving_state(&self, to: ServingState, answer: &str) -> Result<String, OperatorError> {
+        if !self.ready.get() || !self.state().is_changeable() {
+            return Err(OperatorError::Unavailable);
+        }
+        let from = self.serving_state.send_replace(to);
+        if from != to {
+            tracing::info!(?from, ?to, "serving state changed by operator");
+        }
+        Ok(answer.to_owned())
+    }
+
+    /// Has the event loop carry out a command. When the time is up the reply's receiver is dropped: the event
+    /// loop then leaves a command alone that it has not begun.
+    async fn execute(&self, command: OperatorCommand) -> Result<String, OperatorError> {
+        if !self.ready.get() {
+            return Err(OperatorError::Unavailable);
+        }
+        let executed = timeout(COMMAND_TIMEOUT, self.request(command)).await;
+        match executed.map_err(|_| OperatorError::Unavailable)?? {
+            CommandResult::Done => Ok(DONE.to_owned()),
+            CommandResult::UnknownEndpoint => Err(OperatorError::UnknownEndpoint),
+            CommandResult::NotPersisted => Err(OperatorError::NotPersisted),
+        }
+    }
+
+    async fn request(&self, command: OperatorCommand) -> Result<CommandResult, OperatorError> {
+        let (reply, result) = oneshot::channel();
+        let request = OperatorRequest { command, reply };
+        self.requests.send(request).await.map_err(|_| OperatorError::Unavailable)?;
+        result.await.map_err(|_| OperatorError::Unavailable)
+    }
+}
+
+fn response(answer: Result<String, OperatorError>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    match answer {
+        Ok(text) => *response.body_mut() = text.into(),
+        Err(error) => *response.status_mut() = error.status(),
+    }
+    response
+}
+
+/// The endpoint that a body names.
+pub(super) fn endpoint_name(body: &Bytes) -> Result<String, OperatorError> {
+    let name = std::str::from_utf8(body).map_err(|_| OperatorError::EndpointName)?.trim();
+    if name.is_empty() || name.contains(char::is_control) {
+        return Err(OperatorError::EndpointName);
+    }
+    Ok(name.to_owned())
+}
