Type the errors of the configuration and name what it divides

Cause: anyhow in a module, descriptors divided next to the file's decoding. Change: config/{deployment,limits,error}; ConfigError names variable, file or field; metrics render by two plain functions.

--- a/crates/message-sender/src/config/deployment.rs
+++ b/crates/message-sender/src/config/deployment.rs
@@ -1,69 +1,53 @@
-//! What the deployment tells a sender, decoded into the module's settings.
+//! A sender's configuration, from its file and its environment.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use anyhow::Context;
 use delivery_control::Settings;
 use serde::Deserialize;
 use simulator_adapter::wire::{self, Names};
 
+use super::error::ConfigError;
+use super::limits::Limits;
 use crate::endpoint_list::EndpointList;
-use crate::operator_api;
 
-/// A sender's configuration, with the settings in the module's terms.
+/// Names the configuration's file.
+const FILE_VARIABLE: &str = "ROUTER_CONFIG";
+/// Names the folder for what outlives the process.
+const STATE_VARIABLE: &str = "ROUTER_STATE";
+/// Holds the address for operators.
+const MANAGEMENT_VARIABLE: &str = "ROUTER_MANAGEMENT";
+
+/// The radix of a seed that is given as text.
+const SEED_RADIX: u32 = 16;
+
+/// A sender's configuration, with the settings in the controller's terms.
 pub struct Config {
+    /// The sender's name, for the log.
     pub name: String,
+    /// Where clients submit messages.
     pub listen: SocketAddr,
     /// Where operators call, if anywhere.
     pub management: Option<SocketAddr>,
+    /// Where discovery is.
     pub discovery: SocketAddr,
+    /// The folder for what outlives the process.
     pub state: PathBuf,
+    /// Seed of the controller's random numbers.
     pub seed: u64,
+    /// What the machine allows.
     pub limits: Limits,
+    /// An endpoint list to start with.
     pub known: Option<EndpointList>,
+    /// The controller's settings.
     pub settings: Settings,
+    /// The names that the settings list.
     pub names: Names,
 }
 
-/// What the machine allows this process.
-#[derive(Deserialize, Clone, Copy)]
-pub struct Limits {
-    pub memory_mb: f64,
-    pub sockets: usize,
-    pub disk_mb: f64,
-}
-
-/// How the descriptors are dealt out, so that all uses together stay under the limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Shares {
-    /// Connections from clients.
-    pub clients: usize,
-    /// Idle connections to endpoints.
-    pub idle: usize,
-}
-
-/// Descriptors of the runtime, the journal while it is compacted, discovery, the listeners, a handover and the log,
-/// and those of operators' calls.
-const OWN_SOCKETS: usize = 28 + operator_api::MAX_CONNECTIONS;
-/// While an upgrade goes on, so many processes have them; the rest is the sender's as a whole.
-const PROCESSES: usize = 2;
-/// What a client's connection holds: its buffers. Few have a body in hand at the same time.
-const CLIENT_BYTES: f64 = 24.0 * 1024.0;
-/// Share of the memory that clients' connections may take.
-const CLIENT_SHARE: f64 = 0.25;
-
-impl Limits {
-    /// Deals out the descriptors that `slots` calls and the process itself leave.
-    pub fn shares(&self, slots: usize) -> Shares {
-        let free = self.sockets.saturating_sub(PROCESSES * OWN_SOCKETS + slots).max(2);
-        let by_memory = (self.memory_mb * 1e6 * CLIENT_SHARE / CLIENT_BYTES) as usize;
-        Shares { clients: (free * 2 / 3).min(by_memory).max(1), idle: free / 3 }
-    }
-}
-
+/// The file.
 #[derive(Deserialize)]
-struct File {
+struct ConfigFile {
     name: String,
     listen: SocketAddr,
     management: Option<SocketAddr>,
@@ -74,13 +58,13 @@
     settings: wire::Config,
 }
 
-/// The part of the file that is heeded again on SIGHUP.
+/// The part of the file that is read again on SIGHUP.
 #[derive(Deserialize)]
-struct Changeable {
+struct ReloadableConfig {
     discovery: SocketAddr,
 }
 
-/// A seed comes as hexadecimal text or as a plain number.
+/// A seed is hexadecimal text or a plain number.
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum Seed {
@@ -89,42 +73,39 @@
 }
 
 impl Seed {
-    fn value(&self) -> anyhow::Result<u64> {
+    fn value(&self) -> Result<u64, ConfigError> {
         match self {
             Self::Number(number) => Ok(*number),
-            Self::Text(text) => u64::from_str_radix(text, 16).context("seed is not a hexadecimal number"),
+            Self::Text(text) => u64::from_str_radix(text, SEED_RADIX).map_err(ConfigError::Seed),
         }
     }
 }
 
 impl Config {
-    /// Reads the file that `ROUTER_CONFIG` names; the lasting folder is named by `ROUTER_STATE` alone, and
-    /// `ROUTER_MANAGEMENT` goes before the file's address: a new version under load has another one.
-    pub fn from_environment() -> anyhow::Result<Self> {
-        let state = std::env::var_os("ROUTER_STATE").context("ROUTER_STATE is not set")?;
-        let mut config = Self::decode(&Self::text()?, PathBuf::from(state))?;
-        if let Some(address) = std::env::var("ROUTER_MANAGEMENT").ok().filter(|text| !text.is_empty()) {
-            config.management = Some(address.parse().context("ROUTER_MANAGEMENT is not an address")?);
+    /// Reads the file that `ROUTER_CONFIG` names. `ROUTER_STATE` alone names the state folder, and
+    /// `ROUTER_MANAGEMENT` takes precedence over the file's address: during an upgrade, the new version has
+    /// another one.
+    pub fn from_environment() -> Result<Self, ConfigError> {
+        let state = std::env::var_os(STATE_VARIABLE).ok_or(ConfigError::NotSet(STATE_VARIABLE))?;
+        let mut config = Self::decode(&read_file()?, PathBuf::from(state))?;
+        if let Some(address) = management_from_environment()? {
+            config.management = Some(address);
         }
         Ok(config)
     }
 
-    fn text() -> anyhow::Result<Vec<u8>> {
-        let path = std::env::var_os("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
-        std::fs::read(&path).context("the configuration cannot be read")
-    }
-
     /// Reads the file again for what may change while the process runs: where discovery is.
-    pub fn discovery_now() -> anyhow::Result<SocketAddr> {
-        let file: Changeable =
-            serde_json::from_slice(&Self::text()?).context("the configuration is malformed")?;
-        Ok(file.discovery)
+    pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
+        let config: ReloadableConfig =
+            serde_json::from_slice(&read_file()?).map_err(ConfigError::Malformed)?;
+        Ok(config.discovery)
     }
 
-    fn decode(text: &[u8], state: PathBuf) -> anyhow::Result<Self> {
-        let file: File = serde_json::from_slice(text).context("the configuration is malformed")?;
-        let settings = file.settings.settings().map_err(anyhow::Error::msg)?;
-        // On sockets, the platform hears of an end by a notice, later than the module decides on it.
+    pub(super) fn decode(text: &[u8], state: PathBuf) -> Result<Self, ConfigError> {
+        let file: ConfigFile = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let settings = file.settings.settings().map_err(ConfigError::Settings)?;
+        // On sockets, the platform learns by a notice that a message has ended, later than the controller
+        // decides it.
         let settings = Settings { notices_are_acknowledged: true, ..settings };
         Ok(Self {
             name: file.name,
@@ -140,3 +121,18 @@
         })
     }
 }
+
+fn read_file() -> Result<Vec<u8>, ConfigError> {
+    let path = std::env::var_os(FILE_VARIABLE).ok_or(ConfigError::NotSet(FILE_VARIABLE))?;
+    std::fs::read(&path).map_err(|error| ConfigError::Unreadable(path, error))
+}
+
+/// The address for operators; an empty variable counts as none.
+fn management_from_environment() -> Result<Option<SocketAddr>, ConfigError> {
+    let Ok(address) = std::env::var(MANAGEMENT_VARIABLE) else { return Ok(None) };
+    if address.is_empty() {
+        return Ok(None);
+    }
+    let address = address.parse();
+    address.map(Some).map_err(|error| ConfigError::NotAnAddress(MANAGEMENT_VARIABLE, error))
+}
--- /dev/null
+++ b/crates/message-sender/src/config/mod.rs
@@ -0,0 +1,9 @@
+//! What the deployment says to a sender: its file and its environment, decoded into the controller's terms.
+
+mod deployment;
+mod error;
+mod limits;
+#[cfg(test)]
+mod tests;
+
+pub use deployment::Config;
--- /dev/null
+++ b/crates/message-sender/src/config/tests.rs
@@ -0,0 +1,64 @@
+//! Tests of the decoding of the file, and of the division of descriptors.
+
+use std::path::PathBuf;
+
+use serde_json::{json, Value};
+
+use super::error::ConfigError;
+use super::limits::Limits;
+use super::Config;
+
+fn file() -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+        "settings": {
+            "balancers": 1, "ordinal": 0,
+            "categories": [{"name": "notice", "effect": "token", "aimMs": 1, "deadlineMs": 2, "worth": 1}],
+            "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
+            "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
+        },
+    })
+}
+
+fn decode(file: &Value) -> Result<Config, ConfigError> {
+    Config::decode(file.to_string().as_bytes(), PathBuf::from("state"))
+}
+
+fn error_text(field: &str, value: Value) -> String {
+    let mut file = file();
+    *file.pointer_mut(field).expect("a field") = value;
+    let Err(error) = decode(&file) else { panic!("{field} is accepted") };
+    error.to_string()
+}
+
+#[test]
+fn seeds_are_hexadecimal_text_or_numbers() {
+    let mut file = file();
+    assert_eq!(decode(&file).expect("a configuration").seed, 0x8c1f);
+    file["seed"] = json!(17);
+    assert_eq!(decode(&file).expect("a configuration").seed, 17);
+}
+
+#[test]
+fn a_message_ends_once_its_notice_is_acknowledged() {
+    assert!(decode(&file()).expect("a configuration").settings.notices_are_acknowledged);
+}
+
+#[test]
+fn errors_name_the_field() {
+    assert!(error_text("/seed", json!("xyz")).contains("seed is not a hexadecimal number"));
+    assert!(error_text("/settings/categories/0/effect", json!("maybe")).contains("unknown effect \"maybe\""));
+    assert!(error_text("/listen", json!("nowhere")).contains("the configuration is malformed"));
+    assert!(error_text("/settings/rules", json!(null)).contains("the configuration is malformed"));
+    assert!(error_text("/limits", json!({})).contains("memory_mb"));
+}
+
+#[test]
+fn descriptors_are_divided_without_exceeding_the_limit() {
+    let shares = |sockets| Limits { memory_mb: 192.0, sockets, disk_mb: 1.0 }.shares(12);
+    assert_eq!((shares(256).clients, shares(256).idle), (104, 52));
+    assert_eq!((shares(0).clients, shares(0).idle), (1, 0));
+    let poor = Limits { memory_mb: 1.0, sockets: 1_000, disk_mb: 1.0 }.shares(12);
+    assert_eq!(poor.clients, 10, "bounded by the memory");
+}
--- a/crates/message-sender/src/metrics.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -1,5 +1,5 @@
-//! The figures that operators fetch, in the form of statsd. Each is counted where the thing happens; all start at
-//! 0 with the process.
+//! The metrics that operators fetch, in the form of statsd. Each is counted where the thing happens; all
+//! start at 0 with the process.
 
 use std::cell::Cell;
 use std::fmt::Write;
@@ -12,28 +12,32 @@
 pub enum MessageOutcome {
     /// Delivered.
     Delivered,
-    /// Refused, or handed back: handing it in again is harmless.
+    /// Rejected, at once or after it was accepted: submitting it again is harmless.
     Rejected,
-    /// Failed.
+    /// Given up; it may or may not have taken effect.
     Failed,
 }
 
+/// How many messages of a class ended in each way.
 #[derive(Default)]
 struct ClassMetrics {
     name: String,
-    passed: Cell<u64>,
-    dropped: Cell<u64>,
-    bad_gateway: Cell<u64>,
+    delivered: Cell<u64>,
+    rejected: Cell<u64>,
+    failed: Cell<u64>,
 }
 
-/// Counts and gauges of this process.
+/// Counters and gauges of this process.
 #[derive(Default)]
 pub struct Metrics {
     classes: Vec<ClassMetrics>,
-    /// Messages written whole to endpoints.
+    /// Attempts of which the whole request was written to an endpoint.
     pub attempts: Rc<Cell<u64>>,
+    /// Messages that are buffered or whose notice is not acknowledged.
     pub in_progress: Cell<usize>,
+    /// Endpoints in the endpoint list.
     pub known_endpoints: Cell<usize>,
+    /// Endpoints that get no attempts at present.
     pub skipped_endpoints: Cell<usize>,
 }
 
@@ -43,36 +47,45 @@
 }
 
 impl Metrics {
+    /// Metrics of these classes, all 0.
     pub fn new(names: &Names) -> Self {
         let class = |name: &String| ClassMetrics { name: name.clone(), ..ClassMetrics::default() };
         Self { classes: names.classes().iter().map(class).collect(), ..Self::default() }
     }
 
-    /// Counts a message's end.
-    pub fn count_outcome(&self, class: usize, fate: MessageOutcome) {
+    /// Counts a message's end; a class that the settings don't list is not counted.
+    pub fn count_outcome(&self, class: usize, outcome: MessageOutcome) {
         let Some(class) = self.classes.get(class) else { return };
-        increment(match fate {
-            MessageOutcome::Delivered => &class.passed,
-            MessageOutcome::Rejected => &class.dropped,
-            MessageOutcome::Failed => &class.bad_gateway,
-        });
+        let counter = match outcome {
+            MessageOutcome::Delivered => &class.delivered,
+            MessageOutcome::Rejected => &class.rejected,
+            MessageOutcome::Failed => &class.failed,
+        };
+        increment(counter);
     }
 
+    /// All metrics, one a line, under the names that operators know them by.
     pub fn render(&self) -> String {
         let mut text = String::new();
-        let mut line = |name: &str, value: u64, kind: &str| {
-            // Writing to a string does not fail.
-            let _ = writeln!(text, "router.{name}:{value}|{kind}");
-        };
         for class in &self.classes {
-            line(&format!("passed.{}", class.name), class.passed.get(), "c");
-            line(&format!("dropped.{}", class.name), class.dropped.get(), "c");
-            line(&format!("bad_gateway.{}", class.name), class.bad_gateway.get(), "c");
+            append_counter(&mut text, &format!("passed.{}", class.name), class.delivered.get());
+            append_counter(&mut text, &format!("dropped.{}", class.name), class.rejected.get());
+            append_counter(&mut text, &format!("bad_gateway.{}", class.name), class.failed.get());
         }
-        line("upstream_tries", self.attempts.get(), "c");
-        line("in_progress", self.in_progress.get() as u64, "g");
-        line("known_endpoints", self.known_endpoints.get() as u64, "g");
-        line("skipped_endpoints", self.skipped_endpoints.get() as u64, "g");
+        append_counter(&mut text, "upstream_tries", self.attempts.get());
+        append_gauge(&mut text, "in_progress", self.in_progress.get());
+        append_gauge(&mut text, "known_endpoints", self.known_endpoints.get());
+        append_gauge(&mut text, "skipped_endpoints", self.skipped_endpoints.get());
         text
     }
 }
+
+fn append_counter(text: &mut String, name: &str, value: u64) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "router.{name}:{value}|c");
+}
+
+fn append_gauge(text: &mut String, name: &str, value: usize) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "router.{name}:{value}|g");
+}
--- a/crates/simulator-adapter/src/config.rs
+++ b/crates/simulator-adapter/src/config.rs
@@ -152,8 +152,8 @@
         }
     }
 
-    /// The settings in the controller's terms. They say that a message ends as soon as the controller decides so:
-    /// in the simulator, notices need no acknowledgement.
+    /// The settings in the controller's terms. They say that a message ends as soon as the controller decides
+    /// so: in the simulator, notices need no acknowledgement.
     pub fn settings(&self) -> Result<Settings, SettingsError> {
         let classes = self.classes.iter().map(ClassConfig::message_class);
         Ok(Settings {
--- a/crates/simulator-adapter/src/lib.rs
+++ b/crates/simulator-adapter/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decoding of the deployment's configuration and of the simulator's line protocol.
 //!
-//! The names on the wire are mapped to the terms of `delivery-control` here and nowhere else: the types of this
-//! crate carry those terms, and `serde` attributes carry the wire's.
+//! The names on the wire are mapped to the terms of `delivery-control` here and nowhere else: the types of
+//! this crate carry those terms, and `serde` attributes carry the wire's.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
