Move the decoding of deployments' settings into a crate of its own

Cause: the sender depended on the simulator's adapter for configuration alone. Change: deployment-config (Config, Names, load_report, millisecond conversion) is used by both; the adapter is a program without a library.

--- a/crates/simulator-adapter/src/load_report.rs
+++ b/crates/deployment-config/src/load_report.rs
@@ -2,6 +2,8 @@
 
 use delivery_control::LoadReport;
 
+use crate::time::MICROS_PER_MILLI;
+
 const LIMIT_REMAINING: &str = "x0";
 const LIMIT: &str = "x1";
 const IN_FLIGHT: &str = "concurrent";
@@ -11,10 +13,8 @@
 const RATE: &str = "tps";
 const ERROR_RATE: &str = "err_ps";
 
-const MICROS_PER_MILLI: f64 = 1e3;
-
 /// Decodes a load report from a function that looks up a value by its name on the wire.
-pub fn load(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+pub fn load_report(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
     LoadReport {
         limit_remaining: value(LIMIT_REMAINING),
         limit: value(LIMIT),
--- a/crates/simulator-adapter/src/time.rs
+++ b/crates/deployment-config/src/time.rs
@@ -1,8 +1,9 @@
-//! Conversion between the wire's milliseconds and the controller's microseconds.
+//! Conversion between the milliseconds of settings and of the simulator's wire, and the controller's
+//! microseconds.
 
 use delivery_control::Micros;
 
-const MICROS_PER_MILLI: f64 = 1e3;
+pub(crate) const MICROS_PER_MILLI: f64 = 1e3;
 
 /// Milliseconds as microseconds, rounded to the nearest.
 pub fn micros_from_millis(millis: f64) -> Micros {
--- a/crates/message-sender/src/client_api/request.rs
+++ b/crates/message-sender/src/client_api/request.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use delivery_control::{Idempotency, Micros, Settings};
+use deployment_config::Names;
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::Uri;
-use simulator_adapter::wire::Names;
 
 use super::error::RequestError;
 use crate::submission::Submission;
--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use delivery_control::Settings;
+use deployment_config::Names;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
@@ -12,7 +13,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use simulator_adapter::wire::Names;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
--- a/crates/message-sender/src/client_api/tests.rs
+++ b/crates/message-sender/src/client_api/tests.rs
@@ -1,9 +1,9 @@
 //! Tests of the decoding of requests, without sockets.
 
 use delivery_control::Settings;
+use deployment_config::{Config, Names};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{StatusCode, Uri};
-use simulator_adapter::wire::{Config, Names};
 
 use super::error::RequestError;
 use super::request::{body_length, decode};
--- a/crates/message-sender/src/config/deployment.rs
+++ b/crates/message-sender/src/config/deployment.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use delivery_control::Settings;
+use deployment_config::Names;
 use serde::Deserialize;
-use simulator_adapter::wire::{self, Names};
 
 use super::error::ConfigError;
 use super::limits::Limits;
@@ -55,7 +55,7 @@
     seed: Seed,
     limits: Limits,
     known: Option<EndpointList>,
-    settings: wire::Config,
+    settings: deployment_config::Config,
 }
 
 /// The part of the file that is read again on SIGHUP.
--- a/crates/message-sender/src/delivery/mod.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -8,12 +8,12 @@
 
 use bytes::Bytes;
 use delivery_control::{AttemptOutcome, DestinationId, EndpointId, Limits, LoadReport, Micros};
+use deployment_config::load_report;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use simulator_adapter::wire::load;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -538,7 +538,7 @@
             text.split(',').filter_map(|part| part.split_once('=')).find(|(key, _)| key.trim() == name)?;
         value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
     };
-    Some(load(value)).filter(|load| *load != LoadReport::default())
+    Some(load_report(value)).filter(|load| *load != LoadReport::default())
 }
 
 fn meaning(status: StatusCode, headers: &HeaderMap) -> AttemptResult {
--- a/crates/message-sender/src/endpoint_registry.rs
+++ b/crates/message-sender/src/endpoint_registry.rs
@@ -7,8 +7,8 @@
 use delivery_control::{
     DestinationId, DestinationKind, EndpointEntry, EndpointId, ListingState, Micros, UpdateKind,
 };
+use deployment_config::Names;
 use serde::{Deserialize, Serialize};
-use simulator_adapter::wire::Names;
 use tokio::time::Instant;
 
 use crate::delivery::Route;
@@ -243,7 +243,7 @@
             "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
             "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
         });
-        let config: simulator_adapter::wire::Config = serde_json::from_value(config).unwrap();
+        let config: deployment_config::Config = serde_json::from_value(config).unwrap();
         EndpointRegistry::new(config.names(), Vec::new())
     }
 
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -14,8 +14,8 @@
     Action, AmbiguousAttempt, AttemptEnd, AttemptOutcome, DestinationId, EndpointId, Event,
     MaintenanceCommand, MessageId, MessageSubmission, Micros, Settings, SettingsError,
 };
+use deployment_config::Names;
 use hyper::header::HeaderValue;
-use simulator_adapter::wire::Names;
 use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
--- a/crates/message-sender/src/handover/mod.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -17,13 +17,13 @@
 
 use delivery_control::Controller;
 use delivery_control::{MessageId, Micros};
+use deployment_config::Names;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use simulator_adapter::wire::Names;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, watch};
--- a/crates/message-sender/src/metrics.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 use std::rc::Rc;
 
-use simulator_adapter::wire::Names;
+use deployment_config::Names;
 
 /// How a message ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/simulator-adapter/src/endpoint_list.rs
+++ b/crates/simulator-adapter/src/endpoint_list.rs
@@ -1,11 +1,10 @@
 //! Endpoint lists as the simulator sends them.
 
 use delivery_control::{EndpointEntry, Event, ListingState, UpdateKind};
+use deployment_config::time::micros_from_millis;
+use deployment_config::Names;
 use serde::Deserialize;
 
-use crate::time::micros_from_millis;
-use crate::wire::Names;
-
 /// One endpoint of a list.
 #[derive(Deserialize)]
 pub struct ListedEndpoint {
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -5,12 +5,13 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use delivery_control::{Action, Controller, Event, Micros, SettingsError};
-use simulator_adapter::endpoint_list::{update_event, ListKind, ListedEndpoint};
-use simulator_adapter::incoming::{
+use deployment_config::Names;
+
+use crate::endpoint_list::{update_event, ListKind, ListedEndpoint};
+use crate::incoming::{
     BatchStart, Catalog, EndpointListLine, EventError, IncomingLine, InstanceStart, MessageLine,
 };
-use simulator_adapter::outgoing;
-use simulator_adapter::wire::Names;
+use crate::outgoing;
 
 /// What is wrong with the input, and where.
 #[derive(Debug, thiserror::Error)]
--- a/crates/simulator-adapter/src/incoming.rs
+++ b/crates/simulator-adapter/src/incoming.rs
@@ -4,11 +4,11 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use delivery_control::{AttemptEnd, AttemptOutcome, Event, LoadReport, MessageSubmission, Micros};
+use deployment_config::time::{micros_from_millis, micros_or_zero};
+use deployment_config::{load_report, Config, Names};
 use serde::Deserialize;
 
 use crate::endpoint_list::{ListKind, ListedEndpoint};
-use crate::time::{micros_from_millis, micros_or_zero};
-use crate::wire::{load, Config, Names};
 
 /// Why a line makes no event.
 #[derive(Debug, thiserror::Error)]
@@ -284,8 +284,8 @@
     }
 }
 
-fn load_report(values: Option<LoadValues>) -> Option<LoadReport> {
-    values.map(|values| load(|name| values.get(name).copied()))
+fn decode_load_report(values: Option<LoadValues>) -> Option<LoadReport> {
+    values.map(|values| load_report(|name| values.get(name).copied()))
 }
 
 impl BatchStart {
@@ -345,7 +345,7 @@
             elapsed: micros_or_zero(self.elapsed_ms),
             is_final: self.is_final,
             retry_after: if is_rejected { micros_or_zero(self.retry_after_ms) } else { 0 },
-            load_report: load_report(self.load_report),
+            load_report: decode_load_report(self.load_report),
         })
     }
 }
@@ -371,7 +371,7 @@
             endpoint: self.endpoint,
             outcome: self.outcome.into(),
             elapsed: micros_or_zero(self.elapsed_ms),
-            load_report: load_report(self.load_report),
+            load_report: decode_load_report(self.load_report),
         }
     }
 }
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -5,7 +5,10 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+mod endpoint_list;
 mod host;
+mod incoming;
+mod outgoing;
 
 use host::{Host, InputError, LineError};
 
--- a/crates/simulator-adapter/src/outgoing.rs
+++ b/crates/simulator-adapter/src/outgoing.rs
@@ -4,10 +4,9 @@
 
 use base64::prelude::{Engine, BASE64_STANDARD};
 use delivery_control::Action;
+use deployment_config::time::millis_from_micros;
 use serde::Serialize;
 
-use crate::time::millis_from_micros;
-
 /// On the wire, the target of a note that goes to all senders.
 const ALL_SENDERS: i64 = -1;
 
