--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -1,6 +1,7 @@
 //! Serves clients' connections and routes their requests.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{service_fn, Service};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +32,9 @@
 /// Where load balancers ask whether the sender serves.
 const HEALTH_PATH: &str = "/healthz";
 
+/// A client's connection, whose slot sees what is received.
+type ClientStream = TokioIo<InstrumentedStream<ConnectionSlot>>;
+
 /// What the handlers of all connections share.
 pub struct ClientApi {
     /// The settings that messages are checked against.
@@ -69,11 +73,26 @@
         let mut server = http1::Builder::new();
         // The slot has the time-out, one for head and body together.
         server.header_read_timeout(None).max_buf_size(MAX_BUFFER_BYTES);
-        let mut connection = std::pin::pin!(server.serve_connection(io, service));
+        let connection = server.serve_connection(io, service);
+        if let Err(error) = self.drive_connection(connection, &slot).await {
+            tracing::debug!(%error, "client connection failed");
+        }
+    }
+
+    /// Drives a connection to its end, which comes by itself or once the process serves no longer.
+    async fn drive_connection<S>(
+        &self,
+        connection: http1::Connection<ClientStream, S>,
+        slot: &ConnectionSlot,
+    ) -> hyper::Result<()>
+    where
+        S: Service<Request<Incoming>, Response = Response<Empty<Bytes>>, Error = Infallible>,
+    {
+        let mut connection = pin!(connection);
         let mut serving_state = self.serving_state.clone();
-        let served = loop {
+        loop {
             tokio::select! {
-                served = &mut connection => break served,
+                served = &mut connection => return served,
                 () = ServingState::wait_until_not_serving(&mut serving_state) => {
                     // A connection that is accepted while draining gets its first request read; the answer
                     // closes it. So does one on which part of a request has been received: the library takes
@@ -83,9 +102,6 @@
                     }
                 }
             }
-        };
-        if let Err(error) = served {
-            tracing::debug!(%error, "client connection failed");
         }
     }
 
