Own the serving state's transitions in one type

Cause: main, handover and operator API wrote the watch channel each by itself. Change: ServingStateControl with set_by_operator, hand_over, resume, shut_down.

--- a/crates/message-sender/src/handover/mod.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -26,11 +26,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::endpoint_registry::RegistrySnapshot;
-use crate::serving_state::ServingState;
+use crate::serving_state::ServingStateControl;
 
 const LOCK: &str = "lock";
 const SOCKET: &str = "handover";
@@ -264,7 +264,7 @@
     stream: UnixStream,
     reads_state: bool,
     listener: Rc<net::TcpListener>,
-    serving_state: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<ServingStateControl>,
 }
 
 impl Successor {
@@ -283,7 +283,7 @@
             if whole {
                 let Prepared = read(&mut self.stream).await?;
             } else {
-                self.serving_state.send_replace(ServingState::ShuttingDown);
+                self.serving_state.shut_down();
             }
             Ok(self.stream)
         };
@@ -315,7 +315,7 @@
     pub async fn serve(
         self,
         listener: Rc<net::TcpListener>,
-        serving_state: Rc<watch::Sender<ServingState>>,
+        serving_state: Rc<ServingStateControl>,
         successors: mpsc::Sender<Successor>,
     ) {
         loop {
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -45,7 +45,7 @@
 use journal::Journal;
 use metrics::Metrics;
 use operator_api::OperatorApi;
-use serving_state::ServingState;
+use serving_state::{ServingState, ServingStateControl};
 
 /// Happenings that wait for the driver; who brings more waits too.
 const INBOX: usize = 1024;
@@ -59,7 +59,7 @@
     let (orders, mut ordered) = mpsc::channel(operator_api::REQUEST_QUEUE_CAPACITY);
     let (post, mut successors) = mpsc::channel(1);
     let (moved, discovery) = watch::channel(config.discovery);
-    let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
+    let serving_state = Rc::new(ServingStateControl::new());
     let (ready, metrics) = (Rc::new(Cell::new(false)), Rc::new(Metrics::new(&config.names)));
     let shares = config.limits.shares(config.settings.limits.max_in_flight);
     if let Some(address) = config.management {
@@ -147,7 +147,7 @@
         let event_loop::LoopEnd::HandedOver(old) = driven else { break };
         // Clients go to the new process.
         ready.set(false);
-        serving_state.send_replace(ServingState::HandedOver);
+        serving_state.hand_over();
         work.shutdown().await;
         match old.run(&mut happenings, &limiter).await {
             relay::RelayEnd::Over => break,
@@ -161,7 +161,7 @@
         tracing::warn!("the new process has died: takes its work back");
         claim = Ownership { listener: Some(listener.try_clone()?), ..again };
         endpoints.resume();
-        serving_state.send_replace(ServingState::Serving);
+        serving_state.resume();
     }
     // Whoever has handed in what nobody will decide on any more hears so.
     drop(happenings);
@@ -190,7 +190,7 @@
 async fn end(
     mut terminate: Signal,
     mut interrupt: Signal,
-    serving_state: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<ServingStateControl>,
     inbox: mpsc::Sender<SenderEvent>,
 ) {
     tokio::select! {
@@ -198,11 +198,7 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!("draining");
-    serving_state.send_modify(|serving_state| {
-        if *serving_state != ServingState::HandedOver {
-            *serving_state = ServingState::ShuttingDown;
-        }
-    });
+    serving_state.shut_down();
     // Its receiver ends only with the process.
     let _ = inbox.send(SenderEvent::ShutdownRequested).await;
     std::future::pending::<()>().await;
--- a/crates/message-sender/src/operator_api/server.rs
+++ b/crates/message-sender/src/operator_api/server.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::command::{CommandResult, OperatorCommand, OperatorRequest};
@@ -22,7 +22,7 @@
 use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
 use crate::instrumented_stream::InstrumentedStream;
 use crate::metrics::Metrics;
-use crate::serving_state::ServingState;
+use crate::serving_state::{ServingState, ServingStateControl};
 
 /// Callers at once; one that sends nothing makes way for the next.
 pub const MAX_CONNECTIONS: usize = 16;
@@ -42,7 +42,7 @@
 /// What all callers' connections share.
 pub struct OperatorApi {
     /// Operators set it to standby and back.
-    pub serving_state: Rc<watch::Sender<ServingState>>,
+    pub serving_state: Rc<ServingStateControl>,
     /// This process is the sender: messages can be accepted.
     pub ready: Rc<Cell<bool>>,
     /// The metrics that operators fetch.
@@ -106,12 +106,8 @@
         }
     }
 
-    fn state(&self) -> ServingState {
-        *self.serving_state.borrow()
-    }
-
     fn status(&self) -> Result<String, OperatorError> {
-        if self.ready.get() && self.state().is_serving() {
+        if self.ready.get() && self.serving_state.state().is_serving() {
             Ok(SERVING.to_owned())
         } else {
             Err(OperatorError::Unavailable)
@@ -120,10 +116,10 @@
 
     /// Clients' connections and health checks follow at once.
     fn change_serving_state(&self, to: ServingState, answer: &str) -> Result<String, OperatorError> {
-        if !self.ready.get() || !self.state().is_changeable() {
+        if !self.ready.get() {
             return Err(OperatorError::Unavailable);
         }
-        let from = self.serving_state.send_replace(to);
+        let from = self.serving_state.set_by_operator(to).map_err(|_| OperatorError::Unavailable)?;
         if from != to {
             tracing::info!(?from, ?to, "serving state changed by operator");
         }
--- a/crates/message-sender/src/serving_state.rs
+++ b/crates/message-sender/src/serving_state.rs
@@ -1,7 +1,10 @@
-//! Whether this process serves clients.
+//! Whether this process serves clients, and the transitions between the states.
 
 use tokio::sync::watch;
 
+#[cfg(test)]
+mod tests;
+
 /// What the process does for clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServingState {
@@ -29,11 +32,6 @@
         }
     }
 
-    /// Whether an operator may change it.
-    pub fn is_changeable(self) -> bool {
-        self != Self::ShuttingDown
-    }
-
     /// Waits until the process serves, and then until it serves no longer: a connection that is accepted
     /// while it does not serve is left alone.
     pub async fn wait_until_not_serving(state: &mut watch::Receiver<ServingState>) {
@@ -42,3 +40,57 @@
         let _ = state.wait_for(|state| !state.is_serving()).await;
     }
 }
+
+/// Owns the process's serving state. All who follow the state see each transition at once.
+pub struct ServingStateControl {
+    state: watch::Sender<ServingState>,
+}
+
+/// The process is shutting down: its serving state changes no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the process is shutting down")]
+pub struct ShuttingDown;
+
+impl ServingStateControl {
+    /// Starts as [`ServingState::Serving`].
+    pub fn new() -> Self {
+        Self { state: watch::Sender::new(ServingState::Serving) }
+    }
+
+    /// Follows the state.
+    pub fn subscribe(&self) -> watch::Receiver<ServingState> {
+        self.state.subscribe()
+    }
+
+    /// The present state.
+    pub fn state(&self) -> ServingState {
+        *self.state.borrow()
+    }
+
+    /// An operator sets the state; returns the one before.
+    pub fn set_by_operator(&self, to: ServingState) -> Result<ServingState, ShuttingDown> {
+        if self.state() == ServingState::ShuttingDown {
+            return Err(ShuttingDown);
+        }
+        Ok(self.state.send_replace(to))
+    }
+
+    /// A successor process serves the clients from now on.
+    pub fn hand_over(&self) {
+        self.state.send_replace(ServingState::HandedOver);
+    }
+
+    /// The successor process has died: this one serves again.
+    pub fn resume(&self) {
+        self.state.send_replace(ServingState::Serving);
+    }
+
+    /// The process is to end. One that has handed over stays so: to its clients the sender is up.
+    pub fn shut_down(&self) {
+        self.state.send_modify(|state| {
+            if *state != ServingState::HandedOver {
+                *state = ServingState::ShuttingDown;
+            }
+        });
+    }
+}
