Split the adapter's host and pin each line of the simulator's wire

Cause: errors, instances and batches in one file; only a part of the wire's names was under test. Change: error, instances and host apart; tests of every incoming and outgoing line.

--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -1,148 +1,11 @@
-//! The controllers of this process, and the batch that is being read.
+//! Reads batches of lines, passes their events to the instances, and returns the replies.
 
 use std::collections::BTreeMap;
-use std::io;
-use std::panic::{catch_unwind, AssertUnwindSafe};
-
-use delivery_control::{Action, Controller, Event, Micros, SettingsError};
-use deployment_config::Names;
 
 use crate::endpoint_list::{update_event, ListKind, ListedEndpoint};
-use crate::incoming::{
-    BatchStart, Catalog, EndpointListLine, EventError, IncomingLine, InstanceStart, MessageLine,
-};
-use crate::outgoing;
-
-/// What is wrong with the input, and where.
-#[derive(Debug, thiserror::Error)]
-#[error("line {line}: {reason}")]
-pub struct InputError {
-    /// The line, counted from 1.
-    pub line: usize,
-    /// What is wrong with it.
-    pub reason: LineError,
-}
-
-/// What is wrong with a line.
-#[derive(Debug, thiserror::Error)]
-pub enum LineError {
-    /// It could not be read, or its reply could not be written.
-    #[error(transparent)]
-    Stream(#[from] io::Error),
-    /// It is not a line of the protocol.
-    #[error(transparent)]
-    Malformed(#[from] serde_json::Error),
-    /// The previous batch has not ended.
-    #[error("a batch begins inside a batch")]
-    BatchInsideBatch,
-    /// Only the start of a batch may stand outside one.
-    #[error("no batch has begun")]
-    OutsideBatch,
-    /// The last batch has not ended.
-    #[error("input ends inside a batch")]
-    EndInsideBatch,
-    /// No such instance runs.
-    #[error("instance {0} is not attached")]
-    NotAttached(u64),
-    /// The controller does not accept an instance's settings.
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-    /// An endpoint list names no catalog.
-    #[error("missing field `buffer`")]
-    NoCatalog,
-    /// An endpoint list names a catalog that was not sent.
-    #[error("unknown catalog number {0}")]
-    UnknownCatalog(u64),
-    /// The line makes no event.
-    #[error(transparent)]
-    Event(#[from] EventError),
-}
-
-/// One controller.
-struct Instance {
-    controller: Controller,
-    names: Names,
-    /// Events of the present batch.
-    events: Vec<Event>,
-    /// The controller's turn comes at the end of the batch, be it only because it was started.
-    is_due: bool,
-}
-
-impl Instance {
-    fn submit(&mut self, line: MessageLine) -> Result<(), LineError> {
-        let event = line.into_event(&self.names)?;
-        self.push(event);
-        Ok(())
-    }
-
-    fn push(&mut self, event: Event) {
-        self.events.push(event);
-        self.is_due = true;
-    }
-
-    /// Runs the controller on the events of the batch and appends its actions to the reply. After a panic the
-    /// instance is of no more use.
-    fn turn(&mut self, number: u64, now: Micros, reply: &mut String) -> Result<(), ControllerPanicked> {
-        self.is_due = false;
-        let events = std::mem::take(&mut self.events);
-        let controller = &mut self.controller;
-        let turn = AssertUnwindSafe(|| {
-            let mut actions: Vec<Action> = Vec::new();
-            controller.turn(now, &events, &mut actions);
-            actions
-        });
-        match catch_unwind(turn) {
-            Ok(actions) => {
-                for action in actions {
-                    outgoing::append_action(reply, number, action);
-                }
-                Ok(())
-            }
-            Err(payload) => {
-                outgoing::append_panic(reply, number, payload.as_ref());
-                Err(ControllerPanicked)
-            }
-        }
-    }
-}
-
-/// A controller panicked; the reply says so already.
-struct ControllerPanicked;
-
-/// The running instances by their numbers.
-#[derive(Default)]
-struct Instances(BTreeMap<u64, Instance>);
-
-impl Instances {
-    fn get_mut(&mut self, number: u64) -> Result<&mut Instance, LineError> {
-        self.0.get_mut(&number).ok_or(LineError::NotAttached(number))
-    }
-
-    /// Starts an instance, in place of one that has the same number.
-    fn attach(&mut self, start: &InstanceStart) -> Result<(), LineError> {
-        let names = start.config.names();
-        let settings = start.config.settings()?;
-        let controller = Controller::new(settings, start.seed)?;
-        let instance = Instance { controller, names, events: Vec::new(), is_due: true };
-        self.0.insert(start.instance, instance);
-        Ok(())
-    }
-
-    fn detach(&mut self, number: u64) -> Result<(), LineError> {
-        match self.0.remove(&number) {
-            Some(_) => Ok(()),
-            None => Err(LineError::NotAttached(number)),
-        }
-    }
-
-    /// The reply to a batch: the actions of all instances that are due, in the order of their numbers.
-    fn reply(&mut self, now: Micros, round: u64) -> String {
-        let mut reply = String::new();
-        self.0.retain(|number, instance| !instance.is_due || instance.turn(*number, now, &mut reply).is_ok());
-        outgoing::append_batch_end(&mut reply, round);
-        reply
-    }
-}
+use crate::error::{InputError, LineError};
+use crate::incoming::{BatchStart, Catalog, EndpointListLine, IncomingLine};
+use crate::instances::Instances;
 
 /// All instances of this process, the catalogs, and the batch that is being read.
 #[derive(Default)]
@@ -219,7 +82,7 @@
                 self.catalogs.get(&number).ok_or(LineError::UnknownCatalog(number))?
             }
         };
-        let event = update_event(list.kind, list.version, endpoints, &instance.names);
+        let event = update_event(list.kind, list.version, endpoints, instance.names());
         instance.push(event);
         Ok(())
     }
--- a/crates/simulator-adapter/src/incoming.rs
+++ b/crates/simulator-adapter/src/incoming.rs
@@ -10,6 +10,9 @@
 
 use crate::endpoint_list::{ListKind, ListedEndpoint};
 
+#[cfg(test)]
+mod tests;
+
 /// Why a line makes no event.
 #[derive(Debug, thiserror::Error)]
 pub enum EventError {
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -6,11 +6,14 @@
 use std::process::ExitCode;
 
 mod endpoint_list;
+mod error;
 mod host;
 mod incoming;
+mod instances;
 mod outgoing;
 
-use host::{Host, InputError, LineError};
+use error::{InputError, LineError};
+use host::Host;
 
 fn run() -> Result<(), InputError> {
     // A controller's panic is reported in the reply; standard error carries nothing but input errors.
--- a/crates/simulator-adapter/src/outgoing.rs
+++ b/crates/simulator-adapter/src/outgoing.rs
@@ -7,6 +7,9 @@
 use deployment_config::time::millis_from_micros;
 use serde::Serialize;
 
+#[cfg(test)]
+mod tests;
+
 /// On the wire, the target of a note that goes to all senders.
 const ALL_SENDERS: i64 = -1;
 
--- /dev/null
+++ b/crates/simulator-adapter/src/outgoing/tests.rs
@@ -0,0 +1,68 @@
+//! The lines of all actions, as the simulator reads them.
+
+use delivery_control::Action;
+
+use super::{append_action, append_batch_end, append_panic};
+
+fn line(action: Action) -> String {
+    let mut reply = String::new();
+    append_action(&mut reply, 5, action);
+    reply
+}
+
+#[test]
+fn every_action_has_its_line() {
+    let cases = [
+        (
+            Action::Send { id: 1, endpoint: 2, timeout: 3_456, begin_by: 9 },
+            r#"{"event_type":"try","i":5,"req":1,"endpoint":2,"withinMs":3.456}"#,
+        ),
+        (Action::Cancel { id: 1, attempt: 2 }, r#"{"event_type":"retract","i":5,"req":1,"attempt":2}"#),
+        (
+            Action::Reject { id: 1, retry_after: 2_345 },
+            r#"{"event_type":"bounce","i":5,"req":1,"backoffMs":2.345}"#,
+        ),
+        (Action::Fail { id: 1 }, r#"{"event_type":"reportFailure","i":5,"req":1}"#),
+        (
+            Action::SetTimer { at: 1_234_567, token: 8 },
+            r#"{"event_type":"timer","i":5,"fireAtMs":1234.567,"ctx":8}"#,
+        ),
+        (Action::Probe { endpoint: 1 }, r#"{"event_type":"soundOut","i":5,"endpoint":1}"#),
+        (Action::CloseIdle { endpoint: 2 }, r#"{"event_type":"shutIdle","i":5,"endpoint":2}"#),
+        (
+            Action::SendNote { to: None, bytes: vec![1, 2] },
+            r#"{"event_type":"tell","i":5,"target":-1,"blob":"AQI="}"#,
+        ),
+        (
+            Action::SendNote { to: Some(4), bytes: vec![1, 2] },
+            r#"{"event_type":"tell","i":5,"target":4,"blob":"AQI="}"#,
+        ),
+        (Action::Subscribe { on: true }, r#"{"event_type":"follow","i":5,"on":true}"#),
+        (Action::FetchList, r#"{"event_type":"readList","i":5}"#),
+        (Action::Log { text: "t".to_owned() }, r#"{"event_type":"writeLog","i":5,"reasonText":"t"}"#),
+    ];
+    for (action, expected) in cases {
+        assert_eq!(line(action), format!("{expected}\n"));
+    }
+}
+
+#[test]
+fn a_panic_is_reported_with_its_message() {
+    let payloads: [(Box<dyn std::any::Any + Send>, &str); 3] = [
+        (Box::new("plain"), "plain"),
+        (Box::new("formatted".to_owned()), "formatted"),
+        (Box::new(7_u8), "panic without text"),
+    ];
+    for (payload, text) in payloads {
+        let mut reply = String::new();
+        append_panic(&mut reply, 5, payload.as_ref());
+        assert_eq!(reply, format!("{{\"event_type\":\"panic\",\"i\":5,\"reasonText\":\"{text}\"}}\n"));
+    }
+}
+
+#[test]
+fn a_reply_ends_with_the_number_of_its_batch() {
+    let mut reply = String::new();
+    append_batch_end(&mut reply, 6);
+    assert_eq!(reply, "{\"event_type\":\"ready\",\"round\":6}\n");
+}
