--- /dev/null
+++ b/crates/message-sender/src/config/deployment.rs
@@ -0,0 +1,138 @@
+//! A sender's configuration, from its file and its environment.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use delivery_control::Settings;
+use deployment_config::Names;
+use serde::Deserialize;
+
+use super::error::ConfigError;
+use super::limits::Limits;
+use crate::endpoint_list::EndpointList;
+
+/// Names the configuration's file.
+const FILE_VARIABLE: &str = "ROUTER_CONFIG";
+/// Names the folder for what outlives the process.
+const STATE_VARIABLE: &str = "ROUTER_STATE";
+/// Holds the address for operators.
+const MANAGEMENT_VARIABLE: &str = "ROUTER_MANAGEMENT";
+
+/// The radix of a seed that is given as text.
+const SEED_RADIX: u32 = 16;
+
+/// A sender's configuration, with the settings in the controller's terms.
+pub struct Config {
+    /// The sender's name, for the log.
+    pub name: String,
+    /// Where clients submit messages.
+    pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The folder for what outlives the process.
+    pub state: PathBuf,
+    /// Seed of the controller's random numbers.
+    pub seed: u64,
+    /// What the machine allows.
+    pub limits: Limits,
+    /// An endpoint list to start with.
+    pub known: Option<EndpointList>,
+    /// The controller's settings.
+    pub settings: Settings,
+    /// The names that the settings list.
+    pub names: Names,
+}
+
+/// The file.
+#[derive(Deserialize)]
+struct ConfigFile {
+    name: String,
+    listen: SocketAddr,
+    management: Option<SocketAddr>,
+    discovery: SocketAddr,
+    seed: Seed,
+    limits: Limits,
+    known: Option<EndpointList>,
+    settings: deployment_config::Config,
+}
+
+/// The part of the file that is read again on SIGHUP.
+#[derive(Deserialize)]
+struct ReloadableConfig {
+    discovery: SocketAddr,
+}
+
+/// A seed is hexadecimal text or a plain number.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Seed {
+    Text(String),
+    Number(u64),
+}
+
+impl Seed {
+    fn value(&self) -> Result<u64, ConfigError> {
+        match self {
+            Self::Number(number) => Ok(*number),
+            Self::Text(text) => u64::from_str_radix(text, SEED_RADIX).map_err(ConfigError::Seed),
+        }
+    }
+}
+
+impl Config {
+    /// Reads the file that `ROUTER_CONFIG` names. `ROUTER_STATE` alone names the state folder, and
+    /// `ROUTER_MANAGEMENT` takes precedence over the file's address: during an upgrade, the new version has
+    /// another one.
+    pub fn from_environment() -> Result<Self, ConfigError> {
+        let state = std::env::var_os(STATE_VARIABLE).ok_or(ConfigError::NotSet(STATE_VARIABLE))?;
+        let mut config = Self::decode(&read_file()?, PathBuf::from(state))?;
+        if let Some(address) = management_from_environment()? {
+            config.management = Some(address);
+        }
+        Ok(config)
+    }
+
+    /// Reads the file again for what may change while the process runs: where discovery is.
+    pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
+        let config: ReloadableConfig =
+            serde_json::from_slice(&read_file()?).map_err(ConfigError::Malformed)?;
+        Ok(config.discovery)
+    }
+
+    pub(super) fn decode(text: &[u8], state: PathBuf) -> Result<Self, ConfigError> {
+        let file: ConfigFile = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let settings = file.settings.settings().map_err(ConfigError::Settings)?;
+        // On sockets, the platform learns by a notice that a message has ended, later than the controller
+        // decides it.
+        let settings = Settings { notices_are_acknowledged: true, ..settings };
+        Ok(Self {
+            name: file.name,
+            listen: file.listen,
+            management: file.management,
+            discovery: file.discovery,
+            state,
+            seed: file.seed.value()?,
+            limits: file.limits,
+            known: file.known,
+            names: file.settings.names(),
+            settings,
+        })
+    }
+}
+
+fn read_file() -> Result<Vec<u8>, ConfigError> {
+    let path = std::env::var_os(FILE_VARIABLE).ok_or(ConfigError::NotSet(FILE_VARIABLE))?;
+    std::fs::read(&path).map_err(|error| ConfigError::Unreadable(path, error))
+}
+
+/// The address for operators; an empty variable counts as none.
+fn management_from_environment() -> Result<Option<SocketAddr>, ConfigError> {
+    let Ok(address) = std::env::var(MANAGEMENT_VARIABLE) else { return Ok(None) };
+    if address.is_empty() {
+        return Ok(None);
+    }
+    let address = address.parse();
+    address.map(Some).map_err(|error| ConfigError::NotAnAddress(MANAGEMENT_VARIABLE, error))
+}
--- a/crates/message-sender/src/delivery/response.rs
+++ b/crates/message-sender/src/delivery/response.rs
@@ -3,7 +3,6 @@
 use delivery_control::{AttemptOutcome, LoadReport, Micros};
 use hyper::header::HeaderMap;
 use hyper::StatusCode;
-use simulator_adapter::wire::load;
 
 use super::attempt::AttemptResult;
 
@@ -56,7 +55,7 @@
 /// The load report of a response. Values that cannot be parsed, or that make no sense, are left out.
 fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(LOAD_REPORT)?.to_str().ok()?;
-    let report = load(|name| reported_value(text, name));
+    let report = deployment_config::load_report(|name| reported_value(text, name));
     (report != LoadReport::default()).then_some(report)
 }
 
--- a/crates/message-sender/src/endpoint_registry/registry.rs
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use delivery_control::{DestinationId, DestinationKind, EndpointEntry, EndpointId, UpdateKind};
-use simulator_adapter::wire::Names;
+use deployment_config::Names;
 use tokio::time::Instant;
 
 use super::destinations::{DestinationStatus, Destinations};
--- a/crates/message-sender/src/endpoint_registry/registry/tests.rs
+++ b/crates/message-sender/src/endpoint_registry/registry/tests.rs
@@ -8,7 +8,7 @@
         "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
         "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
     });
-    let config: simulator_adapter::wire::Config = serde_json::from_value(config).unwrap();
+    let config: deployment_config::Config = serde_json::from_value(config).unwrap();
     EndpointRegistry::new(config.names(), Vec::new())
 }
 
--- a/crates/message-sender/src/event_loop/commands.rs
+++ b/crates/message-sender/src/event_loop/commands.rs
@@ -4,13 +4,13 @@
 
 use super::EventLoop;
 use crate::journal::JournalError;
-use crate::operator_api::{CommandResult, OperatorCommand, Order};
+use crate::operator_api::{CommandResult, OperatorCommand, OperatorRequest};
 
 impl EventLoop {
     /// Carries out an operator's command. It is stored first, and acknowledged after the controller's next
     /// turn.
-    pub(super) fn handle_command(&mut self, order: Order) {
-        let (command, reply) = order;
+    pub(super) fn handle_command(&mut self, request: OperatorRequest) {
+        let OperatorRequest { command, reply } = request;
         // If the caller is gone, nothing was promised; so below.
         if reply.is_closed() {
             return;
--- a/crates/message-sender/src/event_loop/inputs.rs
+++ b/crates/message-sender/src/event_loop/inputs.rs
@@ -7,14 +7,14 @@
 use crate::connection_limiter::ConnectionLimiter;
 use crate::event::SenderEvent;
 use crate::handover::Successor;
-use crate::operator_api::Order;
+use crate::operator_api::OperatorRequest;
 
 /// What a running event loop listens to.
 pub struct EventLoopInputs<'a> {
     /// What happens on sockets.
     pub events: &'a mut mpsc::Receiver<SenderEvent>,
     /// The operators' commands.
-    pub commands: &'a mut mpsc::Receiver<Order>,
+    pub commands: &'a mut mpsc::Receiver<OperatorRequest>,
     /// Processes that want to become the sender.
     pub successors: &'a mut mpsc::Receiver<Successor>,
     /// The clients' connections, which may have a request that is still being read.
@@ -32,7 +32,7 @@
     /// Waits until something happens or a turn is due. Returns a successor that has arrived.
     pub(super) async fn wait_for_input(&mut self, inputs: &mut EventLoopInputs<'_>) -> Option<Successor> {
         tokio::select! {
-            Some(order) = inputs.commands.recv() => self.handle_command(order),
+            Some(request) = inputs.commands.recv() => self.handle_command(request),
             Some(event) = inputs.events.recv() => self.handle_event(event),
             Some(successor) = inputs.successors.recv() => return Some(successor),
             () = sleep_until(self.next_wake_up()) => {}
@@ -42,8 +42,8 @@
 
     /// Takes in all commands that wait.
     pub(super) fn take_in_commands(&mut self, inputs: &mut EventLoopInputs<'_>) {
-        while let Ok(order) = inputs.commands.try_recv() {
-            self.handle_command(order);
+        while let Ok(request) = inputs.commands.try_recv() {
+            self.handle_command(request);
         }
     }
 
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 use delivery_control::{Controller, Event, MaintenanceCommand, MessageId, Settings};
-use simulator_adapter::wire::Names;
+use deployment_config::Names;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
--- a/crates/message-sender/src/handover/listener.rs
+++ b/crates/message-sender/src/handover/listener.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use super::descriptor::send_listener;
@@ -18,7 +18,7 @@
 };
 use super::socket_path::SocketPath;
 use super::state::HandoverState;
-use crate::serving_state::ServingState;
+use crate::serving_state::ServingStateControl;
 
 /// How long the predecessor stops deciding for a successor that does not go on.
 const SUCCESSOR_TIMEOUT: Duration = Duration::from_millis(500);
@@ -30,7 +30,7 @@
     stream: UnixStream,
     reads_state: bool,
     listener: Rc<TcpListener>,
-    serving_state: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<ServingStateControl>,
 }
 
 impl Successor {
@@ -56,7 +56,7 @@
         if has_state {
             let Prepared = read_frame(&mut self.stream).await?;
         } else {
-            self.serving_state.send_replace(ServingState::ShuttingDown);
+            self.serving_state.shut_down();
         }
         Ok(self.stream)
     }
@@ -92,7 +92,7 @@
     pub async fn serve(
         self,
         listener: Rc<TcpListener>,
-        serving_state: Rc<watch::Sender<ServingState>>,
+        serving_state: Rc<ServingStateControl>,
         successors: mpsc::Sender<Successor>,
     ) {
         loop {
--- a/crates/message-sender/src/handover/ownership.rs
+++ b/crates/message-sender/src/handover/ownership.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use simulator_adapter::wire::Names;
+use deployment_config::Names;
 use tokio::time::{sleep, Instant};
 
 use super::error::HandoverError;
--- a/crates/message-sender/src/handover/request.rs
+++ b/crates/message-sender/src/handover/request.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use simulator_adapter::wire::Names;
+use deployment_config::Names;
 use tokio::net::UnixStream;
 use tokio::time::timeout;
 
--- a/crates/message-sender/src/handover/state.rs
+++ b/crates/message-sender/src/handover/state.rs
@@ -1,8 +1,8 @@
 //! The state that a predecessor hands over.
 
 use delivery_control::{Controller, Micros};
+use deployment_config::Names;
 use serde::{Deserialize, Serialize};
-use simulator_adapter::wire::Names;
 
 use crate::attempt_id::AttemptId;
 use crate::endpoint_registry::RegistrySnapshot;
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -27,8 +27,8 @@
 use crate::handover::{self, HandoverListener, InheritedState, Ownership, OwnershipLock, Successor};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::operator_api::Order;
-use crate::serving_state::ServingState;
+use crate::operator_api::OperatorRequest;
+use crate::serving_state::{ServingState, ServingStateControl};
 use crate::signals::Signals;
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
@@ -50,7 +50,7 @@
     config: Config,
     /// Where discovery is; follows the configuration file.
     discovery: watch::Receiver<SocketAddr>,
-    serving_state: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<ServingStateControl>,
     /// Whether messages can be accepted.
     ready: Rc<Cell<bool>>,
     metrics: Rc<Metrics>,
@@ -59,7 +59,7 @@
     clients: Rc<ClientApi>,
     event_sender: mpsc::Sender<SenderEvent>,
     events: mpsc::Receiver<SenderEvent>,
-    commands: mpsc::Receiver<Order>,
+    commands: mpsc::Receiver<OperatorRequest>,
     successor_sender: mpsc::Sender<Successor>,
     successors: mpsc::Receiver<Successor>,
 }
@@ -94,7 +94,7 @@
             let listener = listener.try_clone().map_err(ProcessError::Socket)?;
             ownership = Ownership { listener: Some(listener), ..reacquired };
             self.delivery.resume();
-            self.serving_state.send_replace(ServingState::Serving);
+            self.serving_state.resume();
         }
     }
 
@@ -143,7 +143,7 @@
         let LoopEnd::HandedOver(predecessor) = event_loop.run(inputs).await else { return Ok(None) };
         // The successor serves clients from now on.
         self.ready.set(false);
-        self.serving_state.send_replace(ServingState::HandedOver);
+        self.serving_state.hand_over();
         owner_tasks.shutdown().await;
         Ok(Some(predecessor))
     }
--- a/crates/message-sender/src/process/startup.rs
+++ b/crates/message-sender/src/process/startup.rs
@@ -15,7 +15,7 @@
 use crate::delivery::DeliveryClient;
 use crate::metrics::Metrics;
 use crate::operator_api::{self, OperatorApi};
-use crate::serving_state::ServingState;
+use crate::serving_state::ServingStateControl;
 use crate::signals::Signals;
 
 /// Events that wait for the event loop; whoever reports more waits too.
@@ -28,10 +28,10 @@
     /// connections.
     pub(super) async fn start(config: Config, signals: Signals) -> Result<Self, ProcessError> {
         let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
-        let (command_sender, commands) = mpsc::channel(operator_api::ORDERS);
+        let (command_sender, commands) = mpsc::channel(operator_api::REQUEST_QUEUE_CAPACITY);
         let (successor_sender, successors) = mpsc::channel(SUCCESSOR_QUEUE);
         let (discovery_sender, discovery) = watch::channel(config.discovery);
-        let serving_state = Rc::new(watch::Sender::new(ServingState::Serving));
+        let serving_state = Rc::new(ServingStateControl::new());
         let ready = Rc::new(Cell::new(false));
         let metrics = Rc::new(Metrics::new(&config.names));
         if let Some(address) = config.management {
@@ -39,7 +39,7 @@
                 serving_state: serving_state.clone(),
                 ready: ready.clone(),
                 metrics: metrics.clone(),
-                orders: command_sender,
+                requests: command_sender,
             };
             serve_operators(address, operator_api).await?;
         }
--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -10,7 +10,7 @@
 
 use crate::config::Config;
 use crate::event::SenderEvent;
-use crate::serving_state::ServingState;
+use crate::serving_state::ServingStateControl;
 
 /// The process's signals. Until they are installed, each of them ends the process.
 pub struct Signals {
@@ -33,7 +33,7 @@
     pub fn spawn_handlers(
         self,
         discovery: watch::Sender<SocketAddr>,
-        serving_state: Rc<watch::Sender<ServingState>>,
+        serving_state: Rc<ServingStateControl>,
         events: mpsc::Sender<SenderEvent>,
     ) {
         spawn_local(reload_configuration(self.hangup, discovery));
@@ -65,10 +65,7 @@
                 tracing::info!(discovery = %address, "configuration reloaded");
                 discovery.send_if_modified(|current| std::mem::replace(current, address) != address);
             }
-            Err(error) => {
-                let error = format!("{error:#}");
-                tracing::error!(error, "configuration not reloaded");
-            }
+            Err(error) => tracing::error!(%error, "configuration not reloaded"),
         }
     }
 }
@@ -77,16 +74,12 @@
 /// serves them already. Never returns.
 async fn shut_down_on_signal(
     mut signals: ShutdownSignals,
-    serving_state: Rc<watch::Sender<ServingState>>,
+    serving_state: Rc<ServingStateControl>,
     events: mpsc::Sender<SenderEvent>,
 ) {
     signals.recv().await;
     tracing::info!("draining");
-    serving_state.send_modify(|state| {
-        if *state != ServingState::HandedOver {
-            *state = ServingState::ShuttingDown;
-        }
-    });
+    serving_state.shut_down();
     // The receiver is gone only when the process ends.
     let _ = events.send(SenderEvent::ShutdownRequested).await;
     std::future::pending::<()>().await;
