Tests of the controller: one crate, a module a concern, named harness and events

Change: one test crate with a module a concern; settings, events and the harness are documented support; the simulations of many senders, of the slow start and of the invariants are types with short methods.

--- /dev/null
+++ b/crates/delivery-control/tests/controller/load_reports.rs
@@ -0,0 +1,153 @@
+//! Load reports of a destination to one of many senders.
+
+use delivery_control::{AttemptOutcome, EndpointEntry, Micros, Settings};
+
+use crate::support::{
+    attempt_ended_with_load_report, endpoint_entry, message_submitted, messages_submitted, sends, settings,
+    timed_sends, ControllerHarness, IDEMPOTENT, MILLISECOND, NOT_IDEMPOTENT, SECOND, SHARED_LIMIT,
+};
+
+/// One of a hundred senders, with a call in flight to a destination that it calls rarely.
+fn infrequent_sender() -> ControllerHarness {
+    let settings = Settings { sender_count: 100, rates_are_listed: true, ..settings() };
+    let mut harness = ControllerHarness::new(
+        settings,
+        vec![EndpointEntry { rate: 20.0, ..endpoint_entry(1, 10, SHARED_LIMIT) }],
+    );
+    harness.turn(&[message_submitted(1, IDEMPOTENT, 10)]);
+    harness
+}
+
+/// Advances the clock to `until` and ends each call at once as delivered, with this load report; returns the
+/// times of sending.
+fn deliver_calls(
+    harness: &mut ControllerHarness,
+    until: Micros,
+    limit_remaining: f64,
+    limit: f64,
+) -> Vec<Micros> {
+    let mut sent = Vec::new();
+    while let Some(at) = harness.next_timer().filter(|at| *at <= until) {
+        for (at, id, _) in timed_sends(&harness.advance_to(at)) {
+            sent.push(at);
+            let attempt = harness.latest_attempts[&id];
+            let outcome = AttemptOutcome::Delivered;
+            harness.turn(&[attempt_ended_with_load_report(id, attempt, outcome, limit_remaining, limit)]);
+        }
+    }
+    harness.now = until;
+    sent
+}
+
+/// Guards against a limit that each of a hundred senders finds out by a rejection: that costs a hundred
+/// calls.
+#[test]
+fn report_of_a_nearly_used_limit_slows_the_sender_before_a_rejection() {
+    let calls_in_five_seconds = |limit_remaining| {
+        let mut harness = infrequent_sender();
+        harness.turn(&[attempt_ended_with_load_report(
+            1,
+            0,
+            AttemptOutcome::Delivered,
+            limit_remaining,
+            50.0,
+        )]);
+        let sent_at_once = sends(&harness.turn(&messages_submitted(2..=4, IDEMPOTENT, 10))).len();
+        let until = harness.now + 5 * SECOND;
+        sent_at_once + deliver_calls(&mut harness, until, limit_remaining, 50.0).len()
+    };
+    // An even share of the limit is half a call a second, and some of that must be made up.
+    assert!((1..=2).contains(&calls_in_five_seconds(0.05)));
+    assert_eq!(calls_in_five_seconds(0.9), 3, "nothing is held back while most of the limit is left");
+}
+
+/// Guards against a slow sender that learns of a raised limit and still waits for the permit that the old
+/// limit gave it.
+#[test]
+fn raised_limit_applies_from_the_next_response() {
+    let mut harness = infrequent_sender();
+    harness.turn(&[attempt_ended_with_load_report(1, 0, AttemptOutcome::Rejected, 0.0, 20.0)]);
+    harness.turn(&messages_submitted(2..=4, IDEMPOTENT, 10));
+    let start = harness.now;
+    let sent = deliver_calls(&mut harness, start + 30 * SECOND, 0.9, 200.0);
+    assert!(sent[0] - start >= 2 * SECOND, "a tenth of a call a second at first: {sent:?}");
+    assert!(sent[2] - sent[0] <= 2 * SECOND, "then two a second: {sent:?}");
+}
+
+/// Guards against a destination that is down and answers as full, to which each of a hundred senders goes on
+/// calling for want of a run of rejections: it held every call for 8 s though all of its limit was left.
+#[test]
+fn two_rejections_with_most_of_the_limit_left_are_an_outage() {
+    let avoided = |limit_remaining| {
+        let mut harness = infrequent_sender();
+        harness.turn(&[attempt_ended_with_load_report(
+            1,
+            0,
+            AttemptOutcome::Rejected,
+            limit_remaining,
+            20.0,
+        )]);
+        harness.now += 3 * SECOND;
+        harness.turn(&[message_submitted(2, NOT_IDEMPOTENT, 10)]);
+        while harness.in_flight.is_empty() {
+            harness.advance_to(harness.now + 100 * MILLISECOND);
+        }
+        let id = *harness.in_flight.first_key_value().expect("a second call").0;
+        let attempt = harness.latest_attempts[&id];
+        harness.turn(&[attempt_ended_with_load_report(
+            id,
+            attempt,
+            AttemptOutcome::Rejected,
+            limit_remaining,
+            20.0,
+        )]);
+        harness.controller.avoided_endpoint_count()
+    };
+    assert_eq!((avoided(1.0), avoided(0.0)), (1, 0));
+}
+
+/// Guards against a fleet that goes on at the listed rate, or at the rate of a few calls of late, when a
+/// destination has lowered its limit and counts rejected calls too: it then answered none for up to 8 s.
+#[test]
+fn rejection_slows_an_infrequent_sender_below_its_share_of_a_lowered_limit() {
+    let mut harness = infrequent_sender();
+    harness.turn(&[attempt_ended_with_load_report(1, 0, AttemptOutcome::Delivered, 0.9, 20.0)]);
+    for id in 2..8 {
+        harness.now += 3 * SECOND / 2;
+        harness.turn(&[message_submitted(id, IDEMPOTENT, 10)]);
+        harness.turn(&[attempt_ended_with_load_report(id, 0, AttemptOutcome::Delivered, 0.9, 20.0)]);
+    }
+    harness.now += 3 * SECOND / 2;
+    harness.turn(&[message_submitted(8, IDEMPOTENT, 10)]);
+    harness.turn(&[
+        attempt_ended_with_load_report(8, 0, AttemptOutcome::Rejected, 0.0, 5.0),
+        message_submitted(9, IDEMPOTENT, 10),
+        message_submitted(10, IDEMPOTENT, 10),
+    ]);
+    // A twentieth of a call a second is its share; more than one sender in eight would be too many.
+    let until = harness.now + 8 * SECOND;
+    let sent = timed_sends(&harness.advance_to(until)).len();
+    assert_eq!(sent, 0, "calls in 8 s");
+}
+
+/// Guards against reports with values that cannot be: they change nothing.
+#[test]
+fn impossible_load_reports_are_ignored() {
+    for (limit_remaining, limit) in
+        [(0.0, 0.0), (0.0, -5.0), (0.0, f64::NAN), (-1.0, 5.0), (f64::NAN, 5.0), (0.0, f64::INFINITY)]
+    {
+        let mut harness = infrequent_sender();
+        harness.turn(&[attempt_ended_with_load_report(
+            1,
+            0,
+            AttemptOutcome::Delivered,
+            limit_remaining,
+            limit,
+        )]);
+        let sent = sends(
+            &harness.turn(&[message_submitted(2, IDEMPOTENT, 10), message_submitted(3, IDEMPOTENT, 10)]),
+        )
+        .len();
+        assert_eq!(sent, 2, "limit_remaining {limit_remaining}, limit {limit}");
+    }
+}
--- /dev/null
+++ b/crates/delivery-control/tests/controller/main.rs
@@ -0,0 +1,18 @@
+//! Tests of the controller through its public interface, one module a concern.
+
+mod admission;
+mod controller;
+mod dispatch;
+mod endpoints;
+mod fleet_slow_start;
+mod health;
+mod invariants;
+mod load_reports;
+mod maintenance;
+mod many_senders;
+mod ordering;
+mod rate_limit;
+mod recovery;
+mod retry;
+mod settings;
+mod support;
--- /dev/null
+++ b/crates/delivery-control/tests/controller/many_senders.rs
@@ -0,0 +1,158 @@
+//! Many controllers that call one destination of which none has a large share.
+
+use std::collections::BTreeMap;
+
+use delivery_control::{
+    Action, AttemptEnd, AttemptOutcome, EndpointEntry, Event, MessageId, Micros, Settings,
+};
+
+use crate::support::{
+    attempt_end, endpoint_entry, message_submitted, sends, settings, ControllerHarness, IDEMPOTENT,
+    MILLISECOND, SECOND, SHARED_LIMIT,
+};
+
+/// How the destination answers a call at a time after the start: the outcome, and the Retry-After sent with
+/// it.
+type Answers = fn(Micros) -> (AttemptOutcome, Micros);
+
+/// Time from the start of a call to its answer.
+const RESPONSE_TIME: Micros = 50 * MILLISECOND;
+
+/// Runs this many controllers for `length`, each with one message for the same destination; returns the times
+/// of all sends to it, in order. Each controller expects an average share of messages for other destinations
+/// too.
+fn sends_of_senders(sender_count: u32, length: Micros, rate: f64, answers: Answers) -> Vec<Micros> {
+    let settings = Settings { sender_count, rates_are_listed: rate > 0.0, ..settings() };
+    let destination = EndpointEntry { rate, ..endpoint_entry(1, 10, SHARED_LIMIT) };
+    let entries = vec![destination, endpoint_entry(2, 20, SHARED_LIMIT)];
+    let mut sent_at = Vec::new();
+    for ordinal in 0..sender_count {
+        let seed = u64::from(ordinal) + 1;
+        let harness = ControllerHarness::with_seed(settings.clone(), entries.clone(), seed);
+        // Spread over the first two seconds.
+        let delay = Micros::from(ordinal) * 2 * SECOND / Micros::from(sender_count);
+        sent_at.extend(SenderRun::new(harness, length, answers).run(delay));
+    }
+    sent_at.sort_unstable();
+    sent_at
+}
+
+/// One controller with one message, under the answers of its destination.
+struct SenderRun {
+    harness: ControllerHarness,
+    start: Micros,
+    end: Micros,
+    answers: Answers,
+    /// The calls in flight by the times of their answers, each with the number of its attempt.
+    due_answers: BTreeMap<Micros, (MessageId, u32)>,
+    next_attempt: u32,
+    /// Times of the sends since the start.
+    sent_at: Vec<Micros>,
+}
+
+impl SenderRun {
+    fn new(harness: ControllerHarness, length: Micros, answers: Answers) -> Self {
+        let start = harness.now;
+        Self {
+            harness,
+            start,
+            end: start + length,
+            answers,
+            due_answers: BTreeMap::new(),
+            next_attempt: 0,
+            sent_at: Vec::new(),
+        }
+    }
+
+    /// Submits the message after `delay` and runs to the end; returns the times of the sends since the start.
+    fn run(mut self, delay: Micros) -> Vec<Micros> {
+        self.harness.now += delay;
+        let actions = self.harness.turn(&[message_submitted(1, IDEMPOTENT, 10)]);
+        self.record_sends(&actions);
+        while let Some(answer_at) = self.next_answer() {
+            let actions = match self.harness.next_timer().filter(|at| *at < answer_at) {
+                Some(at) => self.harness.fire_timer(at),
+                None => self.answer_next_call(),
+            };
+            self.record_sends(&actions);
+            self.run_timers_while_idle();
+        }
+        self.sent_at
+    }
+
+    /// When the next call is answered, if that is before the end.
+    fn next_answer(&self) -> Option<Micros> {
+        let (at, _) = self.due_answers.first_key_value()?;
+        Some(*at).filter(|at| *at < self.end)
+    }
+
+    fn answer_next_call(&mut self) -> Vec<Action> {
+        let (at, (id, attempt)) = self.due_answers.pop_first().expect("a call is in flight");
+        self.harness.now = at;
+        let (outcome, retry_after) = (self.answers)(at - self.start);
+        self.harness.turn(&[Event::AttemptEnded(AttemptEnd {
+            elapsed: RESPONSE_TIME,
+            retry_after,
+            ..attempt_end(id, attempt, 1, outcome)
+        })])
+    }
+
+    /// With no call in flight, advances from timer to timer until a message is sent or the end is reached.
+    fn run_timers_while_idle(&mut self) {
+        while self.due_answers.is_empty() {
+            let Some(at) = self.harness.next_timer().filter(|at| *at < self.end) else { break };
+            let actions = self.harness.fire_timer(at);
+            self.record_sends(&actions);
+        }
+    }
+
+    fn record_sends(&mut self, actions: &[Action]) {
+        for (id, _) in sends(actions) {
+            self.sent_at.push(self.harness.now - self.start);
+            self.due_answers.insert(self.harness.now + RESPONSE_TIME, (id, self.next_attempt));
+            self.next_attempt += 1;
+        }
+    }
+}
+
+/// Number of the sends from one time until before another.
+fn between(sends: &[Micros], from: Micros, to: Micros) -> usize {
+    sends.iter().filter(|at| **at >= from && **at < to).count()
+}
+
+#[test]
+fn many_senders_do_not_overload_a_recovered_destination() {
+    // Errors for 10 s, then back: 60 senders with a buffered message each; 6 calls a second is the capacity.
+    let answers = |at| (if at < 10 * SECOND { AttemptOutcome::Error } else { AttemptOutcome::Delivered }, 0);
+    let sends = sends_of_senders(60, 19 * SECOND, 6.0, answers);
+    let first = between(&sends, 10 * SECOND, 12 * SECOND);
+    // Twice a fifth of the capacity for 2 s would be 5 calls at the start, and grows from there.
+    assert!((1..=9).contains(&first), "{first} calls in the first 2 s after the recovery");
+    let by_two_senders = sends_of_senders(2, 19 * SECOND, 6.0, answers);
+    assert_eq!(
+        between(&by_two_senders, 10 * SECOND, 17 * SECOND),
+        2,
+        "two senders both find it soon: {by_two_senders:?}"
+    );
+}
+
+#[test]
+fn many_rejected_senders_do_not_retry_at_once() {
+    let sends = sends_of_senders(60, 12 * SECOND, 0.0, |_| (AttemptOutcome::Rejected, 0));
+    let busiest = (2..10).map(|second| between(&sends, second * SECOND, (second + 1) * SECOND)).max();
+    assert!(busiest <= Some(20), "at most a third of them in any second: {busiest:?}");
+    assert!(between(&sends, 2 * SECOND, 12 * SECOND) >= 40, "but each retries: {}", sends.len());
+}
+
+#[test]
+fn senders_with_the_same_retry_after_do_not_retry_in_step() {
+    // It rejects for 8 s, with a Retry-After until then.
+    let answers = |at| match 8 * SECOND - at {
+        left if left > 0 => (AttemptOutcome::Rejected, left),
+        _ => (AttemptOutcome::Delivered, 0),
+    };
+    let sends = sends_of_senders(60, 18 * SECOND, 0.0, answers);
+    assert_eq!(between(&sends, 2 * SECOND + 50 * MILLISECOND, 8 * SECOND), 0, "the Retry-After is respected");
+    let first = between(&sends, 8 * SECOND, 9 * SECOND);
+    assert!(first <= 20, "{first} of 60 in the first second after the Retry-After");
+}
--- /dev/null
+++ b/crates/delivery-control/tests/controller/retry.rs
@@ -0,0 +1,165 @@
+//! How attempts are timed and retried: backoff, time-outs and the idempotency window.
+
+use delivery_control::{
+    Action, AmbiguousAttempt, AttemptOutcome, Controller, Event, MessageSubmission, Settings,
+};
+
+use crate::support::{
+    attempt_ended, endpoint_snapshot, message_recovered, message_submission, message_submitted, sends,
+    settings, timed_sends, two_destinations, ControllerHarness, IDEMPOTENT, IDEMPOTENT_WITH_KEY, MILLISECOND,
+    NOT_IDEMPOTENT, SECOND,
+};
+
+#[test]
+fn first_attempt_is_immediate_and_backoff_grows_with_jitter() {
+    let mut first_backoffs = Vec::new();
+    for seed in 1..6 {
+        let mut controller = Controller::new(settings(), seed).expect("settings are valid");
+        let mut backoffs = Vec::new();
+        let mut now = 10 * SECOND;
+        let mut actions = Vec::new();
+        // A destination that delivers: one failure there is not yet an outage.
+        controller.turn(
+            now,
+            &[endpoint_snapshot(two_destinations()), message_submitted(9, IDEMPOTENT_WITH_KEY, 10)],
+            &mut actions,
+        );
+        controller.turn(now, &[attempt_ended(9, 0, 1, AttemptOutcome::Delivered)], &mut actions);
+        actions.clear();
+        controller.turn(now, &[message_submitted(1, IDEMPOTENT_WITH_KEY, 10)], &mut actions);
+        assert_eq!(sends(&actions), [(1, 1)]);
+        for attempt in 0..2 {
+            let ended_at = now + 50 * MILLISECOND;
+            let mut events = vec![attempt_ended(1, attempt, 1, AttemptOutcome::Error)];
+            now = ended_at;
+            loop {
+                let mut actions = Vec::new();
+                controller.turn(now, &events, &mut actions);
+                if !sends(&actions).is_empty() {
+                    break;
+                }
+                events = vec![Event::TimerFired { token: 0 }];
+                now += 5 * MILLISECOND;
+            }
+            backoffs.push(now - ended_at);
+        }
+        assert!(backoffs[0] >= 200 * MILLISECOND && backoffs[0] <= 310 * MILLISECOND, "{backoffs:?}");
+        assert!(backoffs[1] >= 600 * MILLISECOND && backoffs[1] > backoffs[0], "{backoffs:?}");
+        first_backoffs.push(backoffs[0]);
+    }
+    first_backoffs.dedup();
+    assert!(first_backoffs.len() > 1, "backoffs vary by chance: {first_backoffs:?}");
+}
+
+#[test]
+fn attempt_timeouts_divide_the_time_left_above_a_floor() {
+    let mut harness = ControllerHarness::new(settings(), two_destinations());
+    let actions = harness.turn(&[message_submitted(1, IDEMPOTENT_WITH_KEY, 10)]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    assert!(*timeout >= 4 * SECOND && *timeout <= 6 * SECOND, "{timeout}");
+    let actions = harness.turn(&[message_submitted(2, NOT_IDEMPOTENT, 20)]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    assert!(
+        *timeout > 15 * SECOND,
+        "the only ambiguous attempt of a non-idempotent message gets nearly all the time: {timeout}"
+    );
+}
+
+/// Settings with an idempotency window of 1 s under a key, and a deadline of 5 s for idempotent messages.
+fn short_window_settings() -> Settings {
+    let mut settings = settings();
+    settings.classes[IDEMPOTENT_WITH_KEY].idempotency_window = SECOND;
+    settings.classes[IDEMPOTENT].deadline = 5 * SECOND;
+    settings
+}
+
+/// With [`short_window_settings`], and an endpoint that has just delivered: one failure there is not yet an
+/// outage.
+fn short_window_harness() -> ControllerHarness {
+    let mut harness = ControllerHarness::new(short_window_settings(), two_destinations());
+    harness.turn(&[message_submitted(9, IDEMPOTENT_WITH_KEY, 10)]);
+    harness.turn(&[attempt_ended(9, 0, 1, AttemptOutcome::Delivered)]);
+    harness
+}
+
+/// Guards against a time-out that takes all of a short window, after which the message cannot be retried.
+#[test]
+fn attempt_timeout_leaves_time_for_a_retry_within_a_short_idempotency_window() {
+    let mut harness = short_window_harness();
+    let submitted_at = harness.now;
+    let actions = harness.turn(&[message_submitted(1, IDEMPOTENT_WITH_KEY, 10)]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    harness.now += timeout;
+    let mut later = harness.turn(&[attempt_ended(1, 0, 1, AttemptOutcome::Timeout)]);
+    later.extend(harness.advance_to(submitted_at + 20 * SECOND).into_iter().map(|(_, action)| action));
+    assert_eq!(sends(&later), [(1, 1)], "retried once: {later:?}");
+    let (at, _) = harness.in_flight[&1];
+    assert!(at - submitted_at < SECOND, "inside the window: {}", at - submitted_at);
+    // A class of five seconds gets a second attempt as well.
+    let mut harness = short_window_harness();
+    let submission = MessageSubmission { time_left: 5 * SECOND, ..message_submission(2, IDEMPOTENT, 10) };
+    let actions = harness.turn(&[Event::MessageSubmitted(submission)]);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("{actions:?}") };
+    assert!(*timeout <= 2_500 * MILLISECOND, "{timeout}");
+}
+
+/// Guards against a retry outside the window, by this process's clock or by one that was set back, and
+/// against a message that stays buffered though it cannot be retried any more.
+#[test]
+fn ambiguous_attempts_are_retried_within_the_idempotency_window_and_fail_at_its_end() {
+    for (after, retried) in [
+        (400 * MILLISECOND, true),
+        (600 * MILLISECOND, true),
+        (960 * MILLISECOND, false),
+        (2 * SECOND, false),
+    ] {
+        let mut harness = short_window_harness();
+        let submitted_at = harness.now;
+        harness.turn(&[message_submitted(1, IDEMPOTENT_WITH_KEY, 10)]);
+        harness.now += after;
+        let mut actions = harness.turn(&[attempt_ended(1, 0, 1, AttemptOutcome::Reset)]);
+        assert_eq!(actions.contains(&Action::Fail { id: 1 }), !retried, "{after}");
+        actions =
+            harness.advance_to(submitted_at + 20 * SECOND).into_iter().map(|(_, action)| action).collect();
+        assert_eq!(sends(&actions).len(), usize::from(retried), "{after}");
+    }
+    // Recovered after a restart.
+    for (ago, retried) in
+        [(300 * MILLISECOND, true), (960 * MILLISECOND, false), (30 * SECOND, false), (-SECOND, false)]
+    {
+        let mut harness = short_window_harness();
+        let start = harness.now;
+        let first_ambiguous = AmbiguousAttempt { sent_at: start - ago, zone: 1 };
+        let recovered = message_recovered(1, 1, Some(first_ambiguous));
+        let first = harness.turn(&[message_submitted(1, IDEMPOTENT_WITH_KEY, 10), recovered]);
+        assert_eq!(first.contains(&Action::Fail { id: 1 }), !retried, "{ago}: {first:?}");
+        let mut sent_at = vec![start; sends(&first).len()];
+        let later = timed_sends(&harness.advance_to(start + 20 * SECOND));
+        sent_at.extend(later.into_iter().map(|(at, ..)| at));
+        assert_eq!(sent_at.len(), usize::from(retried), "{ago}");
+        assert!(sent_at.iter().all(|at| at - start + ago < SECOND), "{ago}");
+    }
+}
+
+#[test]
+fn non_idempotent_messages_fail_after_an_ambiguous_outcome_and_are_retried_if_never_sent() {
+    let mut harness = ControllerHarness::new(settings(), two_destinations());
+    harness.turn(&[message_submitted(1, NOT_IDEMPOTENT, 10), message_submitted(2, NOT_IDEMPOTENT, 20)]);
+    let actions = harness.turn(&[
+        attempt_ended(1, 0, 1, AttemptOutcome::Reset),
+        attempt_ended(2, 0, 2, AttemptOutcome::ConnectFailed),
+    ]);
+    assert!(actions.contains(&Action::Fail { id: 1 }));
+    let later = timed_sends(&harness.advance_to(harness.now + SECOND));
+    let ids: Vec<_> = later.into_iter().map(|(_, id, _)| id).collect();
+    assert_eq!(ids, [2]);
+}
+
+#[test]
+fn started_stream_is_not_cancelled_at_its_deadline() {
+    let mut harness = ControllerHarness::new(settings(), two_destinations());
+    harness.turn(&[message_submitted(1, IDEMPOTENT_WITH_KEY, 10)]);
+    harness.turn(&[Event::ResponseStarted { id: 1, attempt: 0 }]);
+    let later = harness.advance_to(harness.now + 30 * SECOND);
+    assert!(later.iter().all(|(_, action)| matches!(action, Action::SetTimer { .. })), "{later:?}");
+}
