--- a/crates/message-sender/tests/delivery.rs
+++ b/crates/message-sender/tests/delivery.rs
@@ -1,296 +1,237 @@
-//! Calls and their outcomes, on loopback sockets.
+//! Calls to endpoints, their outcomes, and their connections.
 
-mod common;
+mod support;
 
-use std::io::Write;
 use std::time::Duration;
 
-use common::{line, message, Discovery, Endpoint, Reply, Sender, Terms, OK, TAKEN_ON};
-
-fn stage(script: Vec<Reply>) -> (tempfile::TempDir, Discovery, Endpoint) {
-    let endpoint = Endpoint::start(script);
-    let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
-    (tempfile::tempdir().unwrap(), discovery, endpoint)
-}
-
-fn start(folder: &tempfile::TempDir, discovery: &Discovery, endpoint: &Endpoint) -> Sender {
-    let known = vec![line("s-1", endpoint.address, 7, "up")];
-    let state = folder.path().join("state");
-    std::fs::create_dir_all(&state).unwrap();
-    Sender::start(&state, discovery, known, &Terms::default())
-}
-
-#[test]
-fn a_message_goes_on_unchanged() {
-    let (folder, discovery, endpoint) = stage(vec![OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 20_000, "any \u{0} bytes"), TAKEN_ON);
-    let call = endpoint.next();
-    assert_eq!(call.line, "POST /receive HTTP/1.1");
-    assert_eq!(call.headers["x-call-id"], "m1");
+use support::client::{submission, ACCEPTED};
+use support::configuration::SenderOptions;
+use support::discovery::{endpoint_line, Discovery};
+use support::endpoint::{Endpoint, Reply, OK};
+use support::environment::{Environment, StateDirectory};
+use support::http::HttpMessage;
+use support::sender_process::SenderProcess;
+use support::TIMEOUT;
+
+#[test]
+fn message_is_forwarded_unchanged() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "any \u{0} bytes"), ACCEPTED);
+    let call = environment.endpoint.next_call();
+    assert_eq!(call.start_line, "POST /receive HTTP/1.1");
+    assert_eq!(call.message_id(), "m1");
     assert_eq!(call.headers["idempotency-key"], "key-of-m1");
     assert_eq!(call.body, "any \u{0} bytes".as_bytes());
     assert!(call.headers["x-budget-ms"].parse::<u64>().unwrap() > 0);
 }
 
-/// Guards against a reset that is taken for the end of a message, and against a new key for a repeat.
+/// Guards against a reset that is taken for the end of a message, and against a retry with a new key.
 #[test]
-fn after_a_reset_the_message_goes_again_under_its_key() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Break, OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    let (first, second) = (endpoint.next(), endpoint.next());
+fn reset_call_is_retried_with_the_same_idempotency_key() {
+    let environment = Environment::new(vec![Reply::CloseConnection, OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    let first = environment.endpoint.next_call();
+    let second = environment.endpoint.next_call();
     assert_eq!(first.headers["idempotency-key"], second.headers["idempotency-key"]);
-    assert_eq!(first.headers["x-call-id"], second.headers["x-call-id"]);
+    assert_eq!(first.message_id(), second.message_id());
 }
 
-/// Guards against calls to a destination that told a wait, for the same message or another.
+/// Guards against calls to a destination before the end of its Retry-After, for the same message or another.
 #[test]
-fn nothing_goes_to_a_destination_before_its_wait_is_over() {
-    let (folder, discovery, endpoint) =
-        stage(vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 1500\r\n"), OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    let told = endpoint.next();
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    let next = endpoint.next();
-    // The call was read before the wait was written: the true gap is longer.
-    assert!(next.at - told.at >= Duration::from_millis(1500), "{:?}", next.at - told.at);
+fn no_call_is_made_before_the_retry_after_has_elapsed() {
+    let environment = Environment::new(vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 1500\r\n"), OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    let rejected = environment.endpoint.next_call();
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    let next = environment.endpoint.next_call();
+    // The call was read before the Retry-After was written: the true interval is longer.
+    assert!(
+        next.received_at - rejected.received_at >= Duration::from_millis(1500),
+        "{:?}",
+        next.received_at - rejected.received_at
+    );
 }
 
 /// Guards against a notice, or another call, for a message that the platform says is over.
 #[test]
-fn a_message_that_is_over_gets_no_call_and_no_notice() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Answer("410 Gone\r\n"), OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 2_000, "x"), TAKEN_ON);
-    assert_eq!(endpoint.next().headers["x-call-id"], "m1");
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(endpoint.next().headers["x-call-id"], "m2");
-    // Well past the time at which the first would have been given up.
-    assert!(discovery.notices.recv_timeout(Duration::from_secs(3)).is_err());
-    assert!(endpoint.is_quiet());
+fn message_that_the_platform_has_ended_gets_no_call_and_no_notice() {
+    let environment = Environment::new(vec![Reply::Answer("410 Gone\r\n"), OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 2_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    // Well past the deadline of the first.
+    assert!(environment.discovery.notices.recv_timeout(Duration::from_secs(3)).is_err());
+    assert!(environment.endpoint.has_no_call());
 }
 
-/// Guards against a busy slot, which proves that nothing ran, being taken for an error or an end.
+/// Guards against a busy line, which proves that the call had no effect, being taken for an error or an end.
 #[test]
-fn a_call_without_a_slot_is_made_again() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Answer("503 Busy\r\nX-Line-Busy: 1\r\n"), OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    endpoint.next();
-    assert_eq!(endpoint.next().headers["x-call-id"], "m1");
+fn call_rejected_because_the_line_is_busy_is_retried() {
+    let environment = Environment::new(vec![Reply::Answer("503 Busy\r\nX-Line-Busy: 1\r\n"), OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
 }
 
-/// Guards against a notice that is lost because the agent did not take it at once.
+/// Guards against a notice that is lost because the discovery server did not acknowledge it at once.
 #[test]
-fn a_notice_is_sent_until_it_is_taken() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Hang]);
-    discovery.deafen(2);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 300, "x"), TAKEN_ON);
-    let notice = discovery.notice();
+fn notice_is_sent_until_it_is_acknowledged() {
+    let environment = Environment::new(vec![Reply::NoAnswer]);
+    environment.discovery.reject_notices(2);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 300, "x"), ACCEPTED);
+    let notice = environment.discovery.next_notice();
     assert_eq!((&notice["ref"], &notice["result"]), (&"m1".into(), &"dead".into()));
 }
 
-/// Guards against calls to an endpoint that drains, and against a watch that is not gone on with.
+/// Guards against calls to an endpoint that drains, and against a watch that is not continued.
 #[test]
-fn a_drained_endpoint_gets_nothing_new() {
-    let (folder, discovery, endpoint) = stage(vec![OK]);
+fn draining_endpoint_gets_no_new_calls() {
+    let environment = Environment::new(vec![OK]);
     let other = Endpoint::start(vec![OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    discovery.await_watch(1);
-    discovery.tell(vec![line("s-1", endpoint.address, 7, "draining"), line("s-2", other.address, 7, "up")]);
-    discovery.await_watch(2);
+    let sender = environment.start_sender();
+    environment.discovery.await_watch_after(1);
+    environment.discovery.publish(vec![
+        endpoint_line("s-1", environment.endpoint.address, 7, "draining"),
+        endpoint_line("s-2", other.address, 7, "up"),
+    ]);
+    environment.discovery.await_watch_after(2);
     for number in 0..10 {
-        assert_eq!(sender.hand_in(&format!("m{number}"), 20_000, "x"), TAKEN_ON);
-        other.next();
+        assert_eq!(sender.submit(&format!("m{number}"), 20_000, "x"), ACCEPTED);
+        other.next_call();
     }
-    assert!(endpoint.is_quiet());
-}
-
-/// Guards against bad input that reaches the module or an endpoint.
-#[test]
-fn bad_input_is_answered_plainly_and_goes_nowhere() {
-    let (folder, discovery, endpoint) = stage(vec![OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    let good = message("m1", 20_000, "x");
-    let large = "x".repeat(64 * 1024 + 1);
-    let cases = [
-        (good.replace("X-Call-Id: m1\r\n", ""), "400"),
-        (good.replace("Budget-Ms: 20000", "Budget-Ms: soon"), "400"),
-        (good.replace("Budget-Ms: 20000", "Budget-Ms: -1"), "400"),
-        (good.replace("dest=7", "dest=x"), "400"),
-        (good.replace("X-Consignee: dest=7\r\n", ""), "400"),
-        (good.replace("Idempotency-Key: key-of-m1\r\n", ""), "400"),
-        (good.replace("Call-Class: notice", "Call-Class: other"), "400"),
-        (good.replace("/notice", "/other").replace("Call-Class: notice", "Call-Class: other"), "404"),
-        (good.replace("POST /notice", "PUT /notice"), "405"),
-        ("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "404"),
-        ("nonsense\r\n\r\n".to_owned(), "400"),
-        (message("m1", 20_000, &large), "413"),
-    ];
-    for (text, status) in cases {
-        let answer = sender.ask(text.as_bytes()).expect("an answer");
-        assert_eq!(answer.line.split(' ').nth(1), Some(status), "{}", &text[..text.len().min(200)]);
-    }
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(endpoint.next().headers["x-call-id"], "m2");
-    assert!(endpoint.is_quiet());
-}
-
-/// Guards against sending what its client has withdrawn by closing before its answer. The sender is stopped
-/// meanwhile, so that it finds the request and its end together.
-#[test]
-fn a_client_that_closes_before_its_answer_has_withdrawn_the_message() {
-    let (folder, discovery, endpoint) = stage(vec![OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    sender.stop();
-    let mut stream = std::net::TcpStream::connect(sender.address).unwrap();
-    stream.write_all(message("m1", 20_000, "x").as_bytes()).unwrap();
-    drop(stream);
-    sender.signal("-CONT");
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(endpoint.next().headers["x-call-id"], "m2");
-    assert!(endpoint.is_quiet());
+    assert!(environment.endpoint.has_no_call());
 }
 
-/// Guards against a connection that the endpoint closed while it was idle: the call on it never ran, and is
-/// made on a new one at no cost in attempts.
+/// Guards against a connection that the endpoint closed while it was idle: the call on it was never received,
+/// and is made on a new one without counting as an attempt.
 #[test]
-fn a_connection_closed_while_idle_is_not_used() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Answer("200 OK\r\nX-Then: closes\r\n"), OK]);
-    let sender = start(&folder, &discovery, &endpoint);
+fn connection_closed_while_idle_is_not_reused() {
+    let environment = Environment::new(vec![Reply::Answer("200 OK\r\nX-Then: closes\r\n"), OK]);
+    let sender = environment.start_sender();
     for id in ["m1", "m2", "m3"] {
-        assert_eq!(sender.hand_in(id, 20_000, "x"), TAKEN_ON);
-        assert_eq!(endpoint.next().headers["x-call-id"], id);
+        assert_eq!(sender.submit(id, 20_000, "x"), ACCEPTED);
+        assert_eq!(environment.endpoint.next_call().message_id(), id);
     }
-    assert!(endpoint.is_quiet());
-}
-
-#[test]
-fn a_message_handed_in_twice_under_one_id_is_taken_on_once() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Hang]);
-    let sender = start(&folder, &discovery, &endpoint);
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    endpoint.next();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(endpoint.next().headers["x-call-id"], "m2");
+    assert!(environment.endpoint.has_no_call());
 }
 
 /// Guards against a new endpoint being given the connections of the one whose address it took.
 #[test]
-fn connections_belong_to_their_endpoint_not_to_its_address() {
-    let (folder, discovery, endpoint) = stage(vec![OK]);
-    let sender = start(&folder, &discovery, &endpoint);
-    discovery.await_watch(1);
-    let mut ends = Vec::new();
+fn connections_belong_to_an_endpoint_not_to_its_address() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    environment.discovery.await_watch_after(1);
+    let mut peers = Vec::new();
     for id in ["m1", "m2"] {
-        assert_eq!(sender.hand_in(id, 20_000, "x"), TAKEN_ON);
-        ends.push(endpoint.next().from);
+        assert_eq!(sender.submit(id, 20_000, "x"), ACCEPTED);
+        peers.push(environment.endpoint.next_call().peer);
+    }
+    let lines = vec![
+        endpoint_line("s-1", environment.endpoint.address, 7, "removed"),
+        endpoint_line("s-2", environment.endpoint.address, 7, "up"),
+    ];
+    environment.discovery.publish(lines);
+    environment.discovery.await_watch_after(2);
+    assert_eq!(sender.submit("m3", 20_000, "x"), ACCEPTED);
+    let third = environment.endpoint.next_call().peer;
+    assert!(peers[0] == peers[1] && third != peers[1], "{peers:?} {third:?}");
+}
+
+/// Waits for the next call; `None` if a notice that a message was given up comes first.
+fn next_call_before_any_notice(environment: &Environment) -> Option<HttpMessage> {
+    loop {
+        let call = environment.endpoint.calls.recv_timeout(Duration::from_millis(200));
+        if environment.discovery.notices.try_recv().is_ok() {
+            return None;
+        }
+        if let Ok(call) = call {
+            return Some(call);
+        }
     }
-    let lines = vec![line("s-1", endpoint.address, 7, "removed"), line("s-2", endpoint.address, 7, "up")];
-    discovery.tell(lines);
-    discovery.await_watch(2);
-    assert_eq!(sender.hand_in("m3", 20_000, "x"), TAKEN_ON);
-    let third = endpoint.next().from;
-    assert!(ends[0] == ends[1] && third != ends[1], "{ends:?} {third:?}");
 }
 
-/// Guards against a destination that is starved because it refused a call of a process that had sent next to
-/// nothing, as after a restart: the pace must follow what is asked of it, not only what was sent.
+/// Guards against a destination that is starved because it rejected a call of a process that had sent next to
+/// nothing, as after a restart: the rate must follow the demand, not only what was sent.
 #[test]
-fn one_refusal_of_an_early_call_does_not_starve_a_destination() {
+fn one_early_rejection_does_not_starve_a_destination() {
     const MESSAGES: usize = 40;
-    let (folder, discovery, endpoint) = stage(vec![Reply::Answer("503 Busy\r\n"), OK]);
-    let sender = start(&folder, &discovery, &endpoint);
+    let environment = Environment::new(vec![Reply::Answer("503 Busy\r\n"), OK]);
+    let sender = environment.start_sender();
     for number in 0..MESSAGES {
-        assert_eq!(sender.hand_in(&format!("m{number}"), 12_000, "x"), TAKEN_ON);
+        assert_eq!(sender.submit(&format!("m{number}"), 12_000, "x"), ACCEPTED);
     }
-    // One call was refused, each other one delivers a message, if none is given up.
+    // One call was rejected, each other one delivers a message, if none is given up.
     for delivered in 0..=MESSAGES {
-        let call = std::iter::repeat_with(|| endpoint.calls.recv_timeout(Duration::from_millis(200)));
-        let call = call.take_while(|_| discovery.notices.try_recv().is_err()).find_map(Result::ok);
+        let call = next_call_before_any_notice(&environment);
         assert!(call.is_some(), "a message was given up after {delivered} calls");
     }
 }
 
-/// Guards against slots that calls whose answers got lost keep from all other destinations: where later calls are
-/// answered, such a call is called off before those to an endpoint that may only be slow.
+/// Guards against calls whose answers got lost using up the concurrency limit: where later calls are
+/// answered, such a call is cancelled before those to an endpoint that may only be slow.
 #[test]
-fn a_call_whose_answer_is_lost_gives_its_slot_back_soon() {
-    const KNOWN: usize = 20;
-    let script = |then: &[Reply]| [vec![OK; KNOWN], then.to_vec(), vec![OK]].concat();
-    let loses = Endpoint::start(script(&[Reply::Hang, OK, Reply::Hang, Reply::Hang, Reply::Hang]));
-    let hangs = Endpoint::start(script(&vec![Reply::Hang; 6]));
-    let lines = vec![line("s-1", loses.address, 7, "up"), line("s-2", hangs.address, 8, "up")];
-    let (folder, discovery) = (tempfile::tempdir().unwrap(), Discovery::start(lines.clone()));
-    let state = folder.path().join("state");
-    std::fs::create_dir_all(&state).unwrap();
-    let sender = Sender::start(&state, &discovery, lines, &Terms::default());
-    let hand_in = |to: &str, id: String| {
-        let text = message(&id, 20_000, "x").replace("dest=7", to);
-        assert_eq!(sender.ask(text.as_bytes()).expect("an answer").line, TAKEN_ON);
+fn call_whose_answer_is_lost_is_cancelled_soon() {
+    const DELIVERED_BEFORE: usize = 20;
+    let script = |then: &[Reply]| [vec![OK; DELIVERED_BEFORE], then.to_vec(), vec![OK]].concat();
+    let losing =
+        Endpoint::start(script(&[Reply::NoAnswer, OK, Reply::NoAnswer, Reply::NoAnswer, Reply::NoAnswer]));
+    let unresponsive = Endpoint::start(script(&vec![Reply::NoAnswer; 6]));
+    let lines = vec![
+        endpoint_line("s-1", losing.address, 7, "up"),
+        endpoint_line("s-2", unresponsive.address, 8, "up"),
+    ];
+    let state = StateDirectory::create();
+    let discovery = Discovery::start(lines.clone());
+    let sender = SenderProcess::start(&state.path, &discovery, lines, &SenderOptions::default());
+    let submit = |destination: &str, id: String| {
+        let text = submission(&id, 20_000, "x").replace("dest=7", destination);
+        assert_eq!(sender.request(&text).expect("an answer").start_line, ACCEPTED);
     };
     let (first, second) = ("dest=7", "dest=8");
-    for number in 0..KNOWN {
-        hand_in(first, format!("a{number}"));
-        loses.next();
-        hand_in(second, format!("b{number}"));
-        hangs.next();
+    for number in 0..DELIVERED_BEFORE {
+        submit(first, format!("a{number}"));
+        losing.next_call();
+        submit(second, format!("b{number}"));
+        unresponsive.next_call();
     }
-    // Ten slots: six with the second destination, four with the first, of which only the oldest is overtaken.
+    // Ten calls in flight: six to the second destination, four to the first, of which only the oldest is
+    // overtaken.
     for number in 0..6 {
-        hand_in(second, format!("hung{number}"));
-        hangs.next();
+        submit(second, format!("hung{number}"));
+        unresponsive.next_call();
     }
     for id in ["lost", "overtakes", "out1", "out2", "out3"] {
-        hand_in(first, id.to_owned());
-        loses.next();
+        submit(first, id.to_owned());
+        losing.next_call();
     }
-    hand_in(first, "waits".to_owned());
-    let ended =
-        std::iter::repeat_with(|| loses.ended.recv_timeout(common::LONG).expect("a call is called off"));
-    assert!(ended.take(10).any(|id| id == "lost"));
-    let hung: Vec<_> = hangs.ended.try_iter().filter(|id| id.starts_with("hung")).collect();
+    submit(first, "waits".to_owned());
+    let cancelled = || losing.closed_connections.recv_timeout(TIMEOUT).expect("a call is cancelled");
+    assert!(std::iter::repeat_with(cancelled).take(10).any(|id| id == "lost"));
+    let ended = unresponsive.closed_connections.try_iter();
+    let hung: Vec<_> = ended.filter(|id| id.starts_with("hung")).collect();
     assert!(hung.is_empty(), "{hung:?}");
 }
 
-/// Guards against messages about one thing that overtake each other: the client names it, and the module must
-/// be told.
+/// Guards against messages about one subject that overtake each other: the subject that the client names must
+/// reach the controller.
 #[test]
-fn messages_about_one_subject_go_one_at_a_time() {
-    let (folder, discovery, endpoint) = stage(vec![Reply::Hang, OK]);
-    let state = folder.path().join("state");
-    std::fs::create_dir_all(&state).unwrap();
-    let known = vec![line("s-1", endpoint.address, 7, "up")];
-    let sender = Sender::start(&state, &discovery, known, &Terms { ordered: true, ..Terms::default() });
+fn messages_about_one_subject_are_sent_one_at_a_time() {
+    let environment = Environment::with_options(
+        vec![Reply::NoAnswer, OK],
+        SenderOptions { is_ordered: true, ..SenderOptions::default() },
+    );
+    let sender = environment.start_sender();
     for (subject, id) in [("card1", "m1"), ("card1", "m2"), ("card2", "m3")] {
-        assert_eq!(sender.hand_in_about(subject, id), TAKEN_ON);
-    }
-    assert_eq!(endpoint.next().headers["x-call-id"], "m1");
-    assert_eq!(endpoint.next().headers["x-call-id"], "m3");
-    assert!(endpoint.is_quiet());
-}
-
-/// Guards against a department that floods the hold at the cost of the others: the client names its department,
-/// and what lies beyond its share goes first.
-#[test]
-fn a_full_hold_gives_up_what_is_beyond_its_tenants_share() {
-    let (folder, discovery, endpoint) =
-        stage(vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 9000\r\n"), OK]);
-    let state = folder.path().join("state");
-    std::fs::create_dir_all(&state).unwrap();
-    let known = vec![line("s-1", endpoint.address, 7, "up")];
-    let sender = Sender::start(&state, &discovery, known, &Terms { held: 4, ..Terms::default() });
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    endpoint.next();
-    // The share allows one message in a long time.
-    for id in ["within", "beyond"] {
-        let text = message(id, 20_000, "x").replace("X-Budget", "X-Caller: small\r\nX-Budget");
-        assert_eq!(sender.ask(text.as_bytes()).expect("an answer").line, TAKEN_ON);
+        assert_eq!(sender.submit_about(subject, id), ACCEPTED);
     }
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(discovery.notice()["ref"], "beyond");
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+    assert_eq!(environment.endpoint.next_call().message_id(), "m3");
+    assert!(environment.endpoint.has_no_call());
 }
--- a/crates/message-sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -1,297 +1,331 @@
-//! What outlasts the process, on loopback sockets.
+//! What outlasts the process: messages, their attempts and their order.
 
-mod common;
+mod support;
 
+use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
-use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 use socket2::{Domain, Socket, Type};
-
-struct Stage {
-    _folder: tempfile::TempDir,
-    state: PathBuf,
-    discovery: Discovery,
-    endpoint: Endpoint,
-    terms: Terms,
-}
-
-impl Stage {
-    fn new(script: Vec<Reply>, terms: Terms) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let state = folder.path().join("state");
-        std::fs::create_dir(&state).unwrap();
-        let endpoint = Endpoint::start(script);
-        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
-        Self { _folder: folder, state, discovery, endpoint, terms }
-    }
-
-    fn sender(&self) -> Sender {
-        let known = vec![line("s-1", self.endpoint.address, 7, "up")];
-        Sender::start(&self.state, &self.discovery, known, &self.terms)
-    }
-}
+use support::client::{submission, ACCEPTED};
+use support::configuration::{Idempotency, SenderOptions};
+use support::discovery::{endpoint_line, Discovery};
+use support::endpoint::{Reply, OK};
+use support::environment::Environment;
+use support::http::read_message;
+use support::sender_process::{SenderProcess, Signal};
 
 /// Guards against work that is lost with the process.
 #[test]
-fn what_was_out_at_a_kill_goes_again_under_its_key() {
-    let stage = Stage::new(vec![Reply::Hang, OK], Terms::default());
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "kept"), TAKEN_ON);
-    stage.endpoint.next();
+fn call_in_flight_at_a_kill_is_retried_with_its_idempotency_key() {
+    let environment = Environment::new(vec![Reply::NoAnswer, OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "kept"), ACCEPTED);
+    environment.endpoint.next_call();
     sender.kill();
-    let _sender = stage.sender();
-    let again = stage.endpoint.next();
-    assert_eq!(again.headers["x-call-id"], "m1");
-    assert_eq!(again.headers["idempotency-key"], "key-of-m1");
-    assert_eq!(again.body, b"kept");
+    let _sender = environment.start_sender();
+    let retry = environment.endpoint.next_call();
+    assert_eq!(retry.message_id(), "m1");
+    assert_eq!(retry.headers["idempotency-key"], "key-of-m1");
+    assert_eq!(retry.body, b"kept");
 }
 
-/// Guards against an order that dies with the process: what was first of its subject is first again, and holds
-/// the rest back.
+/// Guards against an order that is lost with the process: the head of the subject's queue is the head again,
+/// and holds back the others.
 #[test]
 fn messages_about_one_subject_keep_their_order_across_a_kill() {
-    let stage = Stage::new(vec![Reply::Hang], Terms { ordered: true, ..Terms::default() });
-    let sender = stage.sender();
+    let environment = Environment::with_options(
+        vec![Reply::NoAnswer],
+        SenderOptions { is_ordered: true, ..SenderOptions::default() },
+    );
+    let sender = environment.start_sender();
     for id in ["m1", "m2"] {
-        assert_eq!(sender.hand_in_about("card", id), TAKEN_ON);
+        assert_eq!(sender.submit_about("card", id), ACCEPTED);
     }
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
     sender.kill();
-    let sender = stage.sender();
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
-    // Resumed messages start up to 0.9 s apart; the second would have come by then.
+    let sender = environment.start_sender();
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+    // Recovered messages start up to 0.9 s apart; the second would have come by then.
     std::thread::sleep(Duration::from_millis(1_200));
-    assert_eq!(sender.hand_in_about("other", "m3"), TAKEN_ON);
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m3");
+    assert_eq!(sender.submit_about("other", "m3"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m3");
 }
 
-/// Guards against a message that goes out while the platform still counts the one before it of its key as open, also
-/// where that was given up by a process that has died since.
+/// Guards against a message that is sent while the platform still counts its predecessor under the key as
+/// open, also where that was given up by a process that has died since.
 #[test]
-fn a_key_waits_for_the_answer_to_its_notice_across_a_kill() {
-    let terms = Terms { ordered: true, effect: "side_effect", ..Terms::default() };
-    let stage = Stage::new(vec![Reply::Break, OK], terms);
-    stage.discovery.deafen(10_000);
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in_about("card", "m1"), TAKEN_ON);
-    stage.endpoint.next();
-    stage.discovery.await_refused_notice();
-    assert_eq!(sender.hand_in_about("card", "m2"), TAKEN_ON);
+fn order_key_waits_for_the_acknowledgement_of_its_notice_across_a_kill() {
+    let terms =
+        SenderOptions { is_ordered: true, idempotency: Idempotency::Never, ..SenderOptions::default() };
+    let environment = Environment::with_options(vec![Reply::CloseConnection, OK], terms);
+    environment.discovery.reject_notices(10_000);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit_about("card", "m1"), ACCEPTED);
+    environment.endpoint.next_call();
+    environment.discovery.await_rejected_notice();
+    assert_eq!(sender.submit_about("card", "m2"), ACCEPTED);
     std::thread::sleep(Duration::from_millis(300));
-    assert!(stage.endpoint.is_quiet());
+    assert!(environment.endpoint.has_no_call());
     sender.kill();
-    let _sender = stage.sender();
-    // Resumed messages start up to 0.9 s after the start.
+    let _sender = environment.start_sender();
+    // Recovered messages start up to 0.9 s after the start.
     std::thread::sleep(Duration::from_millis(1_200));
-    assert!(stage.endpoint.is_quiet());
-    stage.discovery.deafen(0);
-    assert_eq!(stage.discovery.notice()["ref"], "m1");
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
+    assert!(environment.endpoint.has_no_call());
+    environment.discovery.reject_notices(0);
+    assert_eq!(environment.discovery.next_notice()["ref"], "m1");
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
 }
 
-/// Guards against a call that was out at the process's death being taken for one that never ran: an unsafe
-/// message must not go again, and must not be refused.
+/// Guards against a call that was in flight at the process's death being taken for one that was never sent: a
+/// non-idempotent message must neither be retried nor be rejected.
 #[test]
-fn an_unsafe_message_that_was_out_at_a_kill_fails() {
-    let stage = Stage::new(vec![Reply::Hang, OK], Terms { effect: "side_effect", ..Terms::default() });
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
+fn non_idempotent_message_in_flight_at_a_kill_fails() {
+    let environment = Environment::with_options(
+        vec![Reply::NoAnswer, OK],
+        SenderOptions { idempotency: Idempotency::Never, ..SenderOptions::default() },
+    );
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
     sender.kill();
-    let _sender = stage.sender();
-    let notice = stage.discovery.notice();
+    let _sender = environment.start_sender();
+    let notice = environment.discovery.next_notice();
     assert_eq!((&notice["ref"], &notice["result"]), (&"m1".into(), &"dead".into()));
-    assert!(stage.endpoint.is_quiet());
+    assert!(environment.endpoint.has_no_call());
 }
 
-/// Guards against refusals that nobody can trace: the log says who refused, and for which destination.
+/// Guards against rejections that nobody can trace: the log says what caused them, and for which destination.
 #[test]
-fn the_log_tells_who_gives_messages_up() {
-    let stage = Stage::new(vec![Reply::Answer("503 Busy\r\n")], Terms { held: 2, ..Terms::default() });
-    // What is given up takes its place until its notice is taken.
-    stage.discovery.deafen(10_000);
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 1_500, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    assert_eq!(sender.hand_in("m2", 1_500, "x"), TAKEN_ON);
-    assert!(sender.hand_in("m3", 1_500, "x").contains("503"));
+fn log_names_cause_and_destination_of_undelivered_messages() {
+    let environment = Environment::with_options(
+        vec![Reply::Answer("503 Busy\r\n")],
+        SenderOptions { buffer_capacity: 2, ..SenderOptions::default() },
+    );
+    // A message that was given up stays in the buffer until its notice is acknowledged.
+    environment.discovery.reject_notices(10_000);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 1_500, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    assert_eq!(sender.submit("m2", 1_500, "x"), ACCEPTED);
+    assert!(sender.submit("m3", 1_500, "x").contains("503"));
     sender.await_log(&["not delivered", "cause=BufferFull", "messages=1", "{7: 1}"]);
     sender.await_log(&["not delivered", "cause=Rejected", "{7:"]);
 }
 
-/// Guards against refused attempts being taken for such as may have run once the process has died.
+/// Guards against rejected attempts being taken for ambiguous ones once the process has died.
 #[test]
-fn an_unsafe_message_that_was_only_refused_goes_again_after_a_restart() {
-    // A wait that ends after the drain has stopped sending.
+fn non_idempotent_message_that_was_only_rejected_is_retried_after_a_restart() {
+    // A Retry-After that ends after the drain has stopped sending.
     let script = vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 2900\r\n"), OK];
-    let stage = Stage::new(script, Terms { effect: "side_effect", ..Terms::default() });
-    let mut sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    sender.signal("-TERM");
+    let environment = Environment::with_options(
+        script,
+        SenderOptions { idempotency: Idempotency::Never, ..SenderOptions::default() },
+    );
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    sender.signal(Signal::Terminate);
     assert!(sender.wait().success());
-    let _sender = stage.sender();
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
+    let _sender = environment.start_sender();
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
 }
 
-/// Guards against an end that is owed but never told, when time runs out while no process is there.
+/// Guards against a notice that is never sent, when the deadline passes while no process is there.
 #[test]
-fn what_is_overdue_at_the_start_is_ended_at_once() {
-    let stage = Stage::new(vec![Reply::Hang], Terms::default());
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 1_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
+fn message_past_its_deadline_at_the_start_ends_at_once() {
+    let environment = Environment::new(vec![Reply::NoAnswer]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 1_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
     sender.kill();
     std::thread::sleep(Duration::from_millis(1_100));
-    let _sender = stage.sender();
-    assert_eq!(stage.discovery.notice()["ref"], "m1");
-    assert!(stage.endpoint.is_quiet());
+    let _sender = environment.start_sender();
+    assert_eq!(environment.discovery.next_notice()["ref"], "m1");
+    assert!(environment.endpoint.has_no_call());
 }
 
 /// Guards against delivered messages that come back from the journal.
 #[test]
-fn what_was_delivered_is_over_after_a_restart() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let mut sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    sender.signal("-TERM");
+fn delivered_message_is_not_sent_again_after_a_restart() {
+    let environment = Environment::new(vec![OK]);
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    sender.signal(Signal::Terminate);
     assert!(sender.wait().success());
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
 }
 
-/// Guards against new connections being turned away while the front does not know of the drain yet, and
-/// against a process that outstays SIGTERM until SIGKILL.
+/// Guards against new connections being rejected while the front does not know of the drain yet, and against
+/// a process that stays after SIGTERM until SIGKILL.
 #[test]
-fn a_draining_sender_answers_and_delivers_and_then_leaves() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let mut sender = stage.sender();
-    let mut old = BufReader::new(TcpStream::connect(sender.address).unwrap());
-    old.get_ref().set_read_timeout(Some(LONG)).unwrap();
-    old.get_mut().write_all(message("m1", 20_000, "x").as_bytes()).unwrap();
-    assert_eq!(read_message(&mut old).expect("an answer").line, TAKEN_ON);
-    stage.endpoint.next();
-    sender.signal("-TERM");
+fn draining_sender_answers_and_delivers_before_it_exits() {
+    let environment = Environment::new(vec![OK]);
+    let mut sender = environment.start_sender();
+    let mut connection = BufReader::new(sender.connect());
+    connection.get_mut().write_all(submission("m1", 20_000, "x").as_bytes()).unwrap();
+    assert_eq!(read_message(&mut connection).expect("an answer").start_line, ACCEPTED);
+    environment.endpoint.next_call();
+    sender.signal(Signal::Terminate);
     // Closed between requests.
-    assert!(read_message(&mut old).is_none());
-    let late = sender.ask(message("m2", 20_000, "x").as_bytes()).expect("an answer");
-    assert_eq!((late.line.as_str(), late.headers["connection"].as_str()), (TAKEN_ON, "close"));
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
+    assert!(read_message(&mut connection).is_none());
+    let late = sender.request(&submission("m2", 20_000, "x")).expect("an answer");
+    assert_eq!((late.start_line.as_str(), late.headers["connection"].as_str()), (ACCEPTED, "close"));
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
     assert!(sender.wait().success());
 }
 
-/// Guards against taking on what the disk cannot keep.
+/// Guards against accepting messages that the disk has no space for.
 #[test]
-fn what_the_journal_cannot_hold_is_refused_with_a_time_to_come_back() {
-    let stage = Stage::new(vec![Reply::Hang], Terms { disk_mb: 0.5, ..Terms::default() });
-    let sender = stage.sender();
+fn full_journal_rejects_messages_with_retry_after() {
+    let environment = Environment::with_options(
+        vec![Reply::NoAnswer],
+        SenderOptions { disk_mb: 0.5, ..SenderOptions::default() },
+    );
+    let sender = environment.start_sender();
     let body = "x".repeat(60_000);
-    let refused = (0..20).find_map(|number| {
-        let answer = sender.ask(message(&format!("m{number}"), 20_000, &body).as_bytes()).expect("an answer");
-        (answer.line != TAKEN_ON).then_some(answer)
+    let rejection = (0..20).find_map(|number| {
+        let answer = sender.request(&submission(&format!("m{number}"), 20_000, &body)).expect("an answer");
+        (answer.start_line != ACCEPTED).then_some(answer)
     });
-    let refused = refused.expect("the disk is full at last");
-    assert!(refused.line.contains("503") && refused.headers.contains_key("retry-after"), "{refused:?}");
-    let sizes = std::fs::read_dir(&stage.state).unwrap();
-    let bytes: u64 = sizes.map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum();
+    let rejection = rejection.expect("the disk is full at last");
+    assert!(
+        rejection.start_line.contains("503") && rejection.headers.contains_key("retry-after"),
+        "{rejection:?}"
+    );
+    let bytes = disk_usage(&environment.state.path);
     assert!(bytes <= 500_000, "{bytes}");
     sender.await_log(&["not delivered", "JournalFull", "{7: 1}"]);
 }
 
-/// A listener whose queue is full: connections to it do not come up. Closing what fills it lets them.
-fn unreachable() -> (Socket, SocketAddr, Vec<Socket>) {
-    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    let listener = socket();
-    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    listener.listen(0).unwrap();
-    let address = listener.local_addr().unwrap();
-    let filling = (0..4).map(|_| {
-        let client = socket();
-        client.set_nonblocking(true).unwrap();
-        // It is on its way, or the queue is full.
-        let _ = client.connect(&address);
-        client
-    });
-    let filling = filling.collect();
-    (listener, address.as_socket().unwrap(), filling)
+/// Size of the files in a directory, in full blocks.
+fn disk_usage(directory: &Path) -> u64 {
+    const BLOCK: u64 = 512;
+    let mut blocks = 0;
+    for file in std::fs::read_dir(directory).unwrap() {
+        blocks += file.unwrap().metadata().unwrap().len().div_ceil(BLOCK);
+    }
+    blocks * BLOCK
+}
+
+/// A listener whose queue is full: connections to it are not established while the value lives.
+struct UnreachableListener {
+    _listener: Socket,
+    address: SocketAddr,
+    _queued: Vec<Socket>,
 }
 
-/// Guards against a call that was decided on, but whose connection was not up when the process died, being taken for
-/// one that may have run: a message that may not be repeated would fail untried.
+impl UnreachableListener {
+    fn start() -> Self {
+        let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let listener = socket();
+        listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut queued = Vec::new();
+        for _ in 0..4 {
+            let client = socket();
+            client.set_nonblocking(true).unwrap();
+            // It is being established, or the queue is full.
+            let _ = client.connect(&address);
+            queued.push(client);
+        }
+        Self { _listener: listener, address: address.as_socket().unwrap(), _queued: queued }
+    }
+}
+
+/// Guards against a call that was decided on, but whose connection was not established when the process died,
+/// being taken for an ambiguous attempt: a non-idempotent message would fail unattempted.
 #[test]
-fn an_unsafe_message_whose_connection_was_not_up_at_a_kill_is_still_tried() {
-    let stage = Stage::new(vec![OK], Terms { effect: "side_effect", ..Terms::default() });
-    let (_listener, far, _filling) = unreachable();
-    stage.discovery.tell(vec![line("s-1", far, 7, "up")]);
-    let known = || vec![line("s-1", far, 7, "up")];
-    let sender = Sender::start(&stage.state, &stage.discovery, known(), &stage.terms);
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    // The call is decided on in the turn of the answer; it would take a second to give up.
+fn non_idempotent_message_whose_connection_was_not_established_at_a_kill_is_attempted() {
+    let environment = Environment::with_options(
+        vec![OK],
+        SenderOptions { idempotency: Idempotency::Never, ..SenderOptions::default() },
+    );
+    let unreachable = UnreachableListener::start();
+    let address = unreachable.address;
+    environment.discovery.publish(vec![endpoint_line("s-1", address, 7, "up")]);
+    let sender = SenderProcess::start(
+        &environment.state.path,
+        &environment.discovery,
+        vec![endpoint_line("s-1", address, 7, "up")],
+        &environment.options,
+    );
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    // The call is decided on in the turn of the answer; the connect time-out is a second.
     std::thread::sleep(Duration::from_millis(300));
     sender.kill();
-    stage.discovery.tell(vec![line("s-1", stage.endpoint.address, 7, "up")]);
-    let _sender = stage.sender();
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
-    assert!(stage.discovery.notices.try_recv().is_err(), "nothing else becomes of it");
+    environment.discovery.publish(vec![endpoint_line("s-1", environment.endpoint.address, 7, "up")]);
+    let _sender = environment.start_sender();
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+    assert!(environment.discovery.notices.try_recv().is_err(), "there is no notice about it");
 }
 
-/// How many of so many messages, held untried behind a told wait when a process ended, got a call from the next one,
-/// whose endpoint then goes on with this script.
-fn resumed_and_tried(signal: &str, then: &[Reply], discovery_is_up: bool) -> (usize, usize) {
-    const COUNT: usize = 12;
+/// Number of messages that wait unattempted at the end of a process.
+const UNATTEMPTED: usize = 12;
+
+/// Ends a process with this signal while [`UNATTEMPTED`] messages wait for a Retry-After; returns how many of
+/// them the next process attempts, whose endpoint then goes on with this script.
+fn attempted_after_recovery(signal: Signal, then: &[Reply], discovery_is_up: bool) -> usize {
     let script = [&[Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 9000\r\n")], then].concat();
-    let stage = Stage::new(script, Terms { effect: "side_effect", ..Terms::default() });
-    let mut sender = stage.sender();
-    assert_eq!(sender.hand_in("first", 9_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    for number in 0..COUNT {
-        assert_eq!(sender.hand_in(&format!("m{number}"), 9_000, "x"), TAKEN_ON);
+    let options = SenderOptions { idempotency: Idempotency::Never, ..SenderOptions::default() };
+    let environment = Environment::with_options(script, options);
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("first", 9_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    for number in 0..UNATTEMPTED {
+        assert_eq!(sender.submit(&format!("m{number}"), 9_000, "x"), ACCEPTED);
     }
     sender.signal(signal);
     sender.wait();
-    assert!(stage.endpoint.is_quiet());
-    let gone;
+    assert!(environment.endpoint.has_no_call());
+    let unresponsive;
     let discovery = if discovery_is_up {
-        &stage.discovery
+        &environment.discovery
     } else {
-        gone = Discovery::silent();
-        &gone
+        unresponsive = Discovery::start_unresponsive();
+        &unresponsive
     };
-    let known = vec![line("s-1", stage.endpoint.address, 7, "up")];
-    let mut sender = Sender::launch(&stage.state, discovery, known, &stage.terms);
+    let mut sender = SenderProcess::launch(
+        &environment.state.path,
+        discovery,
+        environment.endpoint_list(),
+        &environment.options,
+    );
     sender.await_log(&["resumes", "untried=12 tried=1"]);
     sender.await_ready();
-    // Until all are over.
-    sender.await_figure("in_progress", 0);
-    let calls: std::collections::BTreeSet<_> =
-        stage.endpoint.calls.try_iter().map(|call| call.headers["x-call-id"].clone()).collect();
-    (calls.iter().filter(|id| id.starts_with('m')).count(), COUNT)
+    // Until all have ended.
+    sender.await_metric("in_progress", 0);
+    let calls = environment.endpoint.calls.try_iter();
+    let ids: BTreeSet<_> = calls.map(|call| call.message_id().to_owned()).collect();
+    ids.iter().filter(|id| id.starts_with('m')).count()
 }
 
-/// Guards against messages that were taken on, and are given up after a restart without a call.
+/// Guards against messages that were accepted, and are given up after a restart without a call.
 #[test]
-fn what_a_restart_finds_untried_is_tried() {
-    for signal in ["-KILL", "-TERM"] {
-        let (tried, of) = resumed_and_tried(signal, &[OK], true);
-        assert_eq!(tried, of, "after {signal}");
+fn recovered_unattempted_messages_are_attempted() {
+    for signal in [Signal::Kill, Signal::Terminate] {
+        let attempted = attempted_after_recovery(signal, &[OK], true);
+        assert_eq!(attempted, UNATTEMPTED, "after {signal:?}");
     }
 }
 
 #[test]
-fn what_a_restart_finds_untried_is_tried_with_discovery_down() {
-    let (tried, of) = resumed_and_tried("-KILL", &[OK], false);
-    assert_eq!(tried, of);
+fn recovered_unattempted_messages_are_attempted_with_discovery_down() {
+    let attempted = attempted_after_recovery(Signal::Kill, &[OK], false);
+    assert_eq!(attempted, UNATTEMPTED);
 }
 
-/// The destination refuses at first, as one that is shut or cold.
+/// The destination rejects at first, as one that is closed or cold.
 #[test]
-fn what_a_restart_finds_untried_is_tried_where_the_destination_is_not_up_yet() {
-    let shut = Reply::Answer("503 Shut\r\n");
-    let (tried, of) = resumed_and_tried("-KILL", &[shut.clone(), shut.clone(), shut, OK], true);
-    assert!(2 * tried > of, "{tried} of {of}");
+fn recovered_unattempted_messages_are_attempted_where_the_destination_is_not_ready_yet() {
+    let rejection = Reply::Answer("503 Shut\r\n");
+    let script = [rejection.clone(), rejection.clone(), rejection, OK];
+    let attempted = attempted_after_recovery(Signal::Kill, &script, true);
+    assert!(2 * attempted > UNATTEMPTED, "{attempted} of {UNATTEMPTED}");
 }
--- /dev/null
+++ b/crates/message-sender/tests/scale.rs
@@ -0,0 +1,63 @@
+//! Large numbers of idle clients, endpoints and senders.
+
+mod support;
+
+use std::net::TcpStream;
+
+use support::client::ACCEPTED;
+use support::configuration::SenderOptions;
+use support::discovery::{endpoint_line, Discovery};
+use support::endpoint::{Endpoint, OK};
+use support::environment::StateDirectory;
+use support::sender_process::SenderProcess;
+
+/// Guards against idle clients that come all at once and take the descriptors with which discovery would be
+/// polled again.
+#[test]
+fn idle_clients_leave_descriptors_for_discovery() {
+    let state = StateDirectory::create();
+    let endpoint = Endpoint::start(vec![OK]);
+    // The discovery server is down at first, and the sender knows no list.
+    let discovery = Discovery::start_unresponsive();
+    let options = SenderOptions { max_descriptors: 128, ..SenderOptions::default() };
+    let sender = SenderProcess::start(&state.path, &discovery, Vec::new(), &options);
+    discovery.next_list_request();
+    // All of them wait to be accepted when the sender resumes.
+    sender.suspend();
+    let idle: Vec<TcpStream> = (0..120).map(|_| sender.connect()).collect();
+    sender.resume();
+    discovery.next_list_request();
+    assert!(sender.open_descriptors() < options.max_descriptors, "{} descriptors", sender.open_descriptors());
+    discovery.start_responding();
+    discovery.publish(vec![endpoint_line("s-1", endpoint.address, 7, "up")]);
+    discovery.await_watch_after(1);
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(endpoint.next_call().message_id(), "m1");
+    drop(idle);
+    let failures = sender.log.try_iter().filter(|line| line.contains("was not accepted")).count();
+    assert_eq!(failures, 0, "descriptors were always left");
+}
+
+/// Guards against a cap on the endpoint list or on the number of senders, also with long names and indented
+/// lists.
+#[test]
+fn thousand_endpoints_are_served_by_one_of_a_thousand_senders() {
+    let state = StateDirectory::create();
+    let endpoint = Endpoint::start(vec![OK]);
+    let name = |number| format!("s-{number}-{}", "x".repeat(200));
+    // Destinations 0 to 1,023, of which 7 is called here.
+    let lines =
+        (0..1_024).map(|number| endpoint_line(&name(number), endpoint.address, number, "up")).collect();
+    let discovery = Discovery::start(lines);
+    let options = SenderOptions { sender_count: 1_024, ..SenderOptions::default() };
+    let sender = SenderProcess::start(&state.path, &discovery, Vec::new(), &options);
+    discovery.await_watch_after(1);
+    sender.await_metric("known_endpoints", 1_024);
+    for number in 0..3 {
+        let id = format!("m{number}");
+        assert_eq!(sender.submit(&id, 20_000, "x"), ACCEPTED);
+        assert_eq!(endpoint.next_call().message_id(), id);
+    }
+    assert_eq!(sender.management_status("POST", "/maintenance/enter", &name(1_023)), 200);
+    sender.await_metric("skipped_endpoints", 1);
+}
--- a/crates/message-sender/tests/shutdown.rs
+++ b/crates/message-sender/tests/shutdown.rs
@@ -1,188 +1,183 @@
-//! Events that cross a process's end, on loopback sockets. What must hold is listed in `docs/crossings.md`.
+//! Events that cross the end of a process. What must hold is listed in `docs/crossings.md`.
 
-mod common;
+mod support;
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
-use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use common::{line, message, read_message, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
+use support::client::{submission, ACCEPTED};
+use support::endpoint::{Reply, OK};
+use support::environment::Environment;
+use support::http::read_message;
+use support::sender_process::{SenderProcess, Signal};
+use support::TIMEOUT;
 
-struct Stage {
-    _folder: tempfile::TempDir,
-    state: PathBuf,
-    discovery: Discovery,
-    endpoint: Endpoint,
-    terms: Terms,
-}
-
-impl Stage {
-    fn new(script: Vec<Reply>, terms: Terms) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let state = folder.path().join("state");
-        std::fs::create_dir(&state).unwrap();
-        let endpoint = Endpoint::start(script);
-        let discovery = Discovery::start(vec![line("s-1", endpoint.address, 7, "up")]);
-        Self { _folder: folder, state, discovery, endpoint, terms }
-    }
-
-    fn known(&self) -> Vec<serde_json::Value> {
-        vec![line("s-1", self.endpoint.address, 7, "up")]
-    }
-
-    fn sender(&self) -> Sender {
-        Sender::start(&self.state, &self.discovery, self.known(), &self.terms)
-    }
-}
-
-/// A client's connection, with so much of a message written on it.
-fn write_part(sender: &Sender, text: &str, part: usize) -> BufReader<TcpStream> {
+/// Connects and writes the first bytes of a request.
+fn connect_and_write(sender: &SenderProcess, part: &[u8]) -> BufReader<TcpStream> {
     let mut stream = BufReader::new(sender.connect());
-    stream.get_mut().write_all(&text.as_bytes()[..part]).unwrap();
+    stream.get_mut().write_all(part).unwrap();
     stream
 }
 
-fn status_after(stream: &mut BufReader<TcpStream>, rest: &str) -> Option<String> {
-    stream.get_mut().write_all(rest.as_bytes()).ok()?;
-    read_message(stream).map(|seen| seen.line)
+/// Writes the other bytes of a request; returns the status line of the answer.
+fn complete_request(stream: &mut BufReader<TcpStream>, rest: &[u8]) -> Option<String> {
+    stream.get_mut().write_all(rest).ok()?;
+    read_message(stream).map(|answer| answer.start_line)
 }
 
-/// Guards against a connection that is taken for idle, and closed, with a request half read on it: its client may have
-/// written all of it.
+/// Guards against a connection that is taken for idle, and closed, with a partially read request on it: its
+/// client may have written all of it.
 #[test]
-fn a_request_that_is_half_read_at_sigterm_is_answered() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let sender = stage.sender();
-    let (first, second) = (message("m1", 20_000, "x"), message("m2", 20_000, "x"));
-    // On a connection that is kept, and within the head.
-    let mut stream = write_part(&sender, &first, first.len());
-    assert_eq!(read_message(&mut stream).unwrap().line, TAKEN_ON);
-    stream.get_mut().write_all(&second.as_bytes()[..40]).unwrap();
-    // It is read at once; nothing tells so from outside.
+fn partially_read_request_at_sigterm_is_answered() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    let first = submission("m1", 20_000, "x");
+    let second = submission("m2", 20_000, "x");
+    let (first_part, second_part) = second.as_bytes().split_at(40);
+    // On a connection that stays open, and within the head.
+    let mut stream = connect_and_write(&sender, first.as_bytes());
+    assert_eq!(read_message(&mut stream).unwrap().start_line, ACCEPTED);
+    stream.get_mut().write_all(first_part).unwrap();
+    // It is read at once; nothing shows so from outside.
     sleep(Duration::from_millis(300));
-    sender.signal("-TERM");
+    sender.signal(Signal::Terminate);
     sender.await_log(&["draining"]);
-    assert_eq!(status_after(&mut stream, &second[40..]).as_deref(), Some(TAKEN_ON));
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
+    assert_eq!(complete_request(&mut stream, second_part).as_deref(), Some(ACCEPTED));
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
 }
 
 /// Guards against a process that ends, with nothing left to do, under a request that it is still reading.
 #[test]
-fn a_process_with_nothing_else_to_do_waits_for_a_request_on_its_way() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let mut sender = stage.sender();
-    sender.signal("-TERM");
+fn idle_draining_process_waits_for_a_request_in_transit() {
+    let environment = Environment::new(vec![OK]);
+    let mut sender = environment.start_sender();
+    sender.signal(Signal::Terminate);
     sender.await_log(&["draining"]);
-    let text = message("m1", 20_000, "x");
-    let mut stream = write_part(&sender, &text, text.len() - 1);
-    // Idle, it would have left after one second.
+    let text = submission("m1", 20_000, "x");
+    let (all_but_last, last) = text.as_bytes().split_at(text.len() - 1);
+    let mut stream = connect_and_write(&sender, all_but_last);
+    // Idle, it would have ended after one second.
     sleep(Duration::from_millis(1_400));
-    assert_eq!(status_after(&mut stream, "x").as_deref(), Some(TAKEN_ON));
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
+    assert_eq!(complete_request(&mut stream, last).as_deref(), Some(ACCEPTED));
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
     assert!(sender.wait().success());
 }
 
-/// Guards against messages taken on by a process that will not try them any more, and against one that does not end.
+/// Guards against messages accepted by a process that will not attempt them any more, and against one that
+/// does not end.
 #[test]
-fn late_in_a_drain_messages_are_sent_elsewhere() {
-    let stage = Stage::new(vec![Reply::Hang], Terms::default());
-    let mut sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    sender.signal("-TERM");
+fn submissions_late_in_a_drain_are_rejected_with_retry_after() {
+    let environment = Environment::new(vec![Reply::NoAnswer]);
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    sender.signal(Signal::Terminate);
     sender.await_log(&["draining"]);
     // Calls go out for 2.4 s, and the process ends 3.3 s after SIGTERM.
     sleep(Duration::from_millis(2_750));
-    let late = sender.ask(message("m2", 20_000, "x").as_bytes()).expect("an answer");
-    assert!(late.line.contains("503") && late.headers.contains_key("retry-after"), "{late:?}");
+    let late = sender.request(&submission("m2", 20_000, "x")).expect("an answer");
+    assert!(late.start_line.contains("503") && late.headers.contains_key("retry-after"), "{late:?}");
     assert_eq!(late.headers["connection"], "close");
     assert!(sender.wait().success());
-    assert!(stage.endpoint.is_quiet());
+    assert!(environment.endpoint.has_no_call());
 }
 
 /// Guards against a second SIGTERM that cuts a drain short.
 #[test]
-fn a_second_sigterm_changes_nothing() {
-    let stage = Stage::new(vec![Reply::Slow(1_000), OK], Terms::default());
-    let mut sender = stage.sender();
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    stage.endpoint.next();
-    sender.signal("-TERM");
+fn second_sigterm_has_no_effect() {
+    let environment = Environment::new(vec![Reply::Delayed(Duration::from_millis(1_000)), OK]);
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    sender.signal(Signal::Terminate);
     sender.await_log(&["draining"]);
-    sender.signal("-TERM");
-    sender.signal("-INT");
+    sender.signal(Signal::Terminate);
+    sender.signal(Signal::Interrupt);
     assert!(sender.wait().success());
     // It was delivered: the next process has nothing to do.
-    let sender = stage.sender();
-    assert_eq!(sender.hand_in("m2", 20_000, "x"), TAKEN_ON);
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m2");
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
 }
 
-/// Guards against a process that was told to end before it became the sender, and waits for ever or takes over.
+/// Guards against a process that got SIGTERM before it took over, and waits for ever or takes over.
 #[test]
-fn sigterm_during_a_start_ends_it() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let sender = stage.sender();
-    // Stopped, it neither serves nor gives way: the other one starts, and waits for it.
-    sender.stop();
-    let mut other = Sender::launch(&stage.state, &stage.discovery, stage.known(), &stage.terms);
-    other.signal("-TERM");
+fn sigterm_during_startup_ends_the_process() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    // Suspended, it neither serves nor hands over: the other one starts, and waits for it.
+    sender.suspend();
+    let mut other = environment.launch_sender(&environment.options);
+    other.signal(Signal::Terminate);
     assert!(other.wait().success());
-    sender.signal("-CONT");
-    assert_eq!(sender.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    assert_eq!(stage.endpoint.next().headers["x-call-id"], "m1");
+    sender.resume();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
 }
 
-/// Guards against messages that are lost, or end twice, between SIGTERM and SIGKILL, while a client goes on sending on
-/// whatever connection stays open: what was taken on is delivered once, by this process or the next.
+/// Guards against messages that are lost, or end twice, between SIGTERM and SIGKILL, while a client goes on
+/// sending on whatever connection stays open: what was accepted is delivered once, by this process or the
+/// next.
 #[test]
-fn a_client_that_goes_on_sending_until_sigkill_loses_nothing() {
-    let stage = Stage::new(vec![OK], Terms::default());
-    let sender = stage.sender();
-    let (mut taken, mut stream, mut told) = (Vec::new(), None, None);
-    let since = Instant::now();
+fn client_that_sends_until_sigkill_loses_no_accepted_message() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    let accepted = submit_until_shortly_before_sigkill(&sender);
+    assert!(accepted.len() > 20, "{} accepted", accepted.len());
+    sender.kill();
+    let _sender = environment.start_sender();
+    let mut calls: BTreeMap<String, u32> = BTreeMap::new();
+    while accepted.iter().any(|id| !calls.contains_key(id)) {
+        let id = environment.endpoint.next_call().message_id().to_owned();
+        *calls.entry(id).or_default() += 1;
+    }
+    // A call may be repeated where its answer crossed the kill: that one alone.
+    let repeated = calls.values().filter(|count| **count > 1).count();
+    assert!(repeated <= 1, "{calls:?}");
+}
+
+/// Submits message after message, and sends SIGTERM on the way; returns the ids of those accepted, 0.9 s
+/// after SIGTERM.
+fn submit_until_shortly_before_sigkill(sender: &SenderProcess) -> Vec<String> {
+    let mut accepted = Vec::new();
+    let mut open_connection = None;
+    let mut terminated_at: Option<Instant> = None;
+    let start = Instant::now();
     for number in 0.. {
         if number == 20 {
-            sender.signal("-TERM");
-            told = Some(Instant::now());
+            sender.signal(Signal::Terminate);
+            terminated_at = Some(Instant::now());
         }
-        if told.is_some_and(|told| told.elapsed() > Duration::from_millis(900)) || since.elapsed() > LONG {
+        let is_time_up = terminated_at.is_some_and(|at| at.elapsed() > Duration::from_millis(900));
+        if is_time_up || start.elapsed() > TIMEOUT {
             break;
         }
-        let id = format!("m{number}");
-        let text = message(&id, 20_000, "x");
-        let mut open = match stream.take() {
-            Some(open) => open,
+        let mut connection = match open_connection.take() {
+            Some(connection) => connection,
             None => match TcpStream::connect(sender.address) {
                 Ok(stream) => BufReader::new(stream),
-                // It has ended already.
+                // The process has ended already.
                 Err(_) => break,
             },
         };
-        open.get_ref().set_read_timeout(Some(LONG)).unwrap();
-        if open.get_mut().write_all(text.as_bytes()).is_err() {
+        connection.get_ref().set_read_timeout(Some(TIMEOUT)).unwrap();
+        let id = format!("m{number}");
+        if connection.get_mut().write_all(submission(&id, 20_000, "x").as_bytes()).is_err() {
             continue;
         }
-        // A close between requests may cross this one, which is then handed in again under another id.
-        let Some(answer) = read_message(&mut open) else { continue };
-        if answer.line == TAKEN_ON {
-            taken.push(id);
+        // A close between requests may cross this one, which is then submitted again under another id.
+        let Some(answer) = read_message(&mut connection) else { continue };
+        if answer.start_line == ACCEPTED {
+            accepted.push(id);
+        }
+        if !answer.headers.contains_key("connection") {
+            open_connection = Some(connection);
         }
-        stream = (!answer.headers.contains_key("connection")).then_some(open);
         sleep(Duration::from_millis(2));
     }
-    assert!(taken.len() > 20, "{} taken on", taken.len());
-    sender.kill();
-    let _sender = stage.sender();
-    let mut calls: BTreeMap<String, u32> = BTreeMap::new();
-    while taken.iter().any(|id| !calls.contains_key(id)) {
-        *calls.entry(stage.endpoint.next().headers["x-call-id"].clone()).or_default() += 1;
-    }
-    // A call may be repeated where its answer crossed the kill: that one alone.
-    let again = calls.values().filter(|calls| **calls > 1).count();
-    assert!(again <= 1, "{calls:?}");
+    accepted
 }
--- /dev/null
+++ b/crates/message-sender/tests/submission.rs
@@ -0,0 +1,87 @@
+//! What becomes of a submission before any call: validation, withdrawal, repetition, and a full buffer.
+
+mod support;
+
+use std::io::Write;
+
+use support::client::{submission, ACCEPTED};
+use support::configuration::SenderOptions;
+use support::endpoint::{Reply, OK};
+use support::environment::Environment;
+
+/// Guards against invalid input that reaches the controller or an endpoint.
+#[test]
+fn invalid_requests_are_rejected_and_never_forwarded() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    let good = submission("m1", 20_000, "x");
+    let large = "x".repeat(64 * 1024 + 1);
+    let cases = [
+        (good.replace("X-Call-Id: m1\r\n", ""), "400"),
+        (good.replace("Budget-Ms: 20000", "Budget-Ms: soon"), "400"),
+        (good.replace("Budget-Ms: 20000", "Budget-Ms: -1"), "400"),
+        (good.replace("dest=7", "dest=x"), "400"),
+        (good.replace("X-Consignee: dest=7\r\n", ""), "400"),
+        (good.replace("Idempotency-Key: key-of-m1\r\n", ""), "400"),
+        (good.replace("Call-Class: notice", "Call-Class: other"), "400"),
+        (good.replace("/notice", "/other").replace("Call-Class: notice", "Call-Class: other"), "404"),
+        (good.replace("POST /notice", "PUT /notice"), "405"),
+        ("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "404"),
+        ("nonsense\r\n\r\n".to_owned(), "400"),
+        (submission("m1", 20_000, &large), "413"),
+    ];
+    for (text, status) in cases {
+        let answer = sender.request(&text).expect("an answer");
+        assert_eq!(answer.status(), Some(status), "{}", &text[..text.len().min(200)]);
+    }
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    assert!(environment.endpoint.has_no_call());
+}
+
+/// Guards against sending a message that its client withdrew by closing before the answer. The sender is
+/// suspended meanwhile, so that it finds the request and the end of the connection together.
+#[test]
+fn client_that_closes_before_its_answer_withdraws_the_message() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    sender.suspend();
+    let mut stream = sender.connect();
+    stream.write_all(submission("m1", 20_000, "x").as_bytes()).unwrap();
+    drop(stream);
+    sender.resume();
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    assert!(environment.endpoint.has_no_call());
+}
+
+#[test]
+fn message_submitted_twice_under_one_id_is_accepted_once() {
+    let environment = Environment::new(vec![Reply::NoAnswer]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+}
+
+/// Guards against a tenant that floods the buffer at the cost of the others: the client names its tenant, and
+/// messages beyond its quota are shed first.
+#[test]
+fn full_buffer_sheds_messages_beyond_their_tenants_quota() {
+    let environment = Environment::with_options(
+        vec![Reply::Answer("429 Busy\r\nX-Come-Back-Ms: 9000\r\n"), OK],
+        SenderOptions { buffer_capacity: 4, ..SenderOptions::default() },
+    );
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    // The quota allows one message in a long time.
+    for id in ["within", "beyond"] {
+        let text = submission(id, 20_000, "x").replace("X-Budget", "X-Caller: small\r\nX-Budget");
+        assert_eq!(sender.request(&text).expect("an answer").start_line, ACCEPTED);
+    }
+    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.discovery.next_notice()["ref"], "beyond");
+}
--- /dev/null
+++ b/crates/message-sender/tests/support/configuration.rs
@@ -0,0 +1,80 @@
+//! The configuration file of the sender under test.
+
+use std::net::SocketAddr;
+
+use serde_json::{json, Value};
+
+/// Whether messages may be repeated once they may have taken effect.
+#[derive(Debug, Clone, Copy)]
+pub enum Idempotency {
+    /// Under their idempotency key.
+    WithKey,
+    /// Not at all.
+    Never,
+}
+
+impl Idempotency {
+    /// The name in the configuration file.
+    fn effect(self) -> &'static str {
+        match self {
+            Self::WithKey => "token",
+            Self::Never => "side_effect",
+        }
+    }
+}
+
+/// Settings that differ between tests.
+#[derive(Clone)]
+pub struct SenderOptions {
+    /// Disk space for the journal.
+    pub disk_mb: f64,
+    /// Whether messages may be repeated.
+    pub idempotency: Idempotency,
+    /// Limit of open descriptors.
+    pub max_descriptors: usize,
+    /// Number of senders.
+    pub sender_count: u32,
+    /// Number of messages that the buffer takes.
+    pub buffer_capacity: usize,
+    /// Messages about one subject keep their order.
+    pub is_ordered: bool,
+    /// Name of the only tenant.
+    pub tenant: &'static str,
+}
+
+impl Default for SenderOptions {
+    fn default() -> Self {
+        Self {
+            disk_mb: 3.0,
+            idempotency: Idempotency::WithKey,
+            max_descriptors: 256,
+            sender_count: 1,
+            buffer_capacity: 50,
+            is_ordered: false,
+            tenant: "small",
+        }
+    }
+}
+
+/// The configuration with these options, discovery server and built-in endpoint list.
+pub fn configuration(options: &SenderOptions, discovery: SocketAddr, known_endpoints: Vec<Value>) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.max_descriptors,
+            "disk_mb": options.disk_mb},
+        "known": {"index": 0, "snapshot": true, "endpoints": known_endpoints},
+        "settings": {
+            "balancers": options.sender_count, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
+            "categories": [{"name": "notice", "effect": options.idempotency.effect(), "dedupScope": "all",
+                "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
+                "fifoByKey": options.is_ordered}],
+            "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": 10},
+            "orgs": [{"name": options.tenant, "allowancePerS": 0.001}], "overShareWorth": 0.2,
+            "membershipMode": "automatic", "weights": "none", "resolutionMs": 5.0,
+            "limits": {"mostHeld": options.buffer_capacity, "sendCap": 12, "cancel": true, "retryAfter": true,
+                "maxRetryAfterMs": 3000.0, "connectTimeoutMs": 1000.0, "connIdleMs": 15000.0},
+            "rules": {"answerSlackMs": 20.0, "drainGraceMs": 2000.0, "fallMs": 2000.0, "overloadFactor": 2.0,
+                "startCapacity": 0.18, "warmWithinMs": 12000.0, "orderPauseMs": 100.0},
+        },
+    })
+}
--- /dev/null
+++ b/crates/message-sender/tests/support/environment.rs
@@ -0,0 +1,70 @@
+//! The usual surroundings of a sender: a state directory, a discovery server and one endpoint.
+
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use super::configuration::SenderOptions;
+use super::discovery::{endpoint_line, Discovery};
+use super::endpoint::{Endpoint, Reply};
+use super::sender_process::SenderProcess;
+
+/// A directory that is removed with the value, and the path of a state directory in it.
+pub struct StateDirectory {
+    _parent: tempfile::TempDir,
+    /// The path, with an empty directory.
+    pub path: PathBuf,
+}
+
+impl StateDirectory {
+    /// Creates the directory.
+    pub fn create() -> Self {
+        let parent = tempfile::tempdir().unwrap();
+        let path = parent.path().join("state");
+        std::fs::create_dir(&path).unwrap();
+        Self { _parent: parent, path }
+    }
+}
+
+/// Surroundings with endpoint `s-1` of destination 7, which the discovery server lists.
+pub struct Environment {
+    /// The state directory of all senders.
+    pub state: StateDirectory,
+    /// The discovery server.
+    pub discovery: Discovery,
+    /// The endpoint `s-1`.
+    pub endpoint: Endpoint,
+    /// Options of the senders.
+    pub options: SenderOptions,
+}
+
+impl Environment {
+    /// An endpoint with this script, and senders with default options.
+    pub fn new(script: Vec<Reply>) -> Self {
+        Self::with_options(script, SenderOptions::default())
+    }
+
+    /// An endpoint with this script, and senders with these options.
+    pub fn with_options(script: Vec<Reply>, options: SenderOptions) -> Self {
+        let endpoint = Endpoint::start(script);
+        let discovery = Discovery::start(vec![endpoint_line("s-1", endpoint.address, 7, "up")]);
+        Self { state: StateDirectory::create(), discovery, endpoint, options }
+    }
+
+    /// The endpoint list with `s-1` up.
+    pub fn endpoint_list(&self) -> Vec<Value> {
+        vec![endpoint_line("s-1", self.endpoint.address, 7, "up")]
+    }
+
+    /// Starts a sender and waits until it is ready.
+    pub fn start_sender(&self) -> SenderProcess {
+        let mut sender = self.launch_sender(&self.options);
+        sender.await_ready();
+        sender
+    }
+
+    /// Starts a sender that need not become ready at once.
+    pub fn launch_sender(&self, options: &SenderOptions) -> SenderProcess {
+        SenderProcess::launch(&self.state.path, &self.discovery, self.endpoint_list(), options)
+    }
+}
--- /dev/null
+++ b/crates/message-sender/tests/support/sender_process.rs
@@ -0,0 +1,199 @@
+//! The program under test as a process: its start, its log, signals to it, and its end.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::configuration::{configuration, SenderOptions};
+use super::discovery::Discovery;
+use super::TIMEOUT;
+
+/// A signal to the process.
+#[derive(Debug, Clone, Copy)]
+pub enum Signal {
+    /// Read the configuration again.
+    Hangup,
+    /// Drain and end.
+    Terminate,
+    /// Drain and end, from the terminal.
+    Interrupt,
+    /// End without any chance to react.
+    Kill,
+    /// Suspend the process.
+    Stop,
+    /// Resume a suspended process.
+    Continue,
+}
+
+impl Signal {
+    /// The option of `kill` that sends it.
+    fn option(self) -> &'static str {
+        match self {
+            Self::Hangup => "-HUP",
+            Self::Terminate => "-TERM",
+            Self::Interrupt => "-INT",
+            Self::Kill => "-KILL",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// A process of the sender, killed when the value is dropped.
+pub struct SenderProcess {
+    child: Child,
+    /// Where clients connect, once it is ready.
+    pub address: SocketAddr,
+    /// Where operators connect.
+    pub management: SocketAddr,
+    /// Path of the configuration file.
+    pub configuration: PathBuf,
+    /// The lines of its log.
+    pub log: Receiver<String>,
+}
+
+impl SenderProcess {
+    /// Starts a process and waits until it is ready.
+    pub fn start(
+        state: &Path,
+        discovery: &Discovery,
+        known_endpoints: Vec<Value>,
+        options: &SenderOptions,
+    ) -> Self {
+        let mut sender = Self::launch(state, discovery, known_endpoints, options);
+        sender.await_ready();
+        sender
+    }
+
+    /// Starts a process that need not become ready at once; until then it has no address for clients.
+    pub fn launch(
+        state: &Path,
+        discovery: &Discovery,
+        known_endpoints: Vec<Value>,
+        options: &SenderOptions,
+    ) -> Self {
+        let path = state.with_extension("json");
+        let text = configuration(options, discovery.address, known_endpoints).to_string();
+        std::fs::write(&path, text).unwrap();
+        let mut child = spawn(state, &path, options.max_descriptors);
+        let log = read_log(child.stderr.take().unwrap());
+        let unknown = "127.0.0.1:0".parse().unwrap();
+        let mut sender = Self { child, address: unknown, management: unknown, configuration: path, log };
+        sender.management = sender.await_logged_address("management=");
+        sender
+    }
+
+    /// Waits until the process serves clients.
+    pub fn await_ready(&mut self) {
+        self.address = self.await_logged_address("listen=");
+    }
+
+    /// Waits for a line of the log that ends with this field, and returns the field's value.
+    fn await_logged_address(&self, field: &str) -> SocketAddr {
+        loop {
+            let line = self.log.recv_timeout(TIMEOUT).expect("the sender logs the address");
+            if let Some((_, address)) = line.trim().split_once(field) {
+                break address.parse().expect("an address");
+            }
+        }
+    }
+
+    /// Waits for a line of the log with all these words.
+    pub fn await_log(&self, words: &[&str]) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let Ok(line) = self.log.recv_timeout(time_left) else { panic!("{words:?} is not logged") };
+            if words.iter().all(|word| line.contains(word)) {
+                break;
+            }
+        }
+    }
+
+    /// Writes a configuration that names another discovery server, and has the process read it.
+    pub fn reload_with_discovery(&self, discovery: &Discovery) {
+        let text = std::fs::read(&self.configuration).unwrap();
+        let mut configuration: Value = serde_json::from_slice(&text).unwrap();
+        configuration["discovery"] = discovery.address.to_string().into();
+        std::fs::write(&self.configuration, configuration.to_string()).unwrap();
+        self.signal(Signal::Hangup);
+    }
+
+    /// Sends a signal, which takes effect some time after the return.
+    pub fn signal(&self, signal: Signal) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal.option(), &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Suspends the process, and waits until it is suspended.
+    pub fn suspend(&self) {
+        self.signal(Signal::Stop);
+        let path = format!("/proc/{}/stat", self.child.id());
+        let start = Instant::now();
+        while !std::fs::read_to_string(&path).unwrap().contains(") T ") {
+            assert!(start.elapsed() < TIMEOUT, "the sender does not stop");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Resumes a suspended process.
+    pub fn resume(&self) {
+        self.signal(Signal::Continue);
+    }
+
+    /// Number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+}
+
+impl Drop for SenderProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts the program, with its limit of descriptors enforced by the system too.
+fn spawn(state: &Path, configuration: &Path, max_descriptors: usize) -> Child {
+    let command = format!("ulimit -n {max_descriptors} && exec \"$0\"");
+    Command::new("sh")
+        .args(["-c", &command, env!("CARGO_BIN_EXE_message-sender")])
+        .env("ROUTER_CONFIG", configuration)
+        .env("ROUTER_STATE", state)
+        .env("ROUTER_MANAGEMENT", "127.0.0.1:0")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the sender starts")
+}
+
+/// Reads the log to its end, lest the sender block on a full pipe.
+fn read_log(stderr: ChildStderr) -> Receiver<String> {
+    let (line_sender, lines) = channel();
+    thread::spawn(move || {
+        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            eprintln!("{line}");
+            // Once the test has dropped the receiver, lines are still read.
+            let _ = line_sender.send(line);
+        }
+    });
+    lines
+}
