--- a/crates/message-sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -58,9 +58,9 @@
 /// open, also where that was given up by a process that has died since.
 #[test]
 fn order_key_waits_for_the_acknowledgement_of_its_notice_across_a_kill() {
-    let terms =
+    let options =
         SenderOptions { is_ordered: true, idempotency: Idempotency::Never, ..SenderOptions::default() };
-    let environment = Environment::with_options(vec![Reply::CloseConnection, OK], terms);
+    let environment = Environment::with_options(vec![Reply::CloseConnection, OK], options);
     environment.discovery.reject_notices(10_000);
     let sender = environment.start_sender();
     assert_eq!(sender.submit_about("card", "m1"), ACCEPTED);
--- a/crates/message-sender/tests/support/configuration.rs
+++ b/crates/message-sender/tests/support/configuration.rs
@@ -64,7 +64,8 @@
             "disk_mb": options.disk_mb},
         "known": {"index": 0, "snapshot": true, "endpoints": known_endpoints},
         "settings": {
-            "balancers": options.sender_count, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
+            "balancers": options.sender_count, "ordinal": 0, "kinds": ["big"],
+            "zones": ["here"], "zone": "here",
             "categories": [{"name": "notice", "effect": options.idempotency.effect(), "dedupScope": "all",
                 "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
                 "fifoByKey": options.is_ordered}],
--- a/crates/message-sender/tests/support/mod.rs
+++ b/crates/message-sender/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod environment;
 pub mod handover;
 pub mod http;
+pub mod load_client;
 pub mod management;
 pub mod sender_process;
 
--- a/crates/message-sender/tests/upgrade.rs
+++ b/crates/message-sender/tests/upgrade.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -16,85 +15,10 @@
 use support::environment::Environment;
 use support::handover::ScriptedSuccessor;
 use support::http::read_message;
+use support::load_client::{ClientReport, LoadClient};
 use support::sender_process::Signal;
 use support::TIMEOUT;
 
-/// What a client saw.
-#[derive(Default)]
-struct ClientReport {
-    /// Submissions that were accepted.
-    accepted: u32,
-    /// Requests that met a connection which was closed while they were in transit.
-    disturbed: u32,
-    /// Connections opened.
-    connections: u32,
-}
-
-impl ClientReport {
-    fn add(&mut self, other: &Self) {
-        self.accepted += other.accepted;
-        self.disturbed += other.disturbed;
-        self.connections += other.connections;
-    }
-}
-
-/// A client that submits message after message on one connection, and on a new one where that was closed
-/// between requests.
-struct Client {
-    address: SocketAddr,
-    /// Number of the client, by which its message ids differ from those of others.
-    number: usize,
-    connection: Option<BufReader<TcpStream>>,
-    report: ClientReport,
-}
-
-impl Client {
-    fn new(address: SocketAddr, number: usize) -> Self {
-        Self { address, number, connection: None, report: ClientReport::default() }
-    }
-
-    fn run(mut self, is_over: &AtomicBool) -> ClientReport {
-        while !is_over.load(Ordering::Relaxed) {
-            self.submit_next();
-            thread::sleep(Duration::from_millis(5));
-        }
-        self.report
-    }
-
-    fn submit_next(&mut self) {
-        let mut connection = match self.connection.take() {
-            Some(connection) if !is_closed(connection.get_ref()) => connection,
-            _ => self.connect(),
-        };
-        let text = submission(&format!("m-{}-{}", self.number, self.report.accepted), 20_000, "x");
-        let written = connection.get_mut().write_all(text.as_bytes());
-        let answer = written.ok().and_then(|()| read_message(&mut connection));
-        match answer {
-            Some(answer) => {
-                assert_eq!(answer.start_line, ACCEPTED);
-                self.report.accepted += 1;
-                self.connection = Some(connection);
-            }
-            None => self.report.disturbed += 1,
-        }
-    }
-
-    fn connect(&mut self) -> BufReader<TcpStream> {
-        self.report.connections += 1;
-        let stream = TcpStream::connect(self.address).expect("no connection is refused");
-        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-        BufReader::new(stream)
-    }
-}
-
-/// The other end has closed it, which a client sees before it sends the next request.
-fn is_closed(stream: &TcpStream) -> bool {
-    stream.set_nonblocking(true).unwrap();
-    let read = stream.peek(&mut [0]);
-    stream.set_nonblocking(false).unwrap();
-    !read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
-}
-
 /// Guards against a pause, a refused connection, a lost message and a message sent by both processes, upgrade
 /// after upgrade under load.
 #[test]
@@ -106,7 +30,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
-        let client = Client::new(sender.address, number);
+        let client = LoadClient::new(sender.address, number);
         let is_over = is_over.clone();
         clients.push(thread::spawn(move || client.run(&is_over)));
     }
