--- a/crates/message-sender/tests/handover_compatibility.rs
+++ b/crates/message-sender/tests/handover_compatibility.rs
@@ -2,7 +2,7 @@
 //! journal which that version wrote (`tests/data/handover`). Its state frame cannot be read here, so the
 //! journal alone passes from one process to the other, and no message may be lost on the way.
 
-mod common;
+mod support;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -15,11 +15,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{line, Discovery, Endpoint, Reply, Sender, Terms, LONG, OK, TAKEN_ON};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use support::client::ACCEPTED;
+use support::configuration::{Idempotency, SenderOptions};
+use support::discovery::{endpoint_line, Discovery};
+use support::endpoint::{Endpoint, Reply, OK};
+use support::sender_process::SenderProcess;
+use support::TIMEOUT;
 
 // Frames with their length in front, as the earlier version wrote them.
 const HELLO: &[u8] = include_bytes!("data/handover/hello.bin");
@@ -36,9 +41,9 @@
 /// The journal was written under a clock a century ahead, so that its messages are in time whenever a test
 /// runs. Only a class whose messages are idempotent without a key may repeat an attempt that seems to lie in
 /// the future.
-const IDEMPOTENT: &str = "pure";
+const IDEMPOTENT: Idempotency = Idempotency::Always;
 /// The class of the recorded messages.
-const WITH_IDEMPOTENCY_KEY: &str = "token";
+const WITH_IDEMPOTENCY_KEY: Idempotency = Idempotency::WithKey;
 /// Goes with the listening socket.
 const LISTENER_MARK: u8 = b'L';
 /// Long enough for a process that does the wrong thing to do it.
@@ -68,18 +73,19 @@
 
     fn endpoint_lines(single: &Endpoint, busy: &Endpoint, drained: &Endpoint) -> Vec<serde_json::Value> {
         vec![
-            line("s-1", single.address, 7, "up"),
-            line("s-2", busy.address, 8, "up"),
-            line("s-3", drained.address, 8, "up"),
+            endpoint_line("s-1", single.address, 7, "up"),
+            endpoint_line("s-2", busy.address, 8, "up"),
+            endpoint_line("s-3", drained.address, 8, "up"),
         ]
     }
 
-    fn launch(&self, effect: &'static str) -> Sender {
+    fn launch(&self, idempotency: Idempotency) -> SenderProcess {
         let known = Self::endpoint_lines(&self.single, &self.busy, &self.drained);
-        Sender::launch(&self.state, &self.discovery, known, &Terms { effect, ..Terms::default() })
+        let options = SenderOptions { idempotency, ..SenderOptions::default() };
+        SenderProcess::launch(&self.state, &self.discovery, known, &options)
     }
 
-    fn launch_ready(&self) -> Sender {
+    fn launch_ready(&self) -> SenderProcess {
         let mut sender = self.launch(WITH_IDEMPOTENCY_KEY);
         sender.await_ready();
         sender
@@ -87,19 +93,19 @@
 
     fn connect_as_successor(&self, hello: &[u8]) -> UnixStream {
         let mut stream = UnixStream::connect(self.state.join("handover")).unwrap();
-        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         stream.write_all(hello).unwrap();
         stream
     }
 
-    fn is_quiet(&self) -> bool {
-        self.single.is_quiet() && self.busy.is_quiet() && self.drained.is_quiet()
+    fn has_no_call(&self) -> bool {
+        self.single.has_no_call() && self.busy.has_no_call() && self.drained.has_no_call()
     }
 
     /// The recorded journal holds m1 with an ambiguous attempt, m2 that was rejected with a Retry-After, m3
     /// and m4 without an attempt, the pending notice of m0, and the drained endpoint s-3.
-    fn assert_everything_in_the_journal_is_resumed(&self, successor: &Sender) {
-        let ambiguous = self.single.next();
+    fn assert_everything_in_the_journal_is_resumed(&self, successor: &SenderProcess) {
+        let ambiguous = self.single.next_call();
         assert_eq!(ambiguous.headers["x-call-id"], "m1");
         assert_eq!(ambiguous.headers["idempotency-key"], "key-of-m1");
         assert_eq!(ambiguous.body, b"one");
@@ -110,7 +116,7 @@
 
     fn assert_messages_without_an_ambiguous_attempt_are_resumed(&self) {
         let buffered: BTreeMap<String, Vec<u8>> = (0..3)
-            .map(|_| self.busy.next())
+            .map(|_| self.busy.next_call())
             .map(|call| (call.headers["x-call-id"].clone(), call.body))
             .collect();
         let expected = [("m2", "two"), ("m3", "three"), ("m4", "four")];
@@ -122,7 +128,7 @@
     fn notified_failures(&self, count: usize) -> Vec<String> {
         let mut failed: Vec<String> = (0..count)
             .map(|_| {
-                let notice = self.discovery.notice();
+                let notice = self.discovery.next_notice();
                 assert_eq!(notice["result"], "dead", "{notice}");
                 notice["ref"].as_str().expect("a notice names its message").to_owned()
             })
@@ -132,12 +138,12 @@
     }
 
     /// So many messages were delivered, none is left, and none has two outcomes.
-    fn assert_settled(&self, successor: &Sender, delivered: u64) {
-        successor.await_figure("passed.notice", delivered);
-        successor.await_figure("in_progress", 0);
-        assert_eq!(successor.figure("skipped_endpoints"), 1);
+    fn assert_settled(&self, successor: &SenderProcess, delivered: u64) {
+        successor.await_metric("passed.notice", delivered);
+        successor.await_metric("in_progress", 0);
+        assert_eq!(successor.metric("skipped_endpoints"), 1);
         thread::sleep(SETTLING_TIME);
-        assert!(self.is_quiet(), "a message went twice, or to a drained endpoint");
+        assert!(self.has_no_call(), "a message went twice, or to a drained endpoint");
         assert!(self.discovery.notices.try_recv().is_err(), "a message has two outcomes");
     }
 }
@@ -173,11 +179,11 @@
             match self.handover.accept() {
                 Ok((stream, _)) => {
                     stream.set_nonblocking(false).unwrap();
-                    stream.set_read_timeout(Some(LONG)).unwrap();
+                    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
                     return stream;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    assert!(since.elapsed() < LONG, "a successor connects");
+                    assert!(since.elapsed() < TIMEOUT, "a successor connects");
                     thread::sleep(Duration::from_millis(1));
                 }
                 Err(error) => panic!("the handover socket fails: {error}"),
@@ -239,10 +245,10 @@
 }
 
 /// Until the earlier process has ended its successor neither serves nor sends.
-fn assert_waits(fixture: &Fixture, successor: &Sender) {
+fn assert_waits(fixture: &Fixture, successor: &SenderProcess) {
     thread::sleep(SETTLING_TIME);
-    assert_eq!(successor.operate("GET", "/status", "").0, 503);
-    assert!(fixture.is_quiet());
+    assert_eq!(successor.management_status("GET", "/status", ""), 503);
+    assert!(fixture.has_no_call());
 }
 
 /// The stand-ins below rest on this.
@@ -331,21 +337,21 @@
 /// messages that are lost in it.
 #[test]
 fn a_downgrade_to_the_earlier_version_passes_the_journal_alone() {
-    let fixture = Fixture::new(vec![Reply::Hang, OK]);
+    let fixture = Fixture::new(vec![Reply::NoAnswer, OK]);
     let mut predecessor = fixture.launch_ready();
-    assert_eq!(predecessor.hand_in("m1", 20_000, "x"), TAKEN_ON);
-    assert_eq!(fixture.single.next().headers["x-call-id"], "m1");
+    assert_eq!(predecessor.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(fixture.single.next_call().headers["x-call-id"], "m1");
     let mut stream = fixture.connect_as_successor(HELLO);
     let listener = receive_listener(&stream);
     assert_eq!(listener.local_addr().unwrap(), predecessor.address);
     assert_eq!(read_frame(&mut stream), OFFER_WITHOUT_STATE);
-    assert_eq!(predecessor.operate("GET", "/status", "").0, 503);
+    assert_eq!(predecessor.management_status("GET", "/status", ""), 503);
     assert!(predecessor.wait().success(), "it drains and ends");
     let lock = File::open(fixture.state.join("lock")).unwrap();
     lock.try_lock().expect("its end frees the lock");
     drop(lock);
     let _next = fixture.launch_ready();
-    let again = fixture.single.next();
+    let again = fixture.single.next_call();
     assert_eq!(again.headers["x-call-id"], "m1");
     assert_eq!(again.headers["idempotency-key"], "key-of-m1");
 }
