--- /dev/null
+++ b/crates/message-sender/src/journal/compaction.rs
@@ -0,0 +1,36 @@
+//! The shortest journal that a state can be replayed from.
+
+use delivery_control::MessageId;
+
+use super::error::JournalError;
+use super::frame::encode;
+use super::record::Record;
+use super::state::{JournalEntry, JournalState};
+
+/// Encodes the records that add up to this state.
+pub(super) fn encode_snapshot(state: &JournalState) -> Result<Vec<u8>, JournalError> {
+    let mut bytes = encode(&Record::HighestUsedId(state.highest_used_id()))?;
+    for name in state.drained_endpoints() {
+        bytes.extend(encode(&Record::EndpointDrained(name.clone()))?);
+    }
+    for (id, entry) in state.entries() {
+        encode_entry(id, entry, &mut bytes)?;
+    }
+    Ok(bytes)
+}
+
+fn encode_entry(id: MessageId, entry: &JournalEntry, bytes: &mut Vec<u8>) -> Result<(), JournalError> {
+    match entry {
+        JournalEntry::Open(message, history) => {
+            bytes.extend(encode(&Record::Accepted(id, message.clone()))?);
+            bytes.extend(encode(&Record::History(id, *history))?);
+        }
+        JournalEntry::PendingNotice(notice, order_key) => {
+            bytes.extend(encode(&Record::Ended(id, Some(notice.clone())))?);
+            if let Some(order_key) = order_key {
+                bytes.extend(encode(&Record::PendingNoticeOrderKey(id, order_key.clone()))?);
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/message-sender/src/journal/state.rs
@@ -0,0 +1,145 @@
+//! What the records of a journal add up to.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use delivery_control::MessageId;
+
+use super::capacity::reserved_bytes;
+use super::frame::FrameReader;
+use super::record::{AcceptedMessage, AttemptHistory, Record};
+use crate::notice::Notice;
+
+/// What the journal holds of a message.
+#[derive(Debug, Clone, PartialEq)]
+pub enum JournalEntry {
+    /// The message has not ended; with its attempts so far.
+    Open(AcceptedMessage, AttemptHistory),
+    /// The message has ended, and the platform has yet to acknowledge the notice. With its order key: the next message
+    /// of that key waits for the acknowledgement.
+    PendingNotice(Notice, Option<String>),
+}
+
+/// The state of a journal after all of its records.
+#[derive(Debug, Default)]
+pub(super) struct JournalState {
+    entries: BTreeMap<MessageId, JournalEntry>,
+    /// Space reserved for the open messages.
+    open_bytes: u64,
+    highest_used_id: MessageId,
+    drained_endpoints: BTreeSet<String>,
+}
+
+/// A journal file as read.
+pub(super) struct Replay {
+    /// The state after its last complete record.
+    pub(super) state: JournalState,
+    /// Where that record ends.
+    pub(super) complete_length: usize,
+}
+
+/// Applies all complete records of a file. A corrupt one is skipped: the others are still worth having.
+pub(super) fn replay(bytes: &[u8]) -> Replay {
+    let mut state = JournalState::default();
+    let mut frames = FrameReader::new(bytes);
+    for frame in &mut frames {
+        match frame.record {
+            Ok(record) => state.apply(record),
+            Err(error) => tracing::warn!(offset = frame.offset, %error, "journal record skipped"),
+        }
+    }
+    Replay { state, complete_length: frames.offset() }
+}
+
+impl JournalState {
+    /// All messages that are open or have a pending notice, in the order of their ids.
+    pub(super) fn entries(&self) -> impl Iterator<Item = (MessageId, &JournalEntry)> {
+        self.entries.iter().map(|(id, entry)| (*id, entry))
+    }
+
+    /// Whether the message is held and has not ended.
+    pub(super) fn is_open(&self, id: MessageId) -> bool {
+        matches!(self.entries.get(&id), Some(JournalEntry::Open(..)))
+    }
+
+    /// Space reserved for the open messages.
+    pub(super) fn open_bytes(&self) -> u64 {
+        self.open_bytes
+    }
+
+    /// The highest id that a message has had; 0 if there was none.
+    pub(super) fn highest_used_id(&self) -> MessageId {
+        self.highest_used_id
+    }
+
+    /// Names of the endpoints that operators have drained.
+    pub(super) fn drained_endpoints(&self) -> &BTreeSet<String> {
+        &self.drained_endpoints
+    }
+
+    /// Applies one record. One of a message that is not held, or not in the state that it is for, changes nothing.
+    pub(super) fn apply(&mut self, record: Record) {
+        match record {
+            Record::HighestUsedId(id) => self.mark_used(id),
+            Record::AcceptedV1(id, message) => self.accept(id, message.into()),
+            Record::Accepted(id, message) => self.accept(id, message),
+            Record::AttemptStarted(id, attempt) => {
+                self.update_history(id, |history| history.start_attempt(attempt));
+            }
+            Record::AttemptUnprocessed(id) => self.update_history(id, AttemptHistory::mark_unprocessed),
+            Record::AttemptUnsent(id) => self.update_history(id, AttemptHistory::mark_unsent),
+            Record::History(id, stored) => self.update_history(id, |history| *history = stored),
+            Record::Ended(id, notice) => self.end(id, notice),
+            Record::PendingNoticeOrderKey(id, order_key) => self.set_order_key(id, order_key),
+            Record::NoticeAcknowledged(id) => {
+                self.remove(id);
+            }
+            Record::EndpointDrained(name) => {
+                self.drained_endpoints.insert(name);
+            }
+            Record::EndpointRestored(name) => {
+                self.drained_endpoints.remove(&name);
+            }
+        }
+    }
+
+    fn mark_used(&mut self, id: MessageId) {
+        self.highest_used_id = self.highest_used_id.max(id);
+    }
+
+    fn accept(&mut self, id: MessageId, message: AcceptedMessage) {
+        self.mark_used(id);
+        self.open_bytes += reserved_bytes(&message);
+        self.entries.insert(id, JournalEntry::Open(message, AttemptHistory::default()));
+    }
+
+    fn update_history(&mut self, id: MessageId, update: impl FnOnce(&mut AttemptHistory)) {
+        if let Some(JournalEntry::Open(_, history)) = self.entries.get_mut(&id) {
+            update(history);
+        }
+    }
+
+    fn end(&mut self, id: MessageId, notice: Option<Notice>) {
+        self.mark_used(id);
+        let order_key = self.remove(id).and_then(|message| message.order_key);
+        if let Some(notice) = notice {
+            self.entries.insert(id, JournalEntry::PendingNotice(notice, order_key));
+        }
+    }
+
+    fn set_order_key(&mut self, id: MessageId, order_key: String) {
+        if let Some(JournalEntry::PendingNotice(_, stored)) = self.entries.get_mut(&id) {
+            *stored = Some(order_key);
+        }
+    }
+
+    /// Removes a message; returns it if it was open.
+    fn remove(&mut self, id: MessageId) -> Option<AcceptedMessage> {
+        match self.entries.remove(&id)? {
+            JournalEntry::Open(message, _) => {
+                self.open_bytes = self.open_bytes.saturating_sub(reserved_bytes(&message));
+                Some(message)
+            }
+            JournalEntry::PendingNotice(..) => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-sender/src/journal/tests.rs
@@ -0,0 +1,245 @@
+use std::fs;
+use std::path::Path;
+
+use bytes::Bytes;
+use delivery_control::{MessageId, Micros};
+
+use super::capacity::allotted;
+use super::file::{COMPACTED_FILE_NAME, FILE_NAME};
+use super::writer::MAX_DRAINED_ENDPOINTS;
+use super::*;
+use crate::notice::{Notice, NoticeResult};
+
+const DISK_BYTES: u64 = 3_000_000;
+
+fn accepted(call_id: &str, body_bytes: usize) -> AcceptedMessage {
+    AcceptedMessage {
+        call_id: call_id.to_owned(),
+        key: Some("key".to_owned()),
+        class: "notice".to_owned(),
+        destination: 7,
+        order_key: Some("card".to_owned()),
+        deadline: 99,
+        body: Body(Bytes::from(vec![7; body_bytes])),
+    }
+}
+
+fn attempt(sent_at: Micros) -> AttemptStart {
+    AttemptStart { sent_at, zone: 0 }
+}
+
+fn open(folder: &Path) -> Journal {
+    Journal::open(folder, DISK_BYTES).unwrap()
+}
+
+fn entries(journal: &Journal) -> Vec<(MessageId, JournalEntry)> {
+    journal.entries().map(|(id, entry)| (id, entry.clone())).collect()
+}
+
+fn disk_usage(folder: &Path) -> u64 {
+    fs::read_dir(folder).unwrap().map(|file| allotted(file.unwrap().metadata().unwrap().len())).sum()
+}
+
+#[test]
+fn replay_restores_what_was_recorded() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = open(folder.path());
+    for id in 1..=3 {
+        journal.record_accepted(id, accepted("m", 100)).unwrap();
+    }
+    journal.record_attempt(1, attempt(5)).unwrap();
+    journal.record_unprocessed(1).unwrap();
+    journal.record_attempt(1, attempt(6)).unwrap();
+    journal.record_attempt(1, attempt(7)).unwrap();
+    journal.record_end(2, None).unwrap();
+    let notice = Notice { call_id: "m".to_owned(), result: NoticeResult::Rejected { retry_after: 9 } };
+    journal.record_end(3, Some(notice.clone())).unwrap();
+    let reopened = open(folder.path());
+    assert_eq!(entries(&reopened), entries(&journal));
+    let history = AttemptHistory { attempts: 3, ambiguous: Some(attempt(6)), in_flight: Some(attempt(7)) };
+    // The order key survives, also a compaction: the next message of it waits for the acknowledgement.
+    let pending = JournalEntry::PendingNotice(notice, Some("card".to_owned()));
+    journal.compact().unwrap();
+    assert_eq!(entries(&open(folder.path())), entries(&reopened));
+    assert_eq!(entries(&reopened), [(1, JournalEntry::Open(accepted("m", 100), history)), (3, pending)]);
+    assert_eq!((reopened.next_id(), history.first_ambiguous()), (4, Some(attempt(6))));
+}
+
+/// An upgrade must not lose what the version before it accepted. These are the bytes that it wrote.
+#[test]
+fn messages_stored_without_order_keys_are_still_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let payload = b"\x01\x05\x02m1\x01\x03key\x06notice\x07\xc6\x01\x02hi";
+    let mut bytes = (payload.len() as u32).to_le_bytes().to_vec();
+    bytes.extend(crc32fast::hash(payload).to_le_bytes());
+    bytes.extend(payload);
+    fs::write(folder.path().join(FILE_NAME), bytes).unwrap();
+    let journal = open(folder.path());
+    let body = Body(Bytes::from_static(b"hi"));
+    let expected = AcceptedMessage { order_key: None, body, ..accepted("m1", 0) };
+    assert_eq!(entries(&journal), [(5, JournalEntry::Open(expected, AttemptHistory::default()))]);
+}
+
+/// A process may die inside a write: what was complete before must survive, and what follows must be readable.
+#[test]
+fn an_incomplete_last_record_is_cut_off_wherever_it_ends() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(FILE_NAME);
+    let mut journal = open(folder.path());
+    journal.record_accepted(1, accepted("m1", 40)).unwrap();
+    let first_length = fs::read(&path).unwrap().len();
+    journal.record_accepted(2, accepted("m2", 40)).unwrap();
+    let complete = fs::read(&path).unwrap();
+    for length in first_length..complete.len() {
+        fs::write(&path, &complete[..length]).unwrap();
+        let mut journal = open(folder.path());
+        assert_eq!(entries(&journal).len(), 1, "cut at {length}");
+        journal.record_accepted(3, accepted("m3", 40)).unwrap();
+        assert_eq!(entries(&open(folder.path())).len(), 2, "cut at {length}");
+    }
+}
+
+/// Whatever the file holds, the sender starts, with the records whose checksums match.
+#[test]
+fn a_corrupt_byte_leaves_earlier_records_intact() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(FILE_NAME);
+    let mut journal = open(folder.path());
+    journal.record_accepted(1, accepted("m1", 40)).unwrap();
+    let first_length = fs::read(&path).unwrap().len();
+    journal.record_accepted(2, accepted("m2", 40)).unwrap();
+    let complete = fs::read(&path).unwrap();
+    for offset in first_length..complete.len() {
+        let mut bytes = complete.clone();
+        bytes[offset] ^= 0x55;
+        fs::write(&path, &bytes).unwrap();
+        let journal = open(folder.path());
+        let expected = JournalEntry::Open(accepted("m1", 40), AttemptHistory::default());
+        assert_eq!(entries(&journal), [(1, expected)], "corrupt at {offset}");
+    }
+}
+
+/// A record that its checksum rejects costs that record alone.
+#[test]
+fn records_after_a_corrupt_one_are_still_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(FILE_NAME);
+    let mut journal = open(folder.path());
+    journal.record_accepted(1, accepted("m1", 40)).unwrap();
+    let first_length = fs::read(&path).unwrap().len();
+    journal.record_accepted(2, accepted("m2", 40)).unwrap();
+    let mut bytes = fs::read(&path).unwrap();
+    bytes[first_length - 1] ^= 0x55;
+    fs::write(&path, &bytes).unwrap();
+    let expected = JournalEntry::Open(accepted("m2", 40), AttemptHistory::default());
+    assert_eq!(entries(&open(folder.path())), [(2, expected)]);
+    assert_eq!(fs::read(&path).unwrap(), bytes, "nothing is cut off");
+}
+
+/// The old and the new file together must stay under the limit, or the sender counts as crashed.
+#[test]
+fn compaction_stays_within_the_disk_limit_and_loses_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk_bytes = 200_000;
+    let mut journal = Journal::open(folder.path(), disk_bytes).unwrap();
+    journal.record_accepted(1, accepted("stays", 20_000)).unwrap();
+    journal.record_attempt(1, attempt(5)).unwrap();
+    for id in 2..500 {
+        journal.record_accepted(id, accepted("goes", 3_000)).unwrap();
+        journal.record_end(id, None).unwrap();
+        assert!(disk_usage(folder.path()) <= disk_bytes);
+    }
+    let reopened = Journal::open(folder.path(), disk_bytes).unwrap();
+    let history = AttemptHistory { attempts: 1, ambiguous: None, in_flight: Some(attempt(5)) };
+    assert_eq!(entries(&reopened), [(1, JournalEntry::Open(accepted("stays", 20_000), history))]);
+    assert_eq!(reopened.next_id(), 500);
+}
+
+/// Guards against endpoints that come back because the journal was compacted or the process restarted, and against
+/// names without bound.
+#[test]
+fn drained_endpoints_survive_compaction_and_restart_up_to_a_bound() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = open(folder.path());
+    for number in 0..MAX_DRAINED_ENDPOINTS {
+        journal.record_drained(&format!("s-{number}")).unwrap();
+    }
+    journal.record_drained("s-0").unwrap();
+    assert!(matches!(journal.record_drained("one too many"), Err(JournalError::Full)));
+    for name in ["s-1", "s-1", "nobody"] {
+        journal.record_restored(name).unwrap();
+    }
+    journal.compact().unwrap();
+    journal.record_restored("s-2").unwrap();
+    let reopened = open(folder.path());
+    assert_eq!(reopened.drained_endpoints(), journal.drained_endpoints());
+    assert_eq!(reopened.drained_endpoints().len(), MAX_DRAINED_ENDPOINTS - 2);
+    assert!(reopened.drained_endpoints().contains("s-0") && !reopened.drained_endpoints().contains("s-1"));
+}
+
+/// A folder that takes no new file must not lose what the old one holds, nor what is still added to it.
+#[test]
+fn a_failed_compaction_leaves_the_old_file_in_use() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk_bytes = 100_000;
+    let mut journal = Journal::open(folder.path(), disk_bytes).unwrap();
+    fs::create_dir(folder.path().join(COMPACTED_FILE_NAME)).unwrap();
+    let mut count = 0;
+    while journal.record_accepted(count + 1, accepted("m", 1_000)).is_ok() {
+        count += 1;
+        journal.record_end(count, None).unwrap();
+    }
+    assert!(count > 10);
+    journal
+        .record_end(count + 1, Some(Notice { call_id: "m".to_owned(), result: NoticeResult::Failed }))
+        .unwrap();
+    fs::remove_dir(folder.path().join(COMPACTED_FILE_NAME)).unwrap();
+    let mut reopened = Journal::open(folder.path(), disk_bytes).unwrap();
+    assert_eq!(entries(&reopened), entries(&journal));
+    assert_eq!(entries(&reopened).len(), 1);
+    reopened.record_accepted(count + 2, accepted("m", 1_000)).unwrap();
+}
+
+/// A full journal must still take the attempts and ends of the messages that it holds.
+#[test]
+fn a_full_journal_still_records_attempts_and_ends() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk_bytes = 100_000;
+    let mut journal = Journal::open(folder.path(), disk_bytes).unwrap();
+    let mut count = 0;
+    while journal.record_accepted(count + 1, accepted("m", 1_000)).is_ok() {
+        count += 1;
+    }
+    assert!(count > 10);
+    for round in 0..50 {
+        for id in 1..=count {
+            journal.record_attempt(id, attempt(round)).unwrap();
+            journal.record_unprocessed(id).unwrap();
+        }
+        assert!(disk_usage(folder.path()) <= disk_bytes);
+    }
+    for id in 1..=count {
+        journal.record_end(id, None).unwrap();
+    }
+    journal.record_accepted(count + 1, accepted("m", 1_000)).unwrap();
+}
+
+/// Guards against an attempt that was never sent being counted, or hiding that one before it may have taken effect.
+#[test]
+fn an_unsent_attempt_does_not_count() {
+    let folder = tempfile::tempdir().unwrap();
+    let history = |journal: &Journal| match entries(journal).remove(0) {
+        (_, JournalEntry::Open(_, history)) => (history.attempts, history.first_ambiguous()),
+        pending => panic!("{pending:?}"),
+    };
+    let mut journal = open(folder.path());
+    journal.record_accepted(1, accepted("m1", 10)).unwrap();
+    journal.record_attempt(1, attempt(5)).unwrap();
+    journal.record_unsent(1).unwrap();
+    assert_eq!(history(&journal), (0, None));
+    journal.record_attempt(1, attempt(6)).unwrap();
+    journal.record_attempt(1, AttemptStart { sent_at: 7, zone: 1 }).unwrap();
+    journal.record_unsent(1).unwrap();
+    drop(journal);
+    assert_eq!(history(&open(folder.path())), (1, Some(attempt(6))));
+}
