Test that a sender resumes from journals of an earlier version

Cause: no test started a sender on stored data that another version had written. Change: a sender starts on each of the two stored journals: open messages are delivered under their keys, ambiguous ones of a class that may not be repeated fail, pending notices are sent, a drained endpoint gets nothing, a pending notice holds back its order key, and a further process finds nothing left.

--- /dev/null
+++ b/crates/message-sender/tests/journal_compatibility.rs
@@ -0,0 +1,172 @@
+//! A sender that starts on a journal of an earlier version; `tests/data/journal/README.md` describes them.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{line, Discovery, Endpoint, Seen, Sender, Terms, OK};
+use serde_json::{json, Value};
+
+const APPENDED: &[u8] = include_bytes!("data/journal/appended.bin");
+const COMPACTED: &[u8] = include_bytes!("data/journal/compacted.bin");
+
+/// The name of the file in the state folder.
+const JOURNAL: &str = "journal";
+/// Resumed messages of a destination go up to 0.9 s apart: what is to go at all has gone by then.
+const RESUMED: Duration = Duration::from_millis(1_200);
+
+/// The sender's surroundings: endpoints `s-1` and, drained in the journals, `s-2` of destination 7, and `s-3` of
+/// destination 8, which was drained and restored.
+struct Stage {
+    folder: tempfile::TempDir,
+    endpoint: Endpoint,
+    drained: Endpoint,
+    restored: Endpoint,
+    discovery: Discovery,
+    terms: Terms,
+}
+
+impl Stage {
+    fn new(journal: &[u8], effect: &'static str) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let state = folder.path().join("state");
+        std::fs::create_dir(&state).unwrap();
+        std::fs::write(state.join(JOURNAL), journal).unwrap();
+        let endpoint = Endpoint::start(vec![OK]);
+        let drained = Endpoint::start(vec![OK]);
+        let restored = Endpoint::start(vec![OK]);
+        let list = vec![
+            line("s-1", endpoint.address, 7, "up"),
+            line("s-2", drained.address, 7, "up"),
+            line("s-3", restored.address, 8, "up"),
+        ];
+        let discovery = Discovery::start(list);
+        let terms = Terms { effect, ordered: true, ..Terms::default() };
+        Self { folder, endpoint, drained, restored, discovery, terms }
+    }
+
+    fn start_sender(&self) -> Sender {
+        let state = self.folder.path().join("state");
+        let known = vec![
+            line("s-1", self.endpoint.address, 7, "up"),
+            line("s-2", self.drained.address, 7, "up"),
+            line("s-3", self.restored.address, 8, "up"),
+        ];
+        Sender::start(&state, &self.discovery, known, &self.terms)
+    }
+
+    /// The calls that `s-1` has had, by message. None has come twice.
+    fn calls(&self) -> BTreeMap<String, Seen> {
+        let mut calls = BTreeMap::new();
+        for call in self.endpoint.calls.try_iter() {
+            let call_id = call.headers["x-call-id"].clone();
+            assert!(calls.insert(call_id.clone(), call).is_none(), "{call_id} came twice");
+        }
+        calls
+    }
+
+    /// The notices that discovery has had, by message. None has come twice.
+    fn notices(&self) -> BTreeMap<String, Value> {
+        let mut notices = BTreeMap::new();
+        for notice in self.discovery.notices.try_iter() {
+            let call_id = notice["ref"].as_str().unwrap().to_owned();
+            assert!(notices.insert(call_id.clone(), notice).is_none(), "{call_id} came twice");
+        }
+        notices
+    }
+}
+
+fn notice(call_id: &str, result: &str) -> (String, Value) {
+    (call_id.to_owned(), json!({"ref": call_id, "result": result}))
+}
+
+/// Whether the attempts of earlier processes may be repeated decides on `m5`, `m6` and `m7`, which may have taken
+/// effect; all else is the same.
+fn resumes(journal: &[u8], effect: &'static str, repeats_ambiguous: bool) {
+    let stage = Stage::new(journal, effect);
+    let sender = stage.start_sender();
+    sender.await_figure("in_progress", 0);
+
+    let ambiguous = ["m5", "m6", "m7"];
+    let mut delivered = vec!["m1", "m2", "m3", "m4", "m13", "m14"];
+    let mut notices =
+        BTreeMap::from([notice("m10", "dead"), notice("m11", "bounced"), notice("m15", "dead")]);
+    let rejected = json!({"ref": "m9", "result": "bounced", "wait_ms": 9_000});
+    notices.insert("m9".to_owned(), rejected);
+    if repeats_ambiguous {
+        delivered.extend(ambiguous);
+    } else {
+        notices.extend(ambiguous.map(|call_id| notice(call_id, "dead")));
+    }
+    delivered.sort_unstable();
+
+    let calls = stage.calls();
+    assert_eq!(calls.keys().collect::<Vec<_>>(), delivered);
+    for (call_id, call) in &calls {
+        assert_eq!(call.headers.get("idempotency-key"), expected_key(call_id).as_ref(), "{call_id}");
+        assert_eq!(call.body, expected_body(call_id), "{call_id}");
+    }
+    assert_eq!(stage.notices(), notices);
+    assert_eq!(stage.restored.next().headers["x-call-id"], "m16");
+    assert!(stage.restored.is_quiet(), "one message is for destination 8");
+    assert!(stage.drained.is_quiet(), "a drained endpoint gets nothing");
+    // What is over is over for the next process too.
+    sender.kill();
+    let _next = stage.start_sender();
+    std::thread::sleep(RESUMED);
+    assert!(stage.calls().is_empty());
+    assert!(stage.notices().is_empty());
+    assert!(stage.restored.is_quiet());
+}
+
+fn expected_key(call_id: &str) -> Option<String> {
+    let has_key = !["m4", "m14"].contains(&call_id);
+    has_key.then(|| format!("key-of-{call_id}"))
+}
+
+fn expected_body(call_id: &str) -> Vec<u8> {
+    match call_id {
+        "m2" => (0..=255).chain(0..=43).collect(),
+        "m14" => Vec::new(),
+        _ => format!("body of {call_id}").into_bytes(),
+    }
+}
+
+/// A message that may have taken effect must not be sent again where repeats are harmful, and must not be rejected.
+#[test]
+fn an_appended_journal_of_an_earlier_version_is_resumed() {
+    resumes(APPENDED, "side_effect", false);
+}
+
+#[test]
+fn a_compacted_journal_of_an_earlier_version_is_resumed() {
+    resumes(COMPACTED, "side_effect", false);
+}
+
+/// Where repeats are harmless, also a message that may have taken effect is sent again.
+#[test]
+fn ambiguous_messages_of_an_earlier_version_are_sent_again_where_repeats_are_harmless() {
+    resumes(APPENDED, "pure", true);
+    resumes(COMPACTED, "pure", true);
+}
+
+/// Guards against a message that overtakes one of its order key whose rejection the platform has not acknowledged.
+#[test]
+fn a_pending_notice_of_an_earlier_version_holds_back_its_order_key() {
+    for journal in [APPENDED, COMPACTED] {
+        let stage = Stage::new(journal, "side_effect");
+        stage.discovery.deafen(10_000);
+        let sender = stage.start_sender();
+        stage.discovery.await_refused_notice();
+        // The five others for this endpoint that may go; the three ambiguous ones and the pending notices stay.
+        let mut calls: Vec<_> = (0..5).map(|_| stage.endpoint.next().headers["x-call-id"].clone()).collect();
+        calls.sort_unstable();
+        assert_eq!(calls, ["m1", "m14", "m2", "m3", "m4"]);
+        std::thread::sleep(RESUMED);
+        assert!(stage.endpoint.is_quiet(), "m13 waits for the answer to the notice of m9");
+        stage.discovery.deafen(0);
+        assert_eq!(stage.endpoint.next().headers["x-call-id"], "m13");
+        drop(sender);
+    }
+}
