--- a/crates/message-sender/tests/journal_compatibility.rs
+++ b/crates/message-sender/tests/journal_compatibility.rs
@@ -1,12 +1,16 @@
 //! A sender that starts on a journal of an earlier version; `tests/data/journal/README.md` describes them.
 
-mod common;
+mod support;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::{line, Discovery, Endpoint, Seen, Sender, Terms, OK};
 use serde_json::{json, Value};
+use support::configuration::{Idempotency, SenderOptions};
+use support::discovery::{endpoint_line, Discovery};
+use support::endpoint::{Endpoint, OK};
+use support::http::HttpMessage;
+use support::sender_process::SenderProcess;
 
 const APPENDED: &[u8] = include_bytes!("data/journal/appended.bin");
 const COMPACTED: &[u8] = include_bytes!("data/journal/compacted.bin");
@@ -18,17 +22,17 @@
 
 /// The sender's surroundings: endpoints `s-1` and, drained in the journals, `s-2` of destination 7, and `s-3`
 /// of destination 8, which was drained and restored.
-struct Stage {
+struct Environment {
     folder: tempfile::TempDir,
     endpoint: Endpoint,
     drained: Endpoint,
     restored: Endpoint,
     discovery: Discovery,
-    terms: Terms,
+    options: SenderOptions,
 }
 
-impl Stage {
-    fn new(journal: &[u8], effect: &'static str) -> Self {
+impl Environment {
+    fn new(journal: &[u8], idempotency: Idempotency) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let state = folder.path().join("state");
         std::fs::create_dir(&state).unwrap();
@@ -37,30 +41,30 @@
         let drained = Endpoint::start(vec![OK]);
         let restored = Endpoint::start(vec![OK]);
         let list = vec![
-            line("s-1", endpoint.address, 7, "up"),
-            line("s-2", drained.address, 7, "up"),
-            line("s-3", restored.address, 8, "up"),
+            endpoint_line("s-1", endpoint.address, 7, "up"),
+            endpoint_line("s-2", drained.address, 7, "up"),
+            endpoint_line("s-3", restored.address, 8, "up"),
         ];
         let discovery = Discovery::start(list);
-        let terms = Terms { effect, ordered: true, ..Terms::default() };
-        Self { folder, endpoint, drained, restored, discovery, terms }
+        let options = SenderOptions { idempotency, is_ordered: true, ..SenderOptions::default() };
+        Self { folder, endpoint, drained, restored, discovery, options }
     }
 
-    fn start_sender(&self) -> Sender {
+    fn start_sender(&self) -> SenderProcess {
         let state = self.folder.path().join("state");
         let known = vec![
-            line("s-1", self.endpoint.address, 7, "up"),
-            line("s-2", self.drained.address, 7, "up"),
-            line("s-3", self.restored.address, 8, "up"),
+            endpoint_line("s-1", self.endpoint.address, 7, "up"),
+            endpoint_line("s-2", self.drained.address, 7, "up"),
+            endpoint_line("s-3", self.restored.address, 8, "up"),
         ];
-        Sender::start(&state, &self.discovery, known, &self.terms)
+        SenderProcess::start(&state, &self.discovery, known, &self.options)
     }
 
     /// So many calls of `s-1`, by message. No message comes twice.
-    fn calls(&self, count: usize) -> BTreeMap<String, Seen> {
+    fn calls(&self, count: usize) -> BTreeMap<String, HttpMessage> {
         let mut calls = BTreeMap::new();
         for _ in 0..count {
-            let call = self.endpoint.next();
+            let call = self.endpoint.next_call();
             let call_id = call.headers["x-call-id"].clone();
             assert!(calls.insert(call_id.clone(), call).is_none(), "{call_id} came twice");
         }
@@ -84,10 +88,10 @@
 
 /// Whether the attempts of earlier processes may be repeated decides on `m5`, `m6` and `m7`, which may have
 /// taken effect; all else is the same.
-fn resumes(journal: &[u8], effect: &'static str, repeats_ambiguous: bool) {
-    let stage = Stage::new(journal, effect);
-    let sender = stage.start_sender();
-    sender.await_figure("in_progress", 0);
+fn assert_resumes(journal: &[u8], idempotency: Idempotency, repeats_ambiguous: bool) {
+    let environment = Environment::new(journal, idempotency);
+    let sender = environment.start_sender();
+    sender.await_metric("in_progress", 0);
 
     let ambiguous = ["m5", "m6", "m7"];
     let mut delivered = vec!["m1", "m2", "m3", "m4", "m13", "m14"];
@@ -102,24 +106,24 @@
     }
     delivered.sort_unstable();
 
-    let calls = stage.calls(delivered.len());
+    let calls = environment.calls(delivered.len());
     assert_eq!(calls.keys().collect::<Vec<_>>(), delivered);
-    assert!(stage.endpoint.is_quiet(), "nothing else is for destination 7");
+    assert!(environment.endpoint.has_no_call(), "nothing else is for destination 7");
     for (call_id, call) in &calls {
         assert_eq!(call.headers.get("idempotency-key"), expected_key(call_id).as_ref(), "{call_id}");
         assert_eq!(call.body, expected_body(call_id), "{call_id}");
     }
-    assert_eq!(stage.notices(), notices);
-    assert_eq!(stage.restored.next().headers["x-call-id"], "m16");
-    assert!(stage.restored.is_quiet(), "one message is for destination 8");
-    assert!(stage.drained.is_quiet(), "a drained endpoint gets nothing");
+    assert_eq!(environment.notices(), notices);
+    assert_eq!(environment.restored.next_call().headers["x-call-id"], "m16");
+    assert!(environment.restored.has_no_call(), "one message is for destination 8");
+    assert!(environment.drained.has_no_call(), "a drained endpoint gets nothing");
     // What is over is over for the next process too.
     sender.kill();
-    let _next = stage.start_sender();
+    let _next = environment.start_sender();
     std::thread::sleep(RESUMED);
-    assert!(stage.endpoint.is_quiet());
-    assert!(stage.notices().is_empty());
-    assert!(stage.restored.is_quiet());
+    assert!(environment.endpoint.has_no_call());
+    assert!(environment.notices().is_empty());
+    assert!(environment.restored.has_no_call());
 }
 
 fn expected_key(call_id: &str) -> Option<String> {
@@ -139,19 +143,19 @@
 /// rejected.
 #[test]
 fn an_appended_journal_of_an_earlier_version_is_resumed() {
-    resumes(APPENDED, "side_effect", false);
+    assert_resumes(APPENDED, Idempotency::Never, false);
 }
 
 #[test]
 fn a_compacted_journal_of_an_earlier_version_is_resumed() {
-    resumes(COMPACTED, "side_effect", false);
+    assert_resumes(COMPACTED, Idempotency::Never, false);
 }
 
 /// Where repeats are harmless, also a message that may have taken effect is sent again.
 #[test]
 fn ambiguous_messages_of_an_earlier_version_are_sent_again_where_repeats_are_harmless() {
-    resumes(APPENDED, "pure", true);
-    resumes(COMPACTED, "pure", true);
+    assert_resumes(APPENDED, Idempotency::Always, true);
+    assert_resumes(COMPACTED, Idempotency::Always, true);
 }
 
 /// Guards against a message that overtakes one of its order key whose rejection the platform has not
@@ -159,18 +163,18 @@
 #[test]
 fn a_pending_notice_of_an_earlier_version_holds_back_its_order_key() {
     for journal in [APPENDED, COMPACTED] {
-        let stage = Stage::new(journal, "side_effect");
-        stage.discovery.deafen(10_000);
-        let sender = stage.start_sender();
-        stage.discovery.await_refused_notice();
+        let environment = Environment::new(journal, Idempotency::Never);
+        environment.discovery.reject_notices(10_000);
+        let sender = environment.start_sender();
+        environment.discovery.await_rejected_notice();
         // The five others for this endpoint that may go; the three ambiguous ones and the pending notices
         // stay.
-        let calls = stage.calls(5);
+        let calls = environment.calls(5);
         assert_eq!(calls.keys().collect::<Vec<_>>(), ["m1", "m14", "m2", "m3", "m4"]);
         std::thread::sleep(RESUMED);
-        assert!(stage.endpoint.is_quiet(), "m13 waits for the answer to the notice of m9");
-        stage.discovery.deafen(0);
-        assert_eq!(stage.endpoint.next().headers["x-call-id"], "m13");
+        assert!(environment.endpoint.has_no_call(), "m13 waits for the answer to the notice of m9");
+        environment.discovery.reject_notices(0);
+        assert_eq!(environment.endpoint.next_call().headers["x-call-id"], "m13");
         drop(sender);
     }
 }
