--- a/crates/message-sender/src/journal/error.rs
+++ b/crates/message-sender/src/journal/error.rs
@@ -1,4 +1,7 @@
 //! What can go wrong with the journal.
+//!
+//! Messages hold their causes, since most of these errors are logged alone; so causes are not sources too, which
+//! would show them twice where a chain of errors is printed.
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -11,21 +14,21 @@
     #[error("journal is full")]
     Full,
     /// The file system refused an operation.
-    #[error("journal file {path} cannot be accessed: {source}")]
+    #[error("journal file {path} cannot be accessed: {cause}")]
     Io {
         /// The file or folder.
         path: PathBuf,
         /// The reason.
-        source: io::Error,
+        cause: io::Error,
     },
     /// A record has no stored form.
     #[error("journal record cannot be encoded: {0}")]
-    Encoding(#[from] postcard::Error),
+    Encoding(postcard::Error),
 }
 
 impl JournalError {
     /// Names the file or folder that an operation failed on.
-    pub(super) fn io(path: &Path, source: io::Error) -> Self {
-        Self::Io { path: path.to_owned(), source }
+    pub(super) fn io(path: &Path, cause: io::Error) -> Self {
+        Self::Io { path: path.to_owned(), cause }
     }
 }
--- a/crates/message-sender/src/journal/frame.rs
+++ b/crates/message-sender/src/journal/frame.rs
@@ -13,7 +13,7 @@
 
 /// Encodes a record and frames it.
 pub(super) fn encode(record: &Record) -> Result<Vec<u8>, JournalError> {
-    let payload = postcard::to_stdvec(record)?;
+    let payload = postcard::to_stdvec(record).map_err(JournalError::Encoding)?;
     let length = u32::try_from(payload.len()).map_err(|_| JournalError::Full)?;
     let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
     frame.extend(length.to_le_bytes());
