--- a/crates/message-sender/src/journal/error.rs
+++ b/crates/message-sender/src/journal/error.rs
@@ -1,7 +1,7 @@
 //! What can go wrong with the journal.
 //!
-//! Messages hold their causes, since most of these errors are logged alone; so causes are not sources too, which
-//! would show them twice where a chain of errors is printed.
+//! Messages hold their causes, since most of these errors are logged alone; so causes are not sources too,
+//! which would show them twice where a chain of errors is printed.
 
 use std::io;
 use std::path::{Path, PathBuf};
--- a/crates/message-sender/src/journal/tests.rs
+++ b/crates/message-sender/src/journal/tests.rs
@@ -139,7 +139,8 @@
     assert_eq!(fs::read(&path).unwrap(), bytes, "nothing is cut off");
 }
 
-/// Versions that take turns on one folder must agree on the limits, or one finds the journal of the other full.
+/// Versions that take turns on one folder must agree on the limits, or one finds the journal of the other
+/// full.
 #[test]
 fn limits_are_fixed_shares_of_the_disk_in_whole_blocks() {
     let budget = DiskBudget::new(3_000_000);
