--- a/crates/delivery-control/src/admission.rs
+++ b/crates/delivery-control/src/admission.rs
@@ -2,12 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::endpoints::Endpoints;
-use crate::estimates::Estimates;
-use crate::event::MessageSubmission;
-use crate::ids::{MessageId, Micros};
-use crate::model::{Context, Message, MessageBuffer, SECOND};
+use crate::model::{Context, Message, SECOND};
+use crate::state::View;
 use crate::value::value_at;
+use crate::{MessageId, MessageSubmission, Micros};
 
 /// Fill of the buffer from which load is shed, as a fraction.
 const SHED_FILL: f64 = 0.97;
@@ -69,38 +67,35 @@
 /// A message to reject early.
 pub(crate) struct Shed {
     pub id: MessageId,
+    /// Value left at that time.
+    value: f64,
     /// When its destination is expected to have caught up.
     pub retry_after: Micros,
 }
 
-/// When the buffer is nearly full: the message with the least value left by the time it could be delivered,
-/// lest messages for healthy destinations find no room. May hurt when a long outage is about to end.
-pub(crate) fn next_to_shed(
-    context: Context,
-    endpoints: &Endpoints,
-    messages: &MessageBuffer,
-) -> Option<Shed> {
-    let most = ((context.settings.limits.buffer_capacity as f64 * SHED_FILL) as usize).max(1);
-    if messages.len() <= most {
-        return None;
-    }
-    let estimates = Estimates { context, endpoints, messages };
-    let mut least: Option<(f64, Shed)> = None;
-    for (_, destination) in endpoints.destinations() {
-        if destination.waiting.is_empty() {
-            continue;
+impl View<'_> {
+    /// When the buffer is nearly full: the message with the least value left by the time it could be
+    /// delivered, lest messages for healthy destinations find no room. May hurt when a long outage is about to
+    /// end. Messages that may have taken effect, or waited through a restart, stay.
+    pub fn next_to_shed(&self) -> Option<Shed> {
+        let messages = &self.state.messages;
+        let most = (self.context.settings.limits.buffer_capacity as f64 * SHED_FILL) as usize;
+        if messages.len() <= most.max(1) {
+            return None;
         }
-        let wait = estimates.expected_wait(destination);
-        for &id in &destination.waiting {
-            let message = &messages[id];
-            if message.first_ambiguous.is_some() || message.recovered_unattempted {
-                continue;
-            }
-            let value = value_at(context, message, context.now + wait);
-            if least.as_ref().is_none_or(|(least, _)| value.total_cmp(least).is_lt()) {
-                least = Some((value, Shed { id, retry_after: wait }));
+        let mut least = None;
+        for (_, destination) in self.state.endpoints.destinations() {
+            let retry_after = self.expected_wait(destination);
+            for &id in &destination.waiting {
+                let message = &messages[id];
+                let value = value_at(self.context, message, self.context.now + retry_after);
+                let is_exempt = message.first_ambiguous.is_some() || message.recovered_unattempted;
+                let is_less = least.as_ref().is_none_or(|least: &Shed| value.total_cmp(&least.value).is_lt());
+                if is_less && !is_exempt {
+                    least = Some(Shed { id, value, retry_after });
+                }
             }
         }
+        least
     }
-    least.map(|(_, shed)| shed)
 }
--- a/crates/delivery-control/src/cancellation.rs
+++ b/crates/delivery-control/src/cancellation.rs
@@ -1,9 +1,8 @@
 //! Which call is cancelled when others wait for its permit.
 
-use crate::endpoints::Endpoints;
-use crate::ids::Micros;
-use crate::model::{Attempt, AttemptKey, Context, InFlight, Message, MessageBuffer};
-use crate::settings::Idempotency;
+use crate::model::{Attempt, AttemptKey};
+use crate::state::View;
+use crate::{Idempotency, MessageId, Micros};
 
 /// An overtaken call is late after so many usual answer times, and this time at least.
 const LATE_LATENCIES: f64 = 10.0;
@@ -18,41 +17,35 @@
     pub key: AttemptKey,
 }
 
-/// The attempt that is overdue first: overtaken by later ones, or to an endpoint that stopped answering.
-/// Covers hangs, lost calls and slowness alike; may hurt where a slow answer was about to come, as with the
-/// rare message that takes very long.
-pub(crate) fn first_stuck_attempt(
-    context: Context,
-    endpoints: &Endpoints,
-    messages: &MessageBuffer,
-    in_flight: &InFlight,
-) -> Option<StuckAttempt> {
-    let stuck = in_flight.attempts().filter_map(|(key, attempt)| {
-        let overdue_at = overdue_at(context, endpoints, messages.get(key.message), attempt)?;
-        Some(StuckAttempt { overdue_at, key: *key })
-    });
-    stuck.min()
-}
+impl View<'_> {
+    /// The attempt that is overdue first: overtaken by later ones, or to an endpoint that stopped answering.
+    /// Covers hangs, lost calls and slowness alike; may hurt where a slow answer was about to come, as with
+    /// the rare message that takes very long.
+    pub fn first_stuck_attempt(&self) -> Option<StuckAttempt> {
+        let attempts = self.state.in_flight.attempts();
+        let stuck = attempts.filter_map(|(key, attempt)| {
+            let overdue_at = self.overdue_at(key.message, attempt)?;
+            Some(StuckAttempt { overdue_at, key: *key })
+        });
+        stuck.min()
+    }
 
-/// When an attempt that looks stuck may be cancelled. An overtaken one is not given the time of an
-/// unresponsive endpoint's: where answers get lost one by one, those would take most permits.
-fn overdue_at(
-    context: Context,
-    endpoints: &Endpoints,
-    message: Option<&Message>,
-    attempt: &Attempt,
-) -> Option<Micros> {
-    let endpoint = &endpoints[attempt.endpoint];
-    let is_overtaken = endpoint.answered_at > Some(attempt.sent_at);
-    let is_streaming = message.is_some_and(|message| message.streaming);
-    if attempt.cancelled || is_streaming || !(is_overtaken || endpoint.health.is_ejected()) {
-        return None;
+    /// When an attempt that looks stuck may be cancelled. An overtaken one is not given the time of an
+    /// unresponsive endpoint's: where answers get lost one by one, those would take most permits.
+    fn overdue_at(&self, id: MessageId, attempt: &Attempt) -> Option<Micros> {
+        let endpoint = &self.state.endpoints[attempt.endpoint];
+        let message = self.state.messages.get(id);
+        let is_overtaken = endpoint.answered_at > Some(attempt.sent_at);
+        let is_streaming = message.is_some_and(|message| message.streaming);
+        if attempt.cancelled || is_streaming || !(is_overtaken || endpoint.health.is_ejected()) {
+            return None;
+        }
+        let late = MIN_LATE.max((endpoint.latency * LATE_LATENCIES) as Micros);
+        let response_timeout = endpoint.response_timeout();
+        let time = if is_overtaken { late.min(response_timeout) } else { response_timeout };
+        let is_unrepeatable =
+            message.is_some_and(|message| self.context.class(message).idempotency == Idempotency::Never);
+        let factor = if is_unrepeatable { UNREPEATABLE_FACTOR } else { 1 };
+        Some(attempt.sent_at + factor * time)
     }
-    let late = MIN_LATE.max((endpoint.latency * LATE_LATENCIES) as Micros);
-    let response_timeout = endpoint.response_timeout();
-    let time = if is_overtaken { late.min(response_timeout) } else { response_timeout };
-    let is_repeatable =
-        message.is_none_or(|message| context.class(message).idempotency != Idempotency::Never);
-    let factor = if is_repeatable { 1 } else { UNREPEATABLE_FACTOR };
-    Some(attempt.sent_at + factor * time)
 }
--- a/crates/delivery-control/src/diagnostics.rs
+++ b/crates/delivery-control/src/diagnostics.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::eligibility::EligibilityCheck;
-use crate::ids::{DestinationId, EndpointId, Micros};
 use crate::model::{Destination, SECOND};
+use crate::state::View;
+use crate::{DestinationId, EndpointId, Micros};
 
 /// Reports come no more often than this, so that a long outage doesn't flood the log.
 const REPORT_INTERVAL: Micros = 5 * SECOND;
@@ -21,13 +21,17 @@
 
 impl BacklogReporter {
     /// One line for each endpoint of the reported destinations.
-    pub fn report(&mut self, state: &EligibilityCheck) -> Vec<String> {
-        let now = state.context.now;
+    pub fn report(&mut self, view: &View) -> Vec<String> {
+        let now = view.context.now;
         if now - self.reported_at < REPORT_INTERVAL {
             return Vec::new();
         }
-        let mut late: Vec<_> =
-            state.endpoints.destinations().filter(|(_, destination)| is_late(state, destination)).collect();
+        let mut late: Vec<_> = view
+            .state
+            .endpoints
+            .destinations()
+            .filter(|(_, destination)| is_late(view, destination))
+            .collect();
         if late.is_empty() {
             return Vec::new();
         }
@@ -35,28 +39,28 @@
         late.sort_by_key(|(_, destination)| Reverse(destination.waiting.len()));
         let mut lines = Vec::new();
         for (id, destination) in late.into_iter().take(MAX_REPORTED_DESTINATIONS) {
-            let backlog = describe_backlog(state, id, destination);
+            let backlog = describe_backlog(view, id, destination);
             for endpoint in &destination.endpoints {
-                lines.push(format!("{backlog}; {}", describe_endpoint(state, *endpoint)));
+                lines.push(format!("{backlog}; {}", describe_endpoint(view, *endpoint)));
             }
         }
         lines
     }
 }
 
-fn is_late(state: &EligibilityCheck, destination: &Destination) -> bool {
+fn is_late(view: &View, destination: &Destination) -> bool {
     let oldest = destination.waiting.first();
-    oldest.is_some_and(|id| state.messages[*id].objective_at < state.context.now)
+    oldest.is_some_and(|id| view.state.messages[*id].objective_at < view.context.now)
 }
 
-fn describe_backlog(state: &EligibilityCheck, id: DestinationId, destination: &Destination) -> String {
+fn describe_backlog(view: &View, id: DestinationId, destination: &Destination) -> String {
     let waiting = destination.waiting.len();
     let mut in_backoff = 0;
     let mut behind_others = 0;
     for id in &destination.waiting {
-        let message = &state.messages[*id];
-        in_backoff += usize::from(message.ready_at > state.context.now);
-        behind_others += usize::from(!state.queues.is_head(message.order_key.as_ref(), *id));
+        let message = &view.state.messages[*id];
+        in_backoff += usize::from(message.ready_at > view.context.now);
+        behind_others += usize::from(!view.state.queues.is_head(message.order_key.as_ref(), *id));
     }
     format!(
         "latency objective missed: destination {id}, {waiting} waiting, {in_backoff} in backoff, \
@@ -64,12 +68,12 @@
     )
 }
 
-fn describe_endpoint(state: &EligibilityCheck, id: EndpointId) -> String {
-    let now = state.context.now;
-    let endpoint = &state.endpoints[id];
-    let health = endpoint.health_now(state.context);
-    let in_flight = state.in_flight.calls_to(id);
-    let rate_limit = state.endpoints.rate_limit(endpoint.route).cloned().unwrap_or_default();
+fn describe_endpoint(view: &View, id: EndpointId) -> String {
+    let now = view.context.now;
+    let endpoint = &view.state.endpoints[id];
+    let health = endpoint.health_now(view.context);
+    let in_flight = view.state.in_flight.calls_to(id);
+    let rate_limit = view.state.endpoints.rate_limit(endpoint.route).cloned().unwrap_or_default();
     let rate = rate_limit.rate();
     let listed = rate_limit.listed_limit();
     let sent = rate_limit.sent_within(now, SECOND);
--- a/crates/delivery-control/src/dispatch.rs
+++ b/crates/delivery-control/src/dispatch.rs
@@ -1,18 +1,11 @@
 //! Which message goes next, and to which endpoint.
 
-use crate::action::Action;
-use crate::cancellation::first_stuck_attempt;
-use crate::eligibility::{Eligibility, EligibilityCheck};
-use crate::endpoints::Endpoints;
-use crate::health::UNKNOWN_LATENCY;
-use crate::ids::{DestinationId, EndpointId, MessageId, Micros};
-use crate::model::{
-    Attempt, AttemptKey, CallId, Context, Destination, Health, InFlight, Message, MessageBuffer, WakeUps,
-    SECOND,
-};
-use crate::ordering::KeyQueues;
-use crate::retry;
+use crate::eligibility::Eligibility;
+use crate::endpoints::UNKNOWN_LATENCY;
+use crate::model::{CallId, Context, Destination, Health, Message, SECOND};
+use crate::state::{State, View};
 use crate::value::value_at;
+use crate::{retry, Action, DestinationId, EndpointId, MessageId, Micros};
 
 const COST_LATENCY: f64 = 20e6; // Answer time in µs that a unit of cost weighs in the choice
 const FAILURE_LATENCY: f64 = 4e6; // Answer time in µs that a failure in a row weighs in the choice
@@ -40,11 +33,7 @@
 /// Sends what may be sent.
 pub(crate) struct Dispatcher<'a> {
     pub context: Context<'a>,
-    pub endpoints: &'a mut Endpoints,
-    pub messages: &'a mut MessageBuffer,
-    pub queues: &'a KeyQueues,
-    pub in_flight: &'a mut InFlight,
-    pub wake_ups: &'a mut WakeUps,
+    pub state: &'a mut State,
     pub random: &'a mut fastrand::Rng,
     pub actions: &'a mut Vec<Action>,
 }
@@ -54,48 +43,88 @@
     /// may be sent, the most urgent first. Returns when a call may be cancelled for its permit.
     pub fn run(&mut self) -> Option<Micros> {
         let limits = &self.context.settings.limits;
-        self.wake_ups.release_due(self.context.now);
-        if self.in_flight.call_count() < limits.max_in_flight {
-            self.wake_ups.release_awaiting_permit();
+        self.state.wake_ups.release_due(self.context.now);
+        if self.state.in_flight.call_count() < limits.max_in_flight {
+            self.state.wake_ups.release_awaiting_permit();
         }
-        for candidate in self.candidates() {
+        let mut candidates = Vec::new();
+        for destination in self.state.wake_ups.take_dirty() {
+            self.view().add_candidates(destination, &mut candidates);
+        }
+        candidates.sort_by(|a, b| b.urgency.total_cmp(&a.urgency).then(a.objective_at.cmp(&b.objective_at)));
+        for candidate in candidates {
             self.dispatch(candidate.id);
         }
-        if self.wake_ups.is_permit_awaited() && limits.may_cancel {
+        if self.state.wake_ups.is_permit_awaited() && limits.may_cancel {
             self.free_permit()
         } else {
             None
         }
     }
 
-    fn check(&self) -> EligibilityCheck<'_> {
-        EligibilityCheck {
-            context: self.context,
-            endpoints: self.endpoints,
-            messages: self.messages,
-            queues: self.queues,
-            in_flight: self.in_flight,
+    fn view(&self) -> View<'_> {
+        self.state.view(self.context)
+    }
+
+    /// Sends a message to the cheapest endpoint that it may go to, or notes when to look again.
+    fn dispatch(&mut self, id: MessageId) {
+        let destination = self.state.messages[id].destination;
+        let choice = self.view().choose(id, destination);
+        if choice.lacks_permit {
+            self.state.wake_ups.await_permit(destination);
+        }
+        if let Some(endpoint) = choice.endpoint {
+            self.send(id, endpoint);
+        } else if let Some(at) = choice.retry_at {
+            self.state.wake_ups.schedule(destination, at);
         }
     }
 
-    fn candidates(&mut self) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for id in self.wake_ups.take_dirty() {
-            self.add_candidates(id, &mut candidates);
+    fn send(&mut self, id: MessageId, to: EndpointId) {
+        let chance = self.random.f64();
+        let message = &self.state.messages[id];
+        let timeout = retry::timeout(self.context, message, &self.state.endpoints[to]);
+        let begin_by = retry::latest_start(self.context, message);
+        let joined = self.state.in_flight.join_batch(to);
+        let call = joined.unwrap_or_else(|| self.start_call(to, chance));
+        self.state.record_attempt(self.context, id, to, call);
+        self.actions.push(Action::Send { id, endpoint: to, timeout, begin_by });
+    }
+
+    fn start_call(&mut self, to: EndpointId, chance: f64) -> CallId {
+        let now = self.context.now;
+        let call = self.state.in_flight.start_call(to, now);
+        let health = self.view().health_after_call(to, call);
+        let Some(endpoint) = self.state.endpoints.get_mut(to) else { return call };
+        endpoint.take_connection(now, self.context.settings.limits.connection_idle);
+        endpoint.health = health;
+        // Probes and calls of a slow start carry one message.
+        let free = if health == Health::Healthy { endpoint.batch_size - 1 } else { 0 };
+        let route = endpoint.route;
+        self.state.in_flight.open_batch(to, call, free);
+        self.state.endpoints.rate_limit_mut(route).record_call(now, chance);
+        call
+    }
+
+    /// Cancels the call that is overdue first, when others wait for its permit; or returns when one will be.
+    fn free_permit(&mut self) -> Option<Micros> {
+        let stuck = self.view().first_stuck_attempt()?;
+        if stuck.overdue_at >= self.context.now {
+            return Some(stuck.overdue_at + 1);
         }
-        candidates.sort_by(|a, b| b.urgency.total_cmp(&a.urgency).then(a.objective_at.cmp(&b.objective_at)));
-        candidates
+        self.state.in_flight.mark_cancelled(stuck.key);
+        self.actions.push(Action::Cancel { id: stuck.key.message, attempt: stuck.key.number });
+        None
     }
+}
 
+impl View<'_> {
     fn add_candidates(&self, id: DestinationId, candidates: &mut Vec<Candidate>) {
-        let Some(destination) = self.endpoints.destination(id) else { return };
-        if destination.waiting.is_empty() {
-            return;
-        }
-        let later = self.context.now + self.check().estimates().expected_wait(destination);
+        let Some(destination) = self.state.endpoints.destination(id) else { return };
+        let later = self.context.now + self.expected_wait(destination);
         let permit_time = self.permit_time(destination);
         for &id in &destination.waiting {
-            let message = &self.messages[id];
+            let message = &self.state.messages[id];
             let urgency = self.urgency(id, message, later, permit_time);
             candidates.push(Candidate { id, urgency, objective_at: message.objective_at });
         }
@@ -103,7 +132,7 @@
 
     /// Time in µs for which a message of the destination uses its permit.
     fn permit_time(&self, destination: &Destination) -> f64 {
-        let latencies = destination.endpoints.iter().map(|id| self.endpoints[*id].latency);
+        let latencies = destination.endpoints.iter().map(|id| self.state.endpoints[*id].latency);
         latencies.fold(MAX_PERMIT_TIME, f64::min).max(MIN_PERMIT_TIME)
     }
 
@@ -115,32 +144,16 @@
             value_at(self.context, message, self.context.now) - value_at(self.context, message, later)
         };
         // The first of a key holds up all behind it, wherever they go.
-        let followers = self.queues.followers(message.order_key.as_ref(), id);
-        let held_up: f64 = followers.filter_map(|id| self.messages.get(id)).map(loss).sum();
+        let followers = self.state.queues.followers(message.order_key.as_ref(), id);
+        let held_up: f64 = followers.filter_map(|id| self.state.messages.get(id)).map(loss).sum();
         (loss(message) + held_up) / permit_time
     }
 
-    /// Sends a message to the cheapest endpoint that it may go to, or notes when to look again.
-    fn dispatch(&mut self, id: MessageId) {
-        let destination = self.messages[id].destination;
-        let choice = self.choose(id, destination);
-        if choice.lacks_permit {
-            self.wake_ups.await_permit(destination);
-        }
-        if let Some(endpoint) = choice.endpoint {
-            self.send(id, endpoint);
-        } else if let Some(at) = choice.retry_at {
-            self.wake_ups.schedule(destination, at);
-        }
-    }
-
     fn choose(&self, id: MessageId, destination: DestinationId) -> Choice {
-        let check = self.check();
         let mut choice = Choice::default();
         let mut least_cost = f64::INFINITY;
-        let endpoints = self.endpoints.destination(destination).map_or(&[][..], |to| &to.endpoints);
-        for &endpoint in endpoints {
-            match check.check(id, endpoint) {
+        for &endpoint in self.state.endpoints.available(destination) {
+            match self.eligibility(id, endpoint) {
                 Eligibility::Now => {
                     let cost = self.cost(endpoint);
                     if choice.endpoint.is_none() || cost < least_cost {
@@ -149,7 +162,7 @@
                     }
                 }
                 Eligibility::NotBefore(at) => {
-                    choice.retry_at = Some(choice.retry_at.unwrap_or(at).min(at));
+                    choice.retry_at = Some(choice.retry_at.map_or(at, |earliest| earliest.min(at)));
                 }
                 Eligibility::NoPermit => choice.lacks_permit = true,
                 Eligibility::No => {}
@@ -160,85 +173,34 @@
 
     /// Expected time to an answer in µs, with costs counted as time.
     fn cost(&self, id: EndpointId) -> f64 {
-        let endpoint = &self.endpoints[id];
+        let endpoint = &self.state.endpoints[id];
         let settings = self.context.settings;
-        let idle_limit = settings.limits.connection_idle;
-        let is_connected =
-            endpoint.idle_connections.iter().any(|since| self.context.now - since < idle_limit);
+        let is_connected = endpoint.has_idle_connection(self.context.now, settings.limits.connection_idle);
         let zone = endpoint.route.endpoint.and(settings.zones.get(endpoint.zone));
         let fee = zone.map_or(0.0, |zone| zone.fee);
         let crossing = if endpoint.zone == settings.zone { 0.0 } else { settings.prices.cross_zone };
         let handshake = if is_connected { 0.0 } else { settings.prices.handshake };
-        let joins_batch = self.in_flight.has_batch(id);
-        let queue = if joins_batch { 1.0 } else { 1.0 + self.in_flight.calls_to(id) as f64 };
+        let joins_batch = self.state.in_flight.has_batch(id);
+        let queue = if joins_batch { 1.0 } else { 1.0 + self.state.in_flight.calls_to(id) as f64 };
         let costs = (fee + crossing + handshake) * COST_LATENCY;
         endpoint.latency * queue + costs + FAILURE_LATENCY * f64::from(endpoint.consecutive_failures)
     }
 
-    fn send(&mut self, id: MessageId, to: EndpointId) {
-        let chance = self.random.f64();
-        let timeout = retry::timeout(self.context, &self.messages[id], &self.endpoints[to]);
-        let begin_by = retry::latest_start(self.context, &self.messages[id]);
-        let joined = self.in_flight.join_batch(to);
-        let call = joined.unwrap_or_else(|| self.start_call(to, chance));
-        self.record_attempt(id, to, call);
-        self.actions.push(Action::Send { id, endpoint: to, timeout, begin_by });
-    }
-
-    fn start_call(&mut self, to: EndpointId, chance: f64) -> CallId {
-        let now = self.context.now;
-        let call = self.in_flight.start_call(to, now);
-        let health = self.health_after_call(to, call);
-        let route = self.endpoints[to].route;
-        self.endpoints.rate_limit_mut(route).record_call(now, chance);
-        let Some(endpoint) = self.endpoints.get_mut(to) else { return call };
-        let idle_limit = self.context.settings.limits.connection_idle;
-        endpoint.idle_connections.retain(|since| now - since < idle_limit);
-        endpoint.idle_connections.pop();
-        endpoint.health = health;
-        let free = if health == Health::Healthy { endpoint.batch_size - 1 } else { 0 };
-        self.in_flight.open_batch(to, call, free);
-        call
-    }
-
     /// The endpoint's health once a call is made: a call to an ejected one is its probe, and each call of a
     /// slow start puts the next one off.
     fn health_after_call(&self, to: EndpointId, call: CallId) -> Health {
         let now = self.context.now;
-        let endpoint = &self.endpoints[to];
+        let endpoint = &self.state.endpoints[to];
         let mut health = endpoint.health_now(self.context);
         match &mut health {
             Health::Healthy => {}
             Health::Ejected(ejection) => ejection.probe = Some(call),
             Health::SlowStart(start) => {
                 let elapsed = now - start.since;
-                let estimates = self.check().estimates();
-                let interval = estimates.slow_start_interval(endpoint, elapsed, start.competing_senders);
+                let interval = self.slow_start_interval(endpoint, elapsed, start.competing_senders);
                 start.next_call_at = start.next_call_at.max(now - SLOW_START_CREDIT) + interval;
             }
         }
         health
     }
-
-    fn record_attempt(&mut self, id: MessageId, to: EndpointId, call: CallId) {
-        let Some(message) = self.messages.get_mut(id) else { return };
-        let order_key = message.order_key.clone();
-        let attempt = Attempt { endpoint: to, call, sent_at: self.context.now, cancelled: false, order_key };
-        self.in_flight.insert_attempt(AttemptKey { message: id, number: message.attempts }, attempt);
-        message.attempts += 1;
-        message.recovered_unattempted = false;
-        message.in_flight = true;
-        self.endpoints.destination_mut(message.destination).waiting.remove(&id);
-    }
-
-    /// Cancels the call that is overdue first, when others wait for its permit; or returns when one will be.
-    fn free_permit(&mut self) -> Option<Micros> {
-        let stuck = first_stuck_attempt(self.context, self.endpoints, self.messages, self.in_flight)?;
-        if stuck.overdue_at >= self.context.now {
-            return Some(stuck.overdue_at + 1);
-        }
-        self.in_flight.mark_cancelled(stuck.key);
-        self.actions.push(Action::Cancel { id: stuck.key.message, attempt: stuck.key.number });
-        None
-    }
 }
--- a/crates/delivery-control/src/eligibility.rs
+++ b/crates/delivery-control/src/eligibility.rs
@@ -1,13 +1,11 @@
 //! Whether a message may be sent to an endpoint now. Every send has passed this check, so that the rules hold
 //! by construction.
 
-use crate::endpoints::Endpoints;
-use crate::estimates::Estimates;
-use crate::ids::{EndpointId, MessageId, Micros};
-use crate::model::{Context, Endpoint, Health, InFlight, Message, MessageBuffer, RouteKey};
-use crate::ordering::KeyQueues;
+use crate::model::{Endpoint, Health, Message, RouteKey};
+use crate::rate_limit::RateLimit;
 use crate::retry;
-use crate::settings::{Idempotency, IdempotencyScope};
+use crate::state::View;
+use crate::{EndpointId, Idempotency, IdempotencyScope, MessageId, Micros};
 
 /// Part of the concurrency limit that one destination may use.
 const DESTINATION_PERMIT_SHARE: f64 = 0.6;
@@ -22,26 +20,12 @@
     NoPermit,
 }
 
-/// What the check reads.
-#[derive(Clone, Copy)]
-pub(crate) struct EligibilityCheck<'a> {
-    pub context: Context<'a>,
-    pub endpoints: &'a Endpoints,
-    pub messages: &'a MessageBuffer,
-    pub queues: &'a KeyQueues,
-    pub in_flight: &'a InFlight,
-}
-
-impl<'a> EligibilityCheck<'a> {
-    pub fn estimates(&self) -> Estimates<'a> {
-        Estimates { context: self.context, endpoints: self.endpoints, messages: self.messages }
-    }
-
+impl View<'_> {
     /// May this message be sent to this endpoint now?
-    pub fn check(&self, id: MessageId, to: EndpointId) -> Eligibility {
+    pub fn eligibility(&self, id: MessageId, to: EndpointId) -> Eligibility {
         let now = self.context.now;
-        let message = &self.messages[id];
-        let endpoint = &self.endpoints[to];
+        let message = &self.state.messages[id];
+        let endpoint = &self.state.endpoints[to];
         if !self.is_admissible(id, message, endpoint) {
             return Eligibility::No;
         }
@@ -49,7 +33,7 @@
         if ready_at > now {
             return Eligibility::NotBefore(ready_at);
         }
-        if self.in_flight.has_batch_room(to) {
+        if self.state.in_flight.has_batch_room(to) {
             return Eligibility::Now;
         }
         let permit_at = self.next_rate_permit(endpoint);
@@ -75,21 +59,21 @@
             && !message.in_flight
             && !message.streaming
             && retry::latest_start(self.context, message) > self.context.now
-            && self.queues.is_head(message.order_key.as_ref(), id)
+            && self.state.queues.is_head(message.order_key.as_ref(), id)
     }
 
     /// When backoff, Retry-After and quarantine are over.
     fn ready_at(&self, id: MessageId, message: &Message, endpoint: &Endpoint) -> Micros {
-        let rate_limit = self.endpoints.rate_limit(endpoint.route);
-        let retry_after_until = rate_limit.map_or(0, |limit| limit.retry_after_until());
-        let quarantined_until = self.queues.quarantined_until(message.order_key.as_ref(), id);
+        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
+        let retry_after_until = rate_limit.map_or(0, RateLimit::retry_after_until);
+        let quarantined_until = self.state.queues.quarantined_until(message.order_key.as_ref(), id);
         message.ready_at.max(retry_after_until).max(quarantined_until)
     }
 
     fn next_rate_permit(&self, endpoint: &Endpoint) -> Micros {
         let now = self.context.now;
-        let Some(rate_limit) = self.endpoints.rate_limit(endpoint.route) else { return now };
-        rate_limit.next_permit(now, || self.estimates().assured_demand(endpoint))
+        let Some(rate_limit) = self.state.endpoints.rate_limit(endpoint.route) else { return now };
+        rate_limit.next_permit(now, || self.assured_demand(endpoint))
     }
 
     fn check_health(&self, message: &Message, endpoint: &Endpoint) -> Eligibility {
@@ -111,7 +95,7 @@
     /// Whether a probe to the route is in flight.
     fn is_probed(&self, route: RouteKey) -> bool {
         let has_probe = |health: &Health| health.ejection().is_some_and(|other| other.probe.is_some());
-        self.endpoints.on_route(route).iter().any(|id| has_probe(&self.endpoints[*id].health))
+        self.state.endpoints.on_route(route).iter().any(|id| has_probe(&self.state.endpoints[*id].health))
     }
 
     /// Whether a message that may not be repeated leaves the probe to one that may and waits for the same
@@ -120,10 +104,10 @@
         if self.context.class(message).idempotency != Idempotency::Never {
             return false;
         }
-        let destination = self.endpoints.destination(message.destination);
+        let destination = self.state.endpoints.destination(message.destination);
         let mut waiting = destination.into_iter().flat_map(|destination| &destination.waiting);
         waiting.any(|id| {
-            let other = &self.messages[*id];
+            let other = &self.state.messages[*id];
             self.context.class(other).idempotency != Idempotency::Never
                 && other.order_key.is_none()
                 && other.ready_at <= self.context.now
@@ -132,11 +116,11 @@
 
     fn check_concurrency(&self, message: &Message) -> Eligibility {
         let max_in_flight = self.context.settings.limits.max_in_flight;
-        if self.in_flight.call_count() >= max_in_flight {
+        if self.state.in_flight.call_count() >= max_in_flight {
             return Eligibility::NoPermit;
         }
-        let is_here = |id: EndpointId| self.endpoints[id].route.destination == message.destination;
-        let calls = self.in_flight.calls().filter(|call| is_here(call.endpoint)).count();
+        let is_here = |id: EndpointId| self.state.endpoints[id].route.destination == message.destination;
+        let calls = self.state.in_flight.calls().filter(|call| is_here(call.endpoint)).count();
         let most = (max_in_flight as f64 * DESTINATION_PERMIT_SHARE).max(1.0);
         if calls as f64 >= most {
             Eligibility::No
--- /dev/null
+++ b/crates/delivery-control/src/endpoints/registry.rs
@@ -0,0 +1,151 @@
+//! Destinations, endpoints and routes, and how many messages were submitted for each destination.
+
+use std::collections::BTreeMap;
+use std::ops::Index;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Destination, Endpoint, RouteKey, SECOND};
+use crate::rate_limit::RateLimit;
+use crate::{DestinationId, EndpointId, ListingState, Micros};
+
+/// All destinations, endpoints and routes.
+#[derive(Default, Clone, Serialize, Deserialize)]
+pub(crate) struct Endpoints {
+    pub(super) endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(super) destinations: BTreeMap<DestinationId, Destination>,
+    pub(super) rate_limits: BTreeMap<RouteKey, RateLimit>,
+    /// Drained by an operator, since when.
+    pub(super) manually_drained: BTreeMap<EndpointId, Micros>,
+    /// Not available, since when; kept until nothing of theirs must be remembered.
+    pub(super) departed: BTreeMap<EndpointId, Micros>,
+    /// Messages submitted since `counting_since`, of all destinations.
+    arrivals: f64,
+    counting_since: Option<Micros>,
+}
+
+impl Index<EndpointId> for Endpoints {
+    type Output = Endpoint;
+
+    fn index(&self, id: EndpointId) -> &Endpoint {
+        &self.endpoints[&id]
+    }
+}
+
+impl Endpoints {
+    pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(&id)
+    }
+
+    /// The listed endpoints, available or not.
+    pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values().filter(|endpoint| endpoint.listing != ListingState::Removed)
+    }
+
+    pub fn destination(&self, id: DestinationId) -> Option<&Destination> {
+        self.destinations.get(&id)
+    }
+
+    pub fn destination_mut(&mut self, id: DestinationId) -> &mut Destination {
+        self.destinations.entry(id).or_default()
+    }
+
+    pub fn destinations(&self) -> impl Iterator<Item = (DestinationId, &Destination)> {
+        self.destinations.iter().map(|(id, destination)| (*id, destination))
+    }
+
+    /// The available endpoints of a destination.
+    pub fn available(&self, id: DestinationId) -> &[EndpointId] {
+        self.destination(id).map_or(&[], |destination| &destination.endpoints)
+    }
+
+    /// The available endpoints of a route.
+    pub fn on_route(&self, route: RouteKey) -> Vec<EndpointId> {
+        let ids = self.available(route.destination).iter().copied();
+        ids.filter(|id| self[*id].route == route).collect()
+    }
+
+    pub fn rate_limit(&self, route: RouteKey) -> Option<&RateLimit> {
+        self.rate_limits.get(&route)
+    }
+
+    pub fn rate_limit_mut(&mut self, route: RouteKey) -> &mut RateLimit {
+        self.rate_limits.entry(route).or_default()
+    }
+
+    /// Lowest listed limit among the routes of a destination's available endpoints.
+    pub fn lowest_listed_limit(&self, id: DestinationId) -> Option<f64> {
+        let ids = self.available(id).iter();
+        ids.filter_map(|id| self.rate_limit(self[*id].route)?.listed_limit()).reduce(f64::min)
+    }
+
+    /// Starts to count submitted messages, unless it has begun.
+    pub fn start_counting(&mut self, now: Micros) {
+        self.counting_since = self.counting_since.or(Some(now));
+    }
+
+    pub fn count_arrival(&mut self, destination: DestinationId) {
+        self.arrivals += 1.0;
+        self.destination_mut(destination).arrivals += 1.0;
+    }
+
+    /// Takes back the count of a message.
+    pub fn discount_arrival(&mut self, destination: DestinationId) {
+        self.arrivals -= 1.0;
+        self.destination_mut(destination).arrivals -= 1.0;
+    }
+
+    /// Messages submitted for an average destination.
+    pub fn mean_arrivals(&self) -> f64 {
+        self.arrivals / self.destinations.len().max(1) as f64
+    }
+
+    /// Seconds over which messages have been counted, but no less than `least`.
+    pub fn counted_seconds(&self, now: Micros, least: Micros) -> f64 {
+        (now - self.counting_since.unwrap_or(now)).max(least) as f64 / SECOND as f64
+    }
+
+    /// Takes all endpoints off the list.
+    pub(super) fn clear_listing(&mut self, now: Micros) {
+        for (id, endpoint) in &mut self.endpoints {
+            endpoint.listing = ListingState::Removed;
+            endpoint.available = false;
+            self.departed.entry(*id).or_insert(now);
+        }
+        for destination in self.destinations.values_mut() {
+            destination.endpoints.clear();
+        }
+    }
+
+    /// Puts an endpoint among the available ones of its destination, or takes it away from them.
+    pub(super) fn set_available(&mut self, id: EndpointId, available: bool, now: Micros) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.available = available;
+        let destination = self.destinations.entry(endpoint.route.destination).or_default();
+        destination.endpoints.retain(|other| *other != id);
+        if available {
+            self.departed.remove(&id);
+            destination.endpoints.push(id);
+        } else {
+            self.departed.entry(id).or_insert(now);
+        }
+    }
+
+    /// Removes an endpoint, and its route if no other endpoint is available there.
+    pub(super) fn remove(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.endpoints.remove(&id) else { return };
+        if self.on_route(endpoint.route).is_empty() {
+            self.rate_limits.remove(&endpoint.route);
+        }
+    }
+
+    /// Drops destinations without available endpoints and waiting messages.
+    pub(super) fn drop_unused_destinations(&mut self) {
+        self.destinations
+            .retain(|_, destination| !destination.endpoints.is_empty() || !destination.waiting.is_empty());
+    }
+}
--- a/crates/delivery-control/src/estimates.rs
+++ b/crates/delivery-control/src/estimates.rs
@@ -1,10 +1,10 @@
 //! Estimates from what this sender sees: the demand of all senders, the capacity of an endpoint, the pace of
 //! a slow start, and how long a destination takes to catch up.
 
-use crate::endpoints::Endpoints;
-use crate::ids::Micros;
-use crate::model::{Context, Destination, Endpoint, Health, MessageBuffer, SECOND};
+use crate::model::{Destination, Endpoint, Health, SECOND};
 use crate::rate_limit::RateLimit;
+use crate::state::View;
+use crate::Micros;
 
 /// Part of the allowed overload that slow start uses; the rest is for chance.
 const SLOW_START_SHARE: f64 = 0.9;
@@ -17,38 +17,27 @@
 const DEMAND_SPAN: Micros = 5 * SECOND; // A clump must not pass for steady demand
 const MAX_WAIT: f64 = 29e6; // Longest expected wait in µs, also where no endpoint is available
 
-/// Estimates as of one moment.
-#[derive(Clone, Copy)]
-pub(crate) struct Estimates<'a> {
-    pub context: Context<'a>,
-    pub endpoints: &'a Endpoints,
-    pub messages: &'a MessageBuffer,
-}
-
-impl Estimates<'_> {
+impl View<'_> {
     /// Messages per second by which a destination's backlog has grown: at first all that a new process knows.
     fn backlog_growth(&self, destination: &Destination) -> f64 {
-        let oldest = destination.waiting.first().and_then(|id| self.messages.get(*id));
+        let oldest = destination.waiting.first().and_then(|id| self.state.messages.get(*id));
         let Some(oldest) = oldest else { return 0.0 };
         let submitted_at = oldest.deadline - self.context.class(oldest).deadline;
         let age = (self.context.now - submitted_at).max(DEMAND_SPAN);
         destination.waiting.len() as f64 * SECOND as f64 / age as f64
     }
 
-    /// Routes that share the messages of an endpoint's destination.
-    fn route_count(endpoint: &Endpoint, destination: &Destination) -> f64 {
-        endpoint.route.endpoint.map_or(1.0, |_| destination.endpoints.len().max(1) as f64)
-    }
-
     /// Messages per second that all senders get for an endpoint's route: the own count, drawn towards an
     /// average destination's while it is small.
     fn demand(&self, endpoint: &Endpoint) -> f64 {
-        let mean = self.endpoints.mean_arrivals();
-        let Some(destination) = self.endpoints.destination(endpoint.route.destination) else { return 0.0 };
-        let seconds = self.endpoints.counted_seconds(self.context.now, 1);
+        let mean = self.state.endpoints.mean_arrivals();
+        let Some(destination) = self.state.endpoints.destination(endpoint.route.destination) else {
+            return 0.0;
+        };
+        let seconds = self.state.endpoints.counted_seconds(self.context.now, 1);
         let own = (destination.arrivals + DEMAND_PRIOR) * mean / ((mean + DEMAND_PRIOR) * seconds);
         own.max(self.backlog_growth(destination)) * self.context.sender_count()
-            / Self::route_count(endpoint, destination)
+            / route_count(endpoint, destination)
     }
 
     /// Messages per second that this sender is sure to get for an endpoint's route, up to its fair share of a
@@ -57,11 +46,14 @@
         if endpoint.health.is_ejected() {
             return 0.0;
         }
-        let Some(destination) = self.endpoints.destination(endpoint.route.destination) else { return 0.0 };
-        let rate_limit = self.endpoints.rate_limit(endpoint.route);
+        let Some(destination) = self.state.endpoints.destination(endpoint.route.destination) else {
+            return 0.0;
+        };
+        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
         let fair_share = rate_limit.and_then(|limit| limit.fair_share(self.context.sender_count()));
-        let counted = destination.arrivals / self.endpoints.counted_seconds(self.context.now, DEMAND_SPAN);
-        let own = counted.max(self.backlog_growth(destination)) / Self::route_count(endpoint, destination);
+        let counted =
+            destination.arrivals / self.state.endpoints.counted_seconds(self.context.now, DEMAND_SPAN);
+        let own = counted.max(self.backlog_growth(destination)) / route_count(endpoint, destination);
         own.min(fair_share.unwrap_or(f64::MAX))
     }
 
@@ -73,14 +65,13 @@
     /// Calls per second of all senders that an endpoint is taken to serve.
     fn capacity(&self, endpoint: &Endpoint) -> f64 {
         let demand = self.demand(endpoint);
-        let limit = self.endpoints.rate_limit(endpoint.route).and_then(RateLimit::limit);
+        let limit = self.state.endpoints.rate_limit(endpoint.route).and_then(RateLimit::limit);
         let limited = |limit: f64| limit.min((LIMITED_CAPACITY * demand).max(limit / 2.0));
         let of_route = limit.map_or(UNLIMITED_CAPACITY * demand, limited).max(MIN_CAPACITY);
         if endpoint.route.endpoint.is_some() {
             return of_route;
         }
-        let destination = self.endpoints.destination(endpoint.route.destination);
-        of_route / destination.map_or(1, |destination| destination.endpoints.len().max(1)) as f64
+        of_route / self.state.endpoints.available(endpoint.route.destination).len().max(1) as f64
     }
 
     /// Calls per µs of all senders that would not overload an endpoint at full capacity.
@@ -114,7 +105,8 @@
     /// Time until a message enqueued now for a destination would be delivered, as far as is known.
     pub fn expected_wait(&self, destination: &Destination) -> Micros {
         let backlog = destination.waiting.len() as f64;
-        let waits = destination.endpoints.iter().map(|id| self.endpoint_wait(&self.endpoints[*id], backlog));
+        let waits =
+            destination.endpoints.iter().map(|id| self.endpoint_wait(&self.state.endpoints[*id], backlog));
         SECOND + waits.fold(MAX_WAIT, f64::min) as Micros
     }
 
@@ -128,9 +120,14 @@
                 self.slow_start_interval(endpoint, elapsed, start.competing_senders) as f64 * backlog
             }
             Health::Healthy => {
-                let rate = self.endpoints.rate_limit(endpoint.route).and_then(RateLimit::rate);
+                let rate = self.state.endpoints.rate_limit(endpoint.route).and_then(RateLimit::rate);
                 rate.map_or(0.0, |rate| SECOND as f64 / rate) * backlog
             }
         }
     }
 }
+
+/// Routes that share the messages of an endpoint's destination.
+fn route_count(endpoint: &Endpoint, destination: &Destination) -> f64 {
+    endpoint.route.endpoint.map_or(1.0, |_| destination.endpoints.len().max(1) as f64)
+}
--- a/crates/delivery-control/src/health.rs
+++ b/crates/delivery-control/src/health.rs
@@ -1,10 +1,8 @@
 //! What an endpoint's record says of its health: quiet, unresponsive, or done with its slow start.
 
-use crate::ids::Micros;
 use crate::model::{Context, Endpoint, Health, SECOND};
+use crate::Micros;
 
-/// Latency assumed of an endpoint that has not answered yet, in µs.
-pub(crate) const UNKNOWN_LATENCY: f64 = 400_000.0;
 /// No answer for so many usual answer times, and this time at least, is no response.
 const UNRESPONSIVE_LATENCIES: f64 = 6.0;
 const MIN_UNRESPONSIVE: Micros = 1_500_000;
@@ -13,7 +11,7 @@
 
 impl Endpoint {
     /// How long nothing was delivered, as far as it matters.
-    pub fn quiet_time(&self, now: Micros) -> Micros {
+    fn quiet_time(&self, now: Micros) -> Micros {
         self.delivered_at.map_or(MAX_QUIET, |at| now - at).min(MAX_QUIET)
     }
 
@@ -22,6 +20,15 @@
         self.quiet_time(now) >= COLD_AFTER
     }
 
+    /// When an outage that is found now began. Where calls are rare, halfway since the last delivery on average.
+    pub fn outage_start(&self, now: Micros) -> Micros {
+        if self.is_quiet(now) {
+            now - self.quiet_time(now) / 2
+        } else {
+            now
+        }
+    }
+
     /// A call without an answer for this long means that the endpoint is unresponsive.
     pub fn response_timeout(&self) -> Micros {
         MIN_UNRESPONSIVE.max((self.latency * UNRESPONSIVE_LATENCIES) as Micros)
@@ -29,10 +36,9 @@
 
     /// The health as of now: a slow start ends by itself.
     pub fn health_now(&self, context: Context) -> Health {
+        let warm_up_time = context.settings.rules.warm_up_time;
         match self.health {
-            Health::SlowStart(start) if context.now - start.since > context.settings.rules.warm_up_time => {
-                Health::Healthy
-            }
+            Health::SlowStart(start) if context.now - start.since > warm_up_time => Health::Healthy,
             health => health,
         }
     }
--- a/crates/delivery-control/src/jitter.rs
+++ b/crates/delivery-control/src/jitter.rs
@@ -1,6 +1,6 @@
 //! Jitter of waits, so that messages and senders fall out of step.
 
-use crate::ids::Micros;
+use crate::Micros;
 
 /// Waits stretch by up to this part.
 pub(crate) const JITTER: f64 = 0.5;
--- a/crates/delivery-control/src/lib.rs
+++ b/crates/delivery-control/src/lib.rs
@@ -24,7 +24,9 @@
 mod rate_limit;
 mod retry;
 mod settings;
+mod state;
 mod subscription;
+mod turn;
 mod value;
 
 pub use action::Action;
--- a/crates/delivery-control/src/model/endpoint.rs
+++ b/crates/delivery-control/src/model/endpoint.rs
@@ -32,6 +32,18 @@
     pub probe: Option<CallId>,
 }
 
+impl Ejection {
+    /// The ejection that begins with an outage found now, whose first sign was a call, if any.
+    pub fn suspected(since: Micros, call: Option<CallId>) -> Self {
+        Self { since, confirmed: false, probe_interval: 0, next_probe_at: since, probe: call }
+    }
+
+    /// The ejection for an outage that is certain, with a probe due at a time.
+    pub fn confirmed(since: Micros, next_probe_at: Micros) -> Self {
+        Self { since, confirmed: true, probe_interval: 0, next_probe_at, probe: None }
+    }
+}
+
 /// An endpoint that came back from an outage and may be cold.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub(crate) struct SlowStart {
@@ -89,6 +101,25 @@
     pub idle_connections: Vec<Micros>,
 }
 
+impl Endpoint {
+    /// Notes that an answer arrived, and left its connection idle.
+    pub fn record_answer(&mut self, now: Micros) {
+        self.answered_at = Some(now);
+        self.idle_connections.push(now);
+    }
+
+    /// Whether a connection is idle and has not been closed.
+    pub fn has_idle_connection(&self, now: Micros, idle_limit: Micros) -> bool {
+        self.idle_connections.iter().any(|since| now - since < idle_limit)
+    }
+
+    /// Takes an idle connection, if there is one, and forgets those that have been closed.
+    pub fn take_connection(&mut self, now: Micros, idle_limit: Micros) {
+        self.idle_connections.retain(|since| now - since < idle_limit);
+        self.idle_connections.pop();
+    }
+}
+
 /// A destination: its available endpoints, the messages that wait for it, and how many were submitted.
 #[derive(Default, Clone, Serialize, Deserialize)]
 pub(crate) struct Destination {
--- a/crates/delivery-control/src/model/in_flight.rs
+++ b/crates/delivery-control/src/model/in_flight.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::event::AttemptOutcome;
 use crate::ids::{EndpointId, MessageId, Micros};
 
 /// Identifies a call.
@@ -27,6 +28,32 @@
     pub order_key: Option<String>,
 }
 
+/// How an attempt ended, with what is known of its call.
+pub(crate) struct AttemptResult {
+    pub call: CallId,
+    pub endpoint: EndpointId,
+    /// Index of the endpoint's zone.
+    pub zone: usize,
+    pub sent_at: Micros,
+    pub outcome: AttemptOutcome,
+    pub retry_after: Micros,
+}
+
+impl AttemptResult {
+    /// The endpoint answered.
+    pub fn is_answer(&self) -> bool {
+        matches!(self.outcome, AttemptOutcome::Delivered | AttemptOutcome::Error | AttemptOutcome::Rejected)
+    }
+
+    /// The message certainly had no effect at the endpoint.
+    pub fn had_no_effect(&self) -> bool {
+        matches!(
+            self.outcome,
+            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        )
+    }
+}
+
 /// A call in flight; it holds one permit of the concurrency limit.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Call {
--- a/crates/delivery-control/src/model/mod.rs
+++ b/crates/delivery-control/src/model/mod.rs
@@ -6,7 +6,7 @@
 mod wake_ups;
 
 pub(crate) use endpoint::{Destination, Ejection, Endpoint, Health, RouteKey, SlowStart};
-pub(crate) use in_flight::{Attempt, AttemptKey, CallId, InFlight};
+pub(crate) use in_flight::{Attempt, AttemptKey, AttemptResult, CallId, InFlight};
 pub(crate) use message::{Message, MessageBuffer};
 pub(crate) use wake_ups::WakeUps;
 
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -1,13 +1,11 @@
 //! Outlier detection: failing and unresponsive endpoints are ejected, probed, and start slowly once a probe
 //! is delivered. Also hands each result to the route's rate limit.
 
-use crate::endpoints::Endpoints;
-use crate::estimates::Estimates;
-use crate::event::AttemptOutcome;
-use crate::ids::{EndpointId, Micros};
 use crate::jitter::jittered;
-use crate::model::{CallId, Context, Ejection, Endpoint, Health, InFlight, MessageBuffer, SlowStart, SECOND};
-use crate::rate_limit::{RareCallRate, Rejection};
+use crate::model::{AttemptResult, CallId, Context, Ejection, Health, SlowStart, SECOND};
+use crate::rate_limit::Rejection;
+use crate::state::{State, View};
+use crate::{AttemptOutcome, EndpointId, Micros};
 
 const LATENCY_GAIN: f64 = 0.2; // Weight of a new answer time in the moving average
 const OUTAGE_FAILURES: u32 = 3; // Failures in a row that mean an outage; one, with no delivery of late
@@ -17,72 +15,56 @@
 const PROBE_BACKOFF: f64 = 1.5;
 const MAX_PROBE_INTERVAL: Micros = 3 * SECOND;
 
-/// How a call ended.
-pub(crate) struct CallResult {
-    pub call: CallId,
-    pub endpoint: EndpointId,
-    pub sent_at: Micros,
-    pub outcome: AttemptOutcome,
-    pub retry_after: Micros,
-}
-
 /// Judges endpoints by the results of calls, and by calls without one.
 pub(crate) struct OutlierDetection<'a> {
     pub context: Context<'a>,
-    pub endpoints: &'a mut Endpoints,
-    pub messages: &'a MessageBuffer,
+    pub state: &'a mut State,
     pub random: &'a mut fastrand::Rng,
 }
 
 impl OutlierDetection<'_> {
-    fn estimates(&self) -> Estimates<'_> {
-        Estimates { context: self.context, endpoints: self.endpoints, messages: self.messages }
+    fn view(&self) -> View<'_> {
+        self.state.view(self.context)
     }
 
     /// Takes in how a call ended.
-    pub fn record_result(&mut self, result: &CallResult, rare_call_rate: &RareCallRate) {
+    pub fn record_result(&mut self, result: &AttemptResult, rare_call_factor: f64) {
         let chance = self.random.f64();
-        let Some(endpoint) = self.endpoints.get(result.endpoint) else { return };
+        let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
         let was_ejected = endpoint.health.is_ejected();
+        if result.is_answer() {
+            endpoint.record_answer(self.context.now);
+        }
         let is_outage = match result.outcome {
             AttemptOutcome::Delivered => return self.record_delivery(result),
-            AttemptOutcome::Rejected => {
-                let rejection = Rejection {
-                    retry_after: result.retry_after,
-                    sender_count: self.context.sender_count(),
-                    rare_call_factor: rare_call_rate.factor(),
-                    assured_demand: self.estimates().assured_demand(endpoint),
-                    chance,
-                };
-                self.record_rejection(result, &rejection)
-            }
+            AttemptOutcome::Rejected => self.record_rejection(result, rare_call_factor, chance),
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => false,
             AttemptOutcome::Error
             | AttemptOutcome::Timeout
             | AttemptOutcome::Reset
             | AttemptOutcome::ConnectFailed => self.record_failure(result),
-            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => false,
         };
         if is_outage || was_ejected {
             self.eject(result.endpoint, Some(result.call), result.retry_after);
         }
     }
 
-    fn record_answer(&mut self, id: EndpointId) {
-        let now = self.context.now;
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.answered_at = Some(now);
-            endpoint.idle_connections.push(now);
-        }
-    }
-
     /// Takes in a rejection; one that looks like an outage ejects all endpoints of the route.
-    fn record_rejection(&mut self, result: &CallResult, rejection: &Rejection) -> bool {
-        self.record_answer(result.endpoint);
-        let route = self.endpoints[result.endpoint].route;
-        let was_ejected = self.endpoints[result.endpoint].health.is_ejected();
-        let is_outage = self.endpoints.rate_limit_mut(route).record_rejection(self.context.now, rejection);
+    fn record_rejection(&mut self, result: &AttemptResult, rare_call_factor: f64, chance: f64) -> bool {
+        let endpoint = &self.state.endpoints[result.endpoint];
+        let route = endpoint.route;
+        let was_ejected = endpoint.health.is_ejected();
+        let rejection = Rejection {
+            retry_after: result.retry_after,
+            sender_count: self.context.sender_count(),
+            rare_call_factor,
+            assured_demand: self.view().assured_demand(endpoint),
+            chance,
+        };
+        let rate_limit = self.state.endpoints.rate_limit_mut(route);
+        let is_outage = rate_limit.record_rejection(self.context.now, &rejection);
         if is_outage || was_ejected {
-            for id in self.endpoints.on_route(route) {
+            for id in self.state.endpoints.on_route(route) {
                 self.eject(id, Some(result.call), result.retry_after);
             }
         }
@@ -90,11 +72,8 @@
     }
 
     /// Counts a failure; returns whether it looks like an outage.
-    fn record_failure(&mut self, result: &CallResult) -> bool {
-        if result.outcome == AttemptOutcome::Error {
-            self.record_answer(result.endpoint);
-        }
-        let Some(endpoint) = self.endpoints.get_mut(result.endpoint) else { return false };
+    fn record_failure(&mut self, result: &AttemptResult) -> bool {
+        let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return false };
         // A lone time-out among answers is a slow call, not an outage.
         let is_slow =
             result.outcome == AttemptOutcome::Timeout && endpoint.answered_at >= Some(result.sent_at);
@@ -110,22 +89,17 @@
     /// rejections: the probes of all keep to the rate of a slow start. May hurt where few of them wait.
     fn eject(&mut self, id: EndpointId, call: Option<CallId>, retry_after: Micros) {
         let now = self.context.now;
-        let Some(endpoint) = self.endpoints.get(id) else { return };
-        let before = *endpoint.health.ejection().unwrap_or(&Ejection {
-            since: Self::outage_start(endpoint, now),
-            confirmed: false,
-            probe_interval: 0,
-            next_probe_at: now,
-            probe: call,
-        });
+        let Some(endpoint) = self.state.endpoints.get(id) else { return };
+        let suspected = Ejection::suspected(endpoint.outage_start(now), call);
+        let before = *endpoint.health.ejection().unwrap_or(&suspected);
         if before.confirmed && before.probe != call {
             return;
         }
         let grown = (before.probe_interval as f64 * PROBE_BACKOFF) as Micros;
         let probe_interval = grown.clamp(MIN_PROBE_INTERVAL, MAX_PROBE_INTERVAL);
-        let estimates = self.estimates();
-        let initial_rate = estimates.admissible_rate(endpoint) * estimates.initial_share();
-        let competing_senders = estimates.competing_senders(endpoint, now - before.since + retry_after);
+        let view = self.view();
+        let initial_rate = view.admissible_rate(endpoint) * view.initial_share();
+        let competing_senders = view.competing_senders(endpoint, now - before.since + retry_after);
         let spread = (2.0 * competing_senders / initial_rate * self.random.f64()) as Micros;
         let wait = jittered(probe_interval, self.random).max(spread);
         let ejection = Ejection {
@@ -135,38 +109,28 @@
             next_probe_at: now + retry_after + wait,
             probe: before.probe.filter(|_| before.probe != call),
         };
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
+        if let Some(endpoint) = self.state.endpoints.get_mut(id) {
             endpoint.health = Health::Ejected(ejection);
         }
     }
 
-    /// When an outage that is found now began. Where calls are rare, halfway since the last delivery on average.
-    fn outage_start(endpoint: &Endpoint, now: Micros) -> Micros {
-        if endpoint.is_quiet(now) {
-            now - endpoint.quiet_time(now) / 2
-        } else {
-            now
-        }
-    }
-
     /// A delivery ends an ejection; after a confirmed outage the endpoint is cold and starts slowly.
-    fn record_delivery(&mut self, result: &CallResult) {
+    fn record_delivery(&mut self, result: &AttemptResult) {
         let now = self.context.now;
-        self.record_answer(result.endpoint);
-        let endpoint = &self.endpoints[result.endpoint];
+        let endpoint = &self.state.endpoints[result.endpoint];
         let route = endpoint.route;
         let outage = endpoint.health.ejection().map_or(0, |ejection| now - ejection.since);
-        let estimates = self.estimates();
-        let competing_senders = estimates.competing_senders(endpoint, outage);
-        let assured_demand = estimates.assured_demand(endpoint);
-        let interval = estimates.slow_start_interval(endpoint, 0, competing_senders);
+        let view = self.view();
+        let competing_senders = view.competing_senders(endpoint, outage);
+        let assured_demand = view.assured_demand(endpoint);
+        let interval = view.slow_start_interval(endpoint, 0, competing_senders);
         // The first call falls by chance: the admissible rate of one sender among many is far below a call.
         let next_call_at = now + (interval as f64 * self.random.f64()) as Micros;
         let sender_count = self.context.sender_count();
-        let rate_limit = self.endpoints.rate_limit_mut(route);
+        let rate_limit = self.state.endpoints.rate_limit_mut(route);
         rate_limit.record_success(now, assured_demand, sender_count);
         rate_limit.apply_load_report(now, sender_count, self.random);
-        let Some(endpoint) = self.endpoints.get_mut(result.endpoint) else { return };
+        let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
         let latency = (now - result.sent_at) as f64;
         endpoint.latency += LATENCY_GAIN * (latency - endpoint.latency);
         endpoint.consecutive_failures = 0;
@@ -184,17 +148,17 @@
             endpoint.health = Health::SlowStart(SlowStart { since: now, competing_senders, next_call_at });
             // Rejections of an outage say nothing of the limit: from here on slow start sets the rate.
             // Covers hangs and queues that filled in them; may hurt where rejected calls use up a limit.
-            self.endpoints.rate_limit_mut(route).forget_rate();
+            self.state.endpoints.rate_limit_mut(route).forget_rate();
         }
     }
 
     /// Ejects endpoints that leave calls without an answer, well before time-outs: such calls must not take
     /// all permits. Returns when to look again.
-    pub fn detect_unresponsive(&mut self, in_flight: &InFlight) -> Option<Micros> {
+    pub fn detect_unresponsive(&mut self) -> Option<Micros> {
         let mut unresponsive = Vec::new();
-        let mut next_check_at = None;
-        for call in in_flight.calls() {
-            let endpoint = &self.endpoints[call.endpoint];
+        let mut next_check_at: Option<Micros> = None;
+        for call in self.state.in_flight.calls() {
+            let endpoint = &self.state.endpoints[call.endpoint];
             if endpoint.health.is_ejected() || endpoint.answered_at >= Some(call.sent_at) {
                 continue;
             }
@@ -202,7 +166,7 @@
             if due <= self.context.now {
                 unresponsive.push(call.endpoint);
             } else {
-                next_check_at = Some(next_check_at.unwrap_or(due).min(due));
+                next_check_at = Some(next_check_at.map_or(due, |at| at.min(due)));
             }
         }
         for id in unresponsive {
--- a/crates/delivery-control/src/rate_limit.rs
+++ b/crates/delivery-control/src/rate_limit.rs
@@ -1,12 +1,16 @@
 //! Client-side rate limit of a route: additive increase, multiplicative decrease, bounded by what the route
 //! lists or reports as its limit; and the Retry-After that binds it.
 
+mod state;
+
 use serde::{Deserialize, Serialize};
 
-use crate::event::{AttemptOutcome, LoadReport};
-use crate::ids::Micros;
 use crate::jitter::JITTER;
 use crate::model::SECOND;
+use crate::{AttemptOutcome, LoadReport, Micros};
+
+use state::ReportedLimit;
+pub(crate) use state::{RateLimit, Rejection};
 
 /// Lowest rate in calls per second of all senders: they share a limit.
 const MIN_RATE: f64 = 0.75;
@@ -34,67 +38,7 @@
 const RARE_CALL_INCREASE: f64 = 1.1;
 const YIELD_SHARE: f64 = 0.8; // Part of such a rate's interval for which a rejected message lets others go
 
-/// What a route reported last about its limit.
-#[derive(Clone, Copy, Serialize, Deserialize)]
-struct ReportedLimit {
-    /// In calls per second, of all senders.
-    limit: f64,
-    /// Fraction that is left.
-    remaining: f64,
-}
-
-/// A rejection by a route, with what the decrease depends on.
-pub(crate) struct Rejection {
-    pub retry_after: Micros,
-    pub sender_count: f64,
-    pub rare_call_factor: f64,
-    /// Messages per second that this sender is sure to get for the route.
-    pub assured_demand: f64,
-    /// Random number in [0, 1) for the jitter.
-    pub chance: f64,
-}
-
-/// Rate limit of one route at this sender.
-#[derive(Default, Clone, Serialize, Deserialize)]
-pub(crate) struct RateLimit {
-    retry_after_until: Micros,
-    /// Calls per second; unlimited if absent.
-    rate: Option<f64>,
-    next_permit_at: Micros,
-    decreased_at: Option<Micros>,
-    sent: Vec<Micros>,
-    listed_limit: Option<f64>,
-    reported: Option<ReportedLimit>,
-    consecutive_rejections: u32,
-    rejected_since: Micros,
-}
-
 impl RateLimit {
-    /// No call before this time, as the route asked.
-    pub fn retry_after_until(&self) -> Micros {
-        self.retry_after_until
-    }
-
-    pub fn extend_retry_after(&mut self, until: Micros) {
-        self.retry_after_until = self.retry_after_until.max(until);
-    }
-
-    pub fn set_listed_limit(&mut self, limit: Option<f64>) {
-        self.listed_limit = limit;
-    }
-
-    pub fn listed_limit(&self) -> Option<f64> {
-        self.listed_limit
-    }
-
-    pub fn rate(&self) -> Option<f64> {
-        self.rate
-    }
-
-    pub fn forget_rate(&mut self) {
-        self.rate = None;
-    }
-
     /// Takes in a report; one without a limit, or with impossible figures, says nothing.
     pub fn record_load_report(&mut self, report: Option<LoadReport>) {
         let Some(LoadReport { limit: Some(limit), limit_remaining: Some(remaining), .. }) = report else {
@@ -107,7 +51,7 @@
 
     /// The limit of all senders as reported last, or else as listed, in calls per second.
     pub fn limit(&self) -> Option<f64> {
-        self.reported.map(|reported| reported.limit).or(self.listed_limit)
+        self.reported.map(|reported| reported.limit).or(self.listed_limit())
     }
 
     /// This sender's fair share of the limit.
@@ -152,11 +96,6 @@
         self.schedule_next_permit(now, chance);
     }
 
-    /// Calls made in the latest `span`.
-    pub fn sent_within(&self, now: Micros, span: Micros) -> f64 {
-        self.sent.iter().filter(|at| now - **at <= span).count() as f64
-    }
-
     /// The next permit comes after the rate's interval on average, with jitter: senders must not fall into
     /// step.
     fn schedule_next_permit(&mut self, from: Micros, chance: f64) {
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -1,14 +1,11 @@
 //! Retries of a message under one idempotency key: backoff, time-outs, the latest start of an attempt, and
 //! how a message ends.
 
-use crate::action::Action;
-use crate::event::{AmbiguousAttempt, AttemptOutcome};
-use crate::ids::{MessageId, Micros};
 use crate::jitter::JITTER;
-use crate::model::{Context, Endpoint, Message, SECOND};
+use crate::model::{AttemptResult, Context, Endpoint, Message, SECOND};
 use crate::rate_limit::RareCallRate;
-use crate::settings::Idempotency;
 use crate::value::value_at;
+use crate::{Action, AmbiguousAttempt, AttemptOutcome, Idempotency, MessageId, Micros};
 
 /// Backoff before the second attempt, and its growth: the design's 200 ms and 600 ms.
 const INITIAL_BACKOFF: Micros = 200_000;
@@ -88,38 +85,24 @@
     (may_retry && room >= usual.max(INITIAL_BACKOFF)).then_some(room)
 }
 
-/// An attempt that ended without ending its message.
-pub(crate) struct FailedAttempt {
-    pub sent_at: Micros,
-    /// Index of the zone of its endpoint.
-    pub zone: usize,
-    pub outcome: AttemptOutcome,
-    /// Random factor by which the backoff is stretched.
-    pub jitter_factor: f64,
-}
-
 /// Notes in the message what a failed attempt means for the next one, and when that may start.
 pub(crate) fn schedule_retry(
     context: Context,
     message: &mut Message,
-    failed: &FailedAttempt,
+    failed: &AttemptResult,
+    jitter_factor: f64,
     rare_call_rate: &RareCallRate,
 ) {
-    let had_no_effect = matches!(
-        failed.outcome,
-        AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
-    );
-    if !had_no_effect && message.first_ambiguous.is_none() {
+    if !failed.had_no_effect() && message.first_ambiguous.is_none() {
         message.first_ambiguous = Some(AmbiguousAttempt { sent_at: failed.sent_at, zone: failed.zone });
     }
     // The backoff grows from attempt to attempt, so far that the attempts left last to the deadline.
     let attempts_left = context.settings.limits.max_attempts.saturating_sub(message.attempts).max(1);
     let longest = (message.deadline - context.now) / Micros::from(attempts_left);
-    let backoff = backoff(message).min(longest);
-    message.ready_at = context.now + (backoff as f64 * failed.jitter_factor) as Micros;
+    message.ready_at = context.now + (backoff(message).min(longest) as f64 * jitter_factor) as Micros;
     message.sent_attempts += u32::from(failed.outcome != AttemptOutcome::NotSent);
-    if failed.outcome == AttemptOutcome::Rejected {
-        let yields_until = yield_until(context, message, failed.jitter_factor, rare_call_rate);
+    if message.rejected {
+        let yields_until = yield_until(context, message, jitter_factor, rare_call_rate);
         message.ready_at = message.ready_at.max(yields_until);
     }
 }
@@ -137,25 +120,26 @@
 /// Interval between the recovered messages of a destination, which go one by one since the destination may be
 /// cold: as fast as all senders may go at a cold start, where its rate is listed. Slower, a restart of this
 /// sender would make them late.
-pub(crate) fn recovery_interval(context: Context, listed_rate: Option<f64>) -> Micros {
-    let rate = listed_rate.unwrap_or(0.0) * context.settings.rules.initial_capacity / context.sender_count();
+pub(crate) fn recovery_interval(context: Context, listed_limit: Option<f64>) -> Micros {
+    let initial_capacity = context.settings.rules.initial_capacity;
+    let rate = listed_limit.unwrap_or(0.0) * initial_capacity / context.sender_count();
     ((SECOND as f64 / rate) as Micros).min(MAX_RECOVERY_INTERVAL)
 }
 
-/// What a predecessor process did for a message, and the wait that its place among the recovered ones means.
-pub(crate) struct Recovery {
-    pub attempts: u32,
-    pub first_ambiguous: Option<AmbiguousAttempt>,
-    pub wait: Micros,
-}
-
-/// Takes the predecessor's attempts into the message.
-pub(crate) fn recover(context: Context, message: &mut Message, recovery: &Recovery) {
-    message.ready_at = context.now + recovery.wait.min((message.deadline - context.now) / 2);
-    message.attempts = recovery.attempts;
-    message.sent_attempts = recovery.attempts;
-    message.recovered_unattempted = recovery.attempts == 0;
-    message.first_ambiguous = recovery.first_ambiguous;
+/// Takes what a predecessor process did for a message into it; its turn among the recovered ones comes after
+/// `wait`.
+pub(crate) fn recover(
+    context: Context,
+    message: &mut Message,
+    attempts: u32,
+    first_ambiguous: Option<AmbiguousAttempt>,
+    wait: Micros,
+) {
+    message.ready_at = context.now + wait.min((message.deadline - context.now) / 2);
+    message.attempts = attempts;
+    message.sent_attempts = attempts;
+    message.recovered_unattempted = attempts == 0;
+    message.first_ambiguous = first_ambiguous;
     if let Some(first) = message.first_ambiguous.as_mut().filter(|first| first.sent_at > context.now) {
         // The clock has gone back: nobody can tell how long ago that was.
         first.sent_at = UNKNOWN_PAST;
--- a/crates/delivery-control/src/subscription.rs
+++ b/crates/delivery-control/src/subscription.rs
@@ -2,11 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::event::UpdateKind;
-use crate::ids::Micros;
 use crate::jitter::jittered;
 use crate::model::{Context, SECOND};
-use crate::settings::DiscoveryMode;
+use crate::{DiscoveryMode, Micros, UpdateKind};
 
 /// Backoff after the first failure; it doubles so many times at most.
 const INITIAL_BACKOFF: Micros = SECOND;
--- a/crates/delivery-control/src/value.rs
+++ b/crates/delivery-control/src/value.rs
@@ -1,8 +1,7 @@
 //! Value of a message and its decay with time.
 
-use crate::ids::Micros;
 use crate::model::{Context, Message};
-use crate::settings::ValueDecay;
+use crate::{Micros, ValueDecay};
 
 /// Value of a delivery of the message at a time.
 pub(crate) fn value_at(context: Context, message: &Message, at: Micros) -> f64 {
