--- a/crates/delivery-control/src/admission.rs
+++ b/crates/delivery-control/src/admission.rs
@@ -2,23 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Context, Message, SECOND};
+use crate::model::{Context, Message, Shed, TokenBucket, SECOND};
 use crate::state::View;
 use crate::value::value_at;
-use crate::{MessageId, MessageSubmission, Micros};
+use crate::{MessageSubmission, Micros};
 
 /// Fill of the buffer from which load is shed, as a fraction.
 const SHED_FILL: f64 = 0.97;
 const QUOTA_BURST_SECONDS: f64 = 2.0; // Unused quota is kept for this long
 const LATEST_DEADLINE: Micros = Micros::MAX / 4; // Sums with later times might overflow
 
-/// Unused quota of one tenant.
-#[derive(Clone, Serialize, Deserialize)]
-struct TokenBucket {
-    tokens: f64,
-    filled_at: Micros,
-}
-
 /// This sender's parts of the tenants' quotas.
 #[derive(Default, Clone, Serialize, Deserialize)]
 pub(crate) struct TenantQuotas {
@@ -64,15 +57,6 @@
     }
 }
 
-/// A message to reject early.
-pub(crate) struct Shed {
-    pub id: MessageId,
-    /// Value left at that time.
-    value: f64,
-    /// When its destination is expected to have caught up.
-    pub retry_after: Micros,
-}
-
 impl View<'_> {
     /// When the buffer is nearly full: the message with the least value left by the time it could be
     /// delivered, lest messages for healthy destinations find no room. May hurt when a long outage is about to
--- a/crates/delivery-control/src/cancellation.rs
+++ b/crates/delivery-control/src/cancellation.rs
@@ -1,6 +1,6 @@
 //! Which call is cancelled when others wait for its permit.
 
-use crate::model::{Attempt, AttemptKey};
+use crate::model::{Attempt, StuckAttempt};
 use crate::state::View;
 use crate::{Idempotency, MessageId, Micros};
 
@@ -10,13 +10,6 @@
 /// A message that may not be repeated is lost with its answer, and gets so many times the time.
 const UNREPEATABLE_FACTOR: Micros = 2;
 
-/// An attempt that looks stuck, and from when on it may be cancelled.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct StuckAttempt {
-    pub overdue_at: Micros,
-    pub key: AttemptKey,
-}
-
 impl View<'_> {
     /// The attempt that is overdue first: overtaken by later ones, or to an endpoint that stopped answering.
     /// Covers hangs, lost calls and slowness alike; may hurt where a slow answer was about to come, as with
--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -9,7 +9,7 @@
 use crate::state::State;
 use crate::subscription::Subscription;
 use crate::turn::Turn;
-use crate::{Action, Event, MessageId, Micros, Settings, SettingsError};
+use crate::{endpoints, ordering, Action, Event, MessageId, Micros, Settings, SettingsError};
 
 /// Decides for one sender. Serialized, it is the state that one process hands over to the next.
 #[derive(Default, Clone, Serialize, Deserialize)]
@@ -69,7 +69,11 @@
             random: &mut self.random,
             actions,
         };
-        let due = turn.run(events);
+        turn.state.begin_turn(now);
+        for event in events {
+            apply(&mut turn, event);
+        }
+        let due = turn.decide();
         let view = self.state.view(Context { now, settings: &self.settings });
         let lines = self.backlog_reporter.report(&view);
         actions.extend(lines.into_iter().map(|text| Action::Log { text }));
@@ -91,3 +95,34 @@
         }
     }
 }
+
+/// Hands an event to the policy that it concerns.
+fn apply(turn: &mut Turn, event: &Event) {
+    match event {
+        Event::EndpointsUpdated { update, entries, .. } => turn.update_endpoints(*update, entries),
+        Event::Maintenance { endpoint, command } => {
+            endpoints::maintain(turn.context, turn.state, *endpoint, *command);
+        }
+        Event::MessageSubmitted(submission) => turn.admit(submission),
+        Event::MessageRecovered { id, attempts, first_ambiguous } => {
+            turn.recover(*id, *attempts, *first_ambiguous);
+        }
+        Event::NoticePending { id, order_key } => {
+            turn.state.queues.push(order_key, *id);
+            turn.state.queues.await_notice(*id, Some(order_key));
+        }
+        Event::NoticeAcknowledged { id } => {
+            if let Some(key) = turn.state.queues.acknowledge_notice(*id) {
+                ordering::advance(turn.context, turn.state, &key, *id);
+            }
+        }
+        Event::ResponseStarted { id, .. } => {
+            if let Some(message) = turn.state.messages.get_mut(*id) {
+                message.streaming = true;
+            }
+        }
+        Event::AttemptEnded(end) => turn.record_attempt_end(end),
+        Event::MessageWithdrawn { id } => turn.remove(*id),
+        Event::TimerFired { .. } | Event::NoteReceived { .. } | Event::ProbeEnded { .. } => {}
+    }
+}
--- a/crates/delivery-control/src/dispatch.rs
+++ b/crates/delivery-control/src/dispatch.rs
@@ -1,8 +1,7 @@
 //! Which message goes next, and to which endpoint.
 
-use crate::eligibility::Eligibility;
 use crate::endpoints::UNKNOWN_LATENCY;
-use crate::model::{CallId, Context, Destination, Health, Message, SECOND};
+use crate::model::{CallId, Candidate, Choice, Context, Destination, Eligibility, Health, Message, SECOND};
 use crate::state::{State, View};
 use crate::value::value_at;
 use crate::{retry, Action, DestinationId, EndpointId, MessageId, Micros};
@@ -14,22 +13,6 @@
 const MIN_PERMIT_TIME: f64 = UNKNOWN_LATENCY / 8.0;
 const SLOW_START_CREDIT: Micros = SECOND; // Calls that were not made for this long may be made up for
 
-/// A message that could go, with what orders it among others.
-struct Candidate {
-    id: MessageId,
-    /// Value that is lost by waiting, for each µs of permit use.
-    urgency: f64,
-    objective_at: Micros,
-}
-
-/// The cheapest endpoint for a message, and when to look again if there is none.
-#[derive(Default)]
-struct Choice {
-    endpoint: Option<EndpointId>,
-    retry_at: Option<Micros>,
-    lacks_permit: bool,
-}
-
 /// Sends what may be sent.
 pub(crate) struct Dispatcher<'a> {
     pub context: Context<'a>,
--- a/crates/delivery-control/src/eligibility.rs
+++ b/crates/delivery-control/src/eligibility.rs
@@ -1,24 +1,13 @@
 //! Whether a message may be sent to an endpoint now. Every send has passed this check, so that the rules hold
 //! by construction.
 
-use crate::model::{Endpoint, Health, Message, RouteKey};
+use crate::model::{Eligibility, Endpoint, Health, Message, RouteKey};
 use crate::rate_limit::RateLimit;
 use crate::retry;
 use crate::state::View;
 use crate::{EndpointId, Idempotency, IdempotencyScope, MessageId, Micros};
 
-/// Part of the concurrency limit that one destination may use.
-const DESTINATION_PERMIT_SHARE: f64 = 0.6;
-
-/// Whether a message may be sent to an endpoint.
-pub(crate) enum Eligibility {
-    Now,
-    NotBefore(Micros),
-    /// Not until something happens to the destination.
-    No,
-    /// Once a permit of the concurrency limit is free.
-    NoPermit,
-}
+const DESTINATION_SHARE: f64 = 0.6; // Part of the concurrency limit that one destination may use
 
 impl View<'_> {
     /// May this message be sent to this endpoint now?
@@ -71,24 +60,26 @@
     }
 
     fn next_rate_permit(&self, endpoint: &Endpoint) -> Micros {
-        let now = self.context.now;
-        let Some(rate_limit) = self.state.endpoints.rate_limit(endpoint.route) else { return now };
-        rate_limit.next_permit(now, || self.assured_demand(endpoint))
+        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
+        let demand = || self.assured_demand(endpoint);
+        rate_limit.map_or(self.context.now, |limit| limit.next_permit(self.context.now, demand))
     }
 
     fn check_health(&self, message: &Message, endpoint: &Endpoint) -> Eligibility {
-        let now = self.context.now;
-        match endpoint.health_now(self.context) {
-            Health::SlowStart(start) if start.next_call_at > now => {
-                Eligibility::NotBefore(start.next_call_at)
-            }
-            Health::Ejected(ejection) if ejection.next_probe_at > now => {
-                Eligibility::NotBefore(ejection.next_probe_at)
-            }
-            Health::Ejected(_) if self.is_probed(endpoint.route) || self.leaves_probe(message) => {
-                Eligibility::No
-            }
-            Health::Healthy | Health::SlowStart(_) | Health::Ejected(_) => Eligibility::Now,
+        let not_before = match endpoint.health_now(self.context) {
+            Health::Healthy => return Eligibility::Now,
+            Health::SlowStart(start) => start.next_call_at,
+            Health::Ejected(ejection) => ejection.next_probe_at,
+        };
+        if not_before > self.context.now {
+            return Eligibility::NotBefore(not_before);
+        }
+        let may_probe = || !self.is_probed(endpoint.route) && !self.leaves_probe(message);
+        let is_eligible = !endpoint.health.is_ejected() || may_probe();
+        if is_eligible {
+            Eligibility::Now
+        } else {
+            Eligibility::No
         }
     }
 
@@ -105,8 +96,7 @@
             return false;
         }
         let destination = self.state.endpoints.destination(message.destination);
-        let mut waiting = destination.into_iter().flat_map(|destination| &destination.waiting);
-        waiting.any(|id| {
+        destination.into_iter().flat_map(|destination| &destination.waiting).any(|id| {
             let other = &self.state.messages[*id];
             self.context.class(other).idempotency != Idempotency::Never
                 && other.order_key.is_none()
@@ -121,7 +111,7 @@
         }
         let is_here = |id: EndpointId| self.state.endpoints[id].route.destination == message.destination;
         let calls = self.state.in_flight.calls().filter(|call| is_here(call.endpoint)).count();
-        let most = (max_in_flight as f64 * DESTINATION_PERMIT_SHARE).max(1.0);
+        let most = (max_in_flight as f64 * DESTINATION_SHARE).max(1.0);
         if calls as f64 >= most {
             Eligibility::No
         } else {
--- a/crates/delivery-control/src/endpoints.rs
+++ b/crates/delivery-control/src/endpoints.rs
@@ -32,27 +32,21 @@
 }
 
 fn apply_entry(context: Context, state: &mut State, entry: &EndpointEntry) {
-    let endpoints = &mut state.endpoints;
-    let id = entry.endpoint;
+    let &EndpointEntry { endpoint: id, destination, zone, listing, .. } = entry;
     let kind = context.settings.kinds.get(entry.kind);
     let is_own_route = kind.is_some_and(|kind| kind.per_endpoint_limits);
-    let route = RouteKey { destination: entry.destination, endpoint: is_own_route.then_some(id) };
-    let new = Endpoint { route, latency: UNKNOWN_LATENCY, ..Endpoint::default() };
-    let endpoint = endpoints.endpoints.entry(id).or_insert(new);
-    let previous = std::mem::replace(&mut endpoint.route, route);
-    endpoint.zone = entry.zone;
-    endpoint.batch_size = kind.map_or(1, |kind| kind.max_batch_size.max(1));
-    endpoint.listing = entry.listing;
+    let route = RouteKey { destination, endpoint: is_own_route.then_some(id) };
+    let batch_size = kind.map_or(1, |kind| kind.max_batch_size.max(1));
+    let latency = UNKNOWN_LATENCY;
+    let listed = Endpoint { route, zone, batch_size, listing, latency, ..Endpoint::default() };
+    let previous = state.endpoints.relist(id, listed);
     // A Retry-After binds the endpoint under whatever destination or kind it is listed again.
-    let retry_after_until = endpoints.rate_limit(previous).map_or(0, RateLimit::retry_after_until);
-    let rate_limit = endpoints.rate_limit_mut(route);
+    let retry_after_until = state.endpoints.rate_limit(previous).map_or(0, RateLimit::retry_after_until);
+    let rate_limit = state.endpoints.rate_limit_mut(route);
     rate_limit.extend_retry_after(retry_after_until);
     let has_limit = context.settings.rates_are_listed && entry.rate > 0.0;
     rate_limit.set_listed_limit(has_limit.then_some(entry.rate));
-    for destination in [previous.destination, entry.destination] {
-        endpoints.destination_mut(destination).endpoints.retain(|other| *other != id);
-        state.wake_ups.mark_dirty(destination);
-    }
+    state.wake_ups.mark_dirty(previous.destination);
     update_availability(context, state, id);
 }
 
@@ -106,13 +100,4 @@
             || endpoints.manually_drained.contains_key(&id)
             || self.state.in_flight.has_attempt_to(id)
     }
-
-    /// How many of the listed endpoints get no calls: drained by an operator, draining, or ejected.
-    pub fn avoided_endpoint_count(&self) -> usize {
-        let awaits_probe = |endpoint: &Endpoint| {
-            endpoint.health.ejection().is_some_and(|ejection| ejection.next_probe_at > self.context.now)
-        };
-        let listed = self.state.endpoints.listed();
-        listed.filter(|endpoint| !endpoint.available || awaits_probe(endpoint)).count()
-    }
 }
--- a/crates/delivery-control/src/endpoints/registry.rs
+++ b/crates/delivery-control/src/endpoints/registry.rs
@@ -41,9 +41,8 @@
         self.endpoints.get_mut(&id)
     }
 
-    /// The listed endpoints, available or not.
-    pub fn listed(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values().filter(|endpoint| endpoint.listing != ListingState::Removed)
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
     }
 
     pub fn destination(&self, id: DestinationId) -> Option<&Destination> {
@@ -109,6 +108,20 @@
         (now - self.counting_since.unwrap_or(now)).max(least) as f64 / SECOND as f64
     }
 
+    /// Takes over the listed properties of an endpoint, new or known, which is not available yet. Returns its
+    /// previous route.
+    pub(super) fn relist(&mut self, id: EndpointId, listed: Endpoint) -> RouteKey {
+        let Endpoint { route, zone, batch_size, listing, .. } = listed;
+        let endpoint = self.endpoints.entry(id).or_insert(listed);
+        let previous = endpoint.route;
+        endpoint.route = route;
+        endpoint.zone = zone;
+        endpoint.batch_size = batch_size;
+        endpoint.listing = listing;
+        self.destination_mut(previous.destination).endpoints.retain(|other| *other != id);
+        previous
+    }
+
     /// Takes all endpoints off the list.
     pub(super) fn clear_listing(&mut self, now: Micros) {
         for (id, endpoint) in &mut self.endpoints {
--- a/crates/delivery-control/src/model/in_flight.rs
+++ b/crates/delivery-control/src/model/in_flight.rs
@@ -4,8 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::event::AttemptOutcome;
+use crate::event::{AttemptEnd, AttemptOutcome};
 use crate::ids::{EndpointId, MessageId, Micros};
+use crate::model::Endpoint;
 
 /// Identifies a call.
 pub(crate) type CallId = u64;
@@ -40,6 +41,18 @@
 }
 
 impl AttemptResult {
+    /// Joins an attempt with its end; `endpoint` is that of the attempt, unless it is forgotten.
+    pub fn new(attempt: &Attempt, end: &AttemptEnd, endpoint: Option<&Endpoint>) -> Self {
+        Self {
+            call: attempt.call,
+            endpoint: attempt.endpoint,
+            zone: endpoint.map_or(usize::MAX, |endpoint| endpoint.zone),
+            sent_at: attempt.sent_at,
+            outcome: end.outcome,
+            retry_after: end.retry_after,
+        }
+    }
+
     /// The endpoint answered.
     pub fn is_answer(&self) -> bool {
         matches!(self.outcome, AttemptOutcome::Delivered | AttemptOutcome::Error | AttemptOutcome::Rejected)
--- a/crates/delivery-control/src/model/message.rs
+++ b/crates/delivery-control/src/model/message.rs
@@ -39,6 +39,17 @@
     pub recovered_unattempted: bool,
 }
 
+impl Message {
+    /// Takes over what a predecessor process did.
+    pub fn recover(&mut self, attempts: u32, first_ambiguous: Option<AmbiguousAttempt>, ready_at: Micros) {
+        self.attempts = attempts;
+        self.sent_attempts = attempts;
+        self.recovered_unattempted = attempts == 0;
+        self.first_ambiguous = first_ambiguous;
+        self.ready_at = ready_at;
+    }
+}
+
 /// A time at which a message may have to end.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 struct EndCheck {
--- a/crates/delivery-control/src/model/mod.rs
+++ b/crates/delivery-control/src/model/mod.rs
@@ -1,10 +1,12 @@
 //! Plain records and bookkeeping that the policies work on. Nothing in this folder decides anything.
 
+mod choice;
 mod endpoint;
 mod in_flight;
 mod message;
 mod wake_ups;
 
+pub(crate) use choice::{Candidate, Choice, Eligibility, Shed, StuckAttempt, TokenBucket};
 pub(crate) use endpoint::{Destination, Ejection, Endpoint, Health, RouteKey, SlowStart};
 pub(crate) use in_flight::{Attempt, AttemptKey, AttemptResult, CallId, InFlight};
 pub(crate) use message::{Message, MessageBuffer};
--- a/crates/delivery-control/src/rate_limit.rs
+++ b/crates/delivery-control/src/rate_limit.rs
@@ -3,14 +3,12 @@
 
 mod state;
 
-use serde::{Deserialize, Serialize};
-
 use crate::jitter::JITTER;
 use crate::model::SECOND;
 use crate::{AttemptOutcome, LoadReport, Micros};
 
 use state::ReportedLimit;
-pub(crate) use state::{RateLimit, Rejection};
+pub(crate) use state::{RareCallRate, RateLimit, Rejection};
 
 /// Lowest rate in calls per second of all senders: they share a limit.
 const MIN_RATE: f64 = 0.75;
@@ -176,12 +174,6 @@
     }
 }
 
-/// Learns, over all routes, how low a rate a first rejection calls for where calls are rare.
-#[derive(Clone, Serialize, Deserialize)]
-pub(crate) struct RareCallRate {
-    factor: f64,
-}
-
 impl Default for RareCallRate {
     fn default() -> Self {
         Self { factor: INITIAL_RARE_CALL_FACTOR }
@@ -189,11 +181,6 @@
 }
 
 impl RareCallRate {
-    /// Calls per second for each call in the history.
-    pub fn factor(&self) -> f64 {
-        self.factor
-    }
-
     /// Takes in how the retry of a rejected message ended.
     pub fn record_retry(&mut self, outcome: AttemptOutcome) {
         let step = match outcome {
--- a/crates/delivery-control/src/rate_limit/state.rs
+++ b/crates/delivery-control/src/rate_limit/state.rs
@@ -74,3 +74,16 @@
         self.sent.iter().filter(|at| now - **at <= span).count() as f64
     }
 }
+
+/// Learns, over all routes, how low a rate a first rejection calls for where calls are rare.
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct RareCallRate {
+    pub(super) factor: f64,
+}
+
+impl RareCallRate {
+    /// Calls per second that a first rejection leaves for each call in the history.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+}
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -3,7 +3,6 @@
 
 use crate::jitter::JITTER;
 use crate::model::{AttemptResult, Context, Endpoint, Message, SECOND};
-use crate::rate_limit::RareCallRate;
 use crate::value::value_at;
 use crate::{Action, AmbiguousAttempt, AttemptOutcome, Idempotency, MessageId, Micros};
 
@@ -17,11 +16,9 @@
 /// Time-outs leave room for a retry only where that is so many usual answer times, lest most be cut off.
 const RETRY_LATENCIES: f64 = 1.5;
 const START_MARGIN: Micros = 50_000; // An attempt that starts later than this before its limit has no chance
-pub(crate) const EXPIRED_RETRY_AFTER: Micros = 3 * SECOND; // Advice with the rejection of a message whose time is up
-/// Without a listed rate, recovered messages of a destination follow each other after this time.
-const MAX_RECOVERY_INTERVAL: Micros = 600_000;
-/// Stands for the start of an attempt in a far past that nobody can tell.
-const UNKNOWN_PAST: Micros = Micros::MIN / 4;
+pub(crate) const EXPIRED_RETRY_AFTER: Micros = 3 * SECOND; // Advice to clients whose message's time is up
+const MAX_RECOVERY_INTERVAL: Micros = 600_000; // Between recovered messages, also without a listed rate
+const UNKNOWN_PAST: Micros = Micros::MIN / 4; // Before any window, and far from overflow
 
 fn backoff(message: &Message) -> Micros {
     INITIAL_BACKOFF * BACKOFF_MULTIPLIER.pow(message.sent_attempts.min(MAX_BACKOFF_EXPONENT))
@@ -86,35 +83,26 @@
 }
 
 /// Notes in the message what a failed attempt means for the next one, and when that may start.
-pub(crate) fn schedule_retry(
-    context: Context,
-    message: &mut Message,
-    failed: &AttemptResult,
-    jitter_factor: f64,
-    rare_call_rate: &RareCallRate,
-) {
+pub(crate) fn schedule_retry(context: Context, message: &mut Message, failed: &AttemptResult, jitter: f64) {
     if !failed.had_no_effect() && message.first_ambiguous.is_none() {
         message.first_ambiguous = Some(AmbiguousAttempt { sent_at: failed.sent_at, zone: failed.zone });
     }
     // The backoff grows from attempt to attempt, so far that the attempts left last to the deadline.
     let attempts_left = context.settings.limits.max_attempts.saturating_sub(message.attempts).max(1);
     let longest = (message.deadline - context.now) / Micros::from(attempts_left);
-    message.ready_at = context.now + (backoff(message).min(longest) as f64 * jitter_factor) as Micros;
+    message.ready_at = context.now + (backoff(message).min(longest) as f64 * jitter) as Micros;
     message.sent_attempts += u32::from(failed.outcome != AttemptOutcome::NotSent);
-    if message.rejected {
-        let yields_until = yield_until(context, message, jitter_factor, rare_call_rate);
-        message.ready_at = message.ready_at.max(yields_until);
-    }
 }
 
-/// Until when a rejected message leaves room for first attempts, on other routes too: while it loses little
-/// value by waiting.
-fn yield_until(context: Context, message: &Message, jitter_factor: f64, rate: &RareCallRate) -> Micros {
+/// Has a rejected message leave room for first attempts, on other routes too: for `interval` at most, and
+/// while it loses little value by waiting.
+pub(crate) fn yield_to_others(context: Context, message: &mut Message, interval: f64, jitter: f64) {
     let longest = (message.deadline - context.now) as f64 / 3.0;
-    let interval = rate.yield_interval().min(longest) * jitter_factor;
+    let interval = interval.min(longest) * jitter;
     let value_after = |span: Micros| value_at(context, message, context.now + span);
     let value_kept = value_after(interval as Micros) / value_after(0).max(f64::MIN_POSITIVE);
-    context.now + (interval * (2.0 * value_kept - 1.0).max(0.0)) as Micros
+    let until = context.now + (interval * (2.0 * value_kept - 1.0).max(0.0)) as Micros;
+    message.ready_at = message.ready_at.max(until);
 }
 
 /// Interval between the recovered messages of a destination, which go one by one since the destination may be
@@ -126,34 +114,20 @@
     ((SECOND as f64 / rate) as Micros).min(MAX_RECOVERY_INTERVAL)
 }
 
-/// Takes what a predecessor process did for a message into it; its turn among the recovered ones comes after
-/// `wait`.
-pub(crate) fn recover(
-    context: Context,
-    message: &mut Message,
-    attempts: u32,
-    first_ambiguous: Option<AmbiguousAttempt>,
-    wait: Micros,
-) {
-    message.ready_at = context.now + wait.min((message.deadline - context.now) / 2);
-    message.attempts = attempts;
-    message.sent_attempts = attempts;
-    message.recovered_unattempted = attempts == 0;
-    message.first_ambiguous = first_ambiguous;
-    if let Some(first) = message.first_ambiguous.as_mut().filter(|first| first.sent_at > context.now) {
-        // The clock has gone back: nobody can tell how long ago that was.
-        first.sent_at = UNKNOWN_PAST;
-    }
+/// When a recovered message may start that is to wait for those before it.
+pub(crate) fn recovery_start(context: Context, message: &Message, wait: Micros) -> Micros {
+    context.now + wait.min((message.deadline - context.now) / 2)
+}
+
+/// By a clock that has gone back, nobody can tell how long ago an attempt was sent.
+pub(crate) fn plausible(context: Context, attempt: AmbiguousAttempt) -> AmbiguousAttempt {
+    let is_past = attempt.sent_at <= context.now;
+    AmbiguousAttempt { sent_at: if is_past { attempt.sent_at } else { UNKNOWN_PAST }, ..attempt }
 }
 
 /// The final answer to a message that is given up: rejected only if no attempt may have taken effect or
 /// repeats are harmless, else failed.
-pub(crate) fn final_answer(
-    context: Context,
-    id: MessageId,
-    message: &Message,
-    retry_after: Micros,
-) -> Action {
+pub(crate) fn give_up(context: Context, id: MessageId, message: &Message, retry_after: Micros) -> Action {
     let is_repeatable = context.class(message).idempotency == Idempotency::Always;
     let had_no_effect = message.first_ambiguous.is_none() && !message.in_flight;
     if !is_repeatable && !had_no_effect {
--- a/crates/delivery-control/src/state.rs
+++ b/crates/delivery-control/src/state.rs
@@ -3,9 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::endpoints::Endpoints;
-use crate::model::{Attempt, AttemptKey, CallId, Context, InFlight, MessageBuffer, WakeUps};
+use crate::model::{
+    Attempt, AttemptKey, CallId, Context, Endpoint, InFlight, Message, MessageBuffer, WakeUps,
+};
 use crate::ordering::KeyQueues;
-use crate::{EndpointId, MessageId};
+use crate::{AttemptEnd, EndpointId, ListingState, MessageId, Micros};
 
 /// Everything that is buffered, in flight, listed and due.
 #[derive(Default, Clone, Serialize, Deserialize)]
@@ -29,6 +31,50 @@
         View { context, state: self }
     }
 
+    /// Starts a turn: its calls open new batches.
+    pub fn begin_turn(&mut self, now: Micros) {
+        self.endpoints.start_counting(now);
+        self.in_flight.begin_turn();
+    }
+
+    /// Adds a message that was submitted; it must end if it has not started by `latest_start`.
+    pub fn insert(&mut self, id: MessageId, message: Message, latest_start: Micros) {
+        if let Some(key) = &message.order_key {
+            self.queues.push(key, id);
+        }
+        self.endpoints.count_arrival(message.destination);
+        self.messages.schedule_end_check(id, latest_start);
+        self.messages.insert(id, message);
+        self.enqueue(id);
+    }
+
+    /// Removes a message; its place in the queue of its key remains.
+    pub fn remove(&mut self, id: MessageId) -> Option<Message> {
+        let message = self.messages.remove(id)?;
+        self.endpoints.destination_mut(message.destination).waiting.remove(&id);
+        Some(message)
+    }
+
+    /// Lowest listed limit among the routes of a message's destination.
+    pub fn lowest_listed_limit(&self, id: MessageId) -> Option<f64> {
+        self.endpoints.lowest_listed_limit(self.messages.get(id)?.destination)
+    }
+
+    /// When a destination is to be looked at, and when a message may have to end.
+    pub fn next_due(&self) -> [Option<Micros>; 2] {
+        [self.wake_ups.next(), self.messages.next_end_check()]
+    }
+
+    /// Notes the Retry-After and the load report that came with an attempt's end.
+    pub fn record_limits(&mut self, context: Context, attempt: &Attempt, end: &AttemptEnd) {
+        let Some(endpoint) = self.endpoints.get(attempt.endpoint) else { return };
+        let route = endpoint.route;
+        self.wake_ups.mark_dirty(route.destination);
+        let rate_limit = self.endpoints.rate_limit_mut(route);
+        rate_limit.extend_retry_after(context.now.saturating_add(end.retry_after));
+        rate_limit.record_load_report(end.load_report);
+    }
+
     /// Has a message wait for its destination, which is looked at in this turn.
     pub fn enqueue(&mut self, id: MessageId) {
         let Some(message) = self.messages.get(id) else { return };
@@ -54,3 +100,16 @@
         self.endpoints.destination_mut(message.destination).waiting.remove(&id);
     }
 }
+
+impl View<'_> {
+    /// How many of the listed endpoints get no calls: drained by an operator, draining, or ejected.
+    pub fn avoided_endpoint_count(&self) -> usize {
+        let endpoints = self.state.endpoints.iter();
+        let listed = endpoints.filter(|endpoint| endpoint.listing != ListingState::Removed);
+        let is_avoided = |endpoint: &Endpoint| {
+            let ejection = endpoint.health.ejection();
+            !endpoint.available || ejection.is_some_and(|other| other.next_probe_at > self.context.now)
+        };
+        listed.filter(|endpoint| is_avoided(endpoint)).count()
+    }
+}
--- a/crates/delivery-control/tests/module_limits.rs
+++ b/crates/delivery-control/tests/module_limits.rs
@@ -9,7 +9,7 @@
 const CRATE: &str = "crates/delivery-control/src";
 
 /// Files that decide nothing: the public types, the records and containers, log texts.
-const PLAIN_FILES: [&str; 16] = [
+const PLAIN_FILES: [&str; 17] = [
     "action.rs",
     "controller.rs",
     "diagnostics.rs",
@@ -17,6 +17,7 @@
     "event.rs",
     "ids.rs",
     "lib.rs",
+    "model/choice.rs",
     "model/endpoint.rs",
     "model/in_flight.rs",
     "model/message.rs",
