--- a/crates/delivery-control/src/admission.rs
+++ b/crates/delivery-control/src/admission.rs
@@ -1,28 +1,14 @@
-//! Admission of messages: tenant quotas, and which message is shed when the buffer is nearly full.
+//! Admission of messages: tenant quotas, the value of a message, and which one is shed when the buffer is
+//! nearly full.
 
-use serde::{Deserialize, Serialize};
+use crate::model::{Context, Message, Shed, TenantQuotas, View, SECOND};
+use crate::{MessageSubmission, Micros, ValueDecay};
 
-use crate::model::{Context, Message, Shed, TokenBucket, SECOND};
-use crate::state::View;
-use crate::value::value_at;
-use crate::{MessageSubmission, Micros};
-
-/// Fill of the buffer from which load is shed, as a fraction.
-const SHED_FILL: f64 = 0.97;
+const SHED_FILL: f64 = 0.97; // Fill of the buffer from which load is shed, as a fraction
 const QUOTA_BURST_SECONDS: f64 = 2.0; // Unused quota is kept for this long
 const LATEST_DEADLINE: Micros = Micros::MAX / 4; // Sums with later times might overflow
 
-/// This sender's parts of the tenants' quotas.
-#[derive(Default, Clone, Serialize, Deserialize)]
-pub(crate) struct TenantQuotas {
-    buckets: Vec<TokenBucket>,
-}
-
 impl TenantQuotas {
-    pub fn new(tenant_count: usize) -> Self {
-        Self { buckets: vec![TokenBucket { tokens: f64::MAX, filled_at: 0 }; tenant_count] }
-    }
-
     /// Counts a message against its tenant's quota; returns the part of the value that the message has.
     fn take(&mut self, context: Context, tenant: Option<usize>) -> f64 {
         let index = tenant.unwrap_or(usize::MAX);
@@ -57,6 +43,22 @@
     }
 }
 
+/// Value of a delivery of the message at a time.
+pub(crate) fn value_at(context: Context, message: &Message, at: Micros) -> f64 {
+    let class = context.class(message);
+    let late = at - message.objective_at;
+    let span = message.deadline - message.objective_at;
+    let part = match context.settings.decay {
+        _ if at >= message.deadline => 0.0,
+        _ if late <= 0 => 1.0,
+        ValueDecay::Linear => 1.0 - (1.0 - class.residual_value) * late as f64 / span.max(1) as f64,
+        ValueDecay::Exponential => {
+            0.5f64.powf(late as f64 / class.latency_objective.max(1) as f64).max(class.residual_value)
+        }
+    };
+    part * message.value
+}
+
 impl View<'_> {
     /// When the buffer is nearly full: the message with the least value left by the time it could be
     /// delivered, lest messages for healthy destinations find no room. May hurt when a long outage is about to
--- a/crates/delivery-control/src/cancellation.rs
+++ b/crates/delivery-control/src/cancellation.rs
@@ -1,14 +1,11 @@
 //! Which call is cancelled when others wait for its permit.
 
-use crate::model::{Attempt, StuckAttempt};
-use crate::state::View;
+use crate::model::{Attempt, StuckAttempt, View};
 use crate::{Idempotency, MessageId, Micros};
 
-/// An overtaken call is late after so many usual answer times, and this time at least.
-const LATE_LATENCIES: f64 = 10.0;
-const MIN_LATE: Micros = 200_000;
-/// A message that may not be repeated is lost with its answer, and gets so many times the time.
-const UNREPEATABLE_FACTOR: Micros = 2;
+const LATE_LATENCIES: f64 = 10.0; // An overtaken call is late after so many usual answer times
+const MIN_LATE: Micros = 200_000; // And this time at least
+const UNREPEATABLE_FACTOR: Micros = 2; // More time for what may not be repeated: it is lost with its answer
 
 impl View<'_> {
     /// The attempt that is overdue first: overtaken by later ones, or to an endpoint that stopped answering.
--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -2,12 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admission::TenantQuotas;
 use crate::diagnostics::BacklogReporter;
-use crate::model::Context;
-use crate::rate_limit::RareCallRate;
-use crate::state::State;
-use crate::subscription::Subscription;
+use crate::model::{Context, RareCallRate, State, Subscription, TenantQuotas};
 use crate::turn::Turn;
 use crate::{endpoints, ordering, Action, Event, MessageId, Micros, Settings, SettingsError};
 
--- a/crates/delivery-control/src/diagnostics.rs
+++ b/crates/delivery-control/src/diagnostics.rs
@@ -4,8 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Destination, SECOND};
-use crate::state::View;
+use crate::model::{Destination, View, SECOND};
 use crate::{DestinationId, EndpointId, Micros};
 
 /// Reports come no more often than this, so that a long outage doesn't flood the log.
--- a/crates/delivery-control/src/dispatch.rs
+++ b/crates/delivery-control/src/dispatch.rs
@@ -1,10 +1,9 @@
 //! Which message goes next, and to which endpoint.
 
-use crate::endpoints::UNKNOWN_LATENCY;
-use crate::model::{CallId, Candidate, Choice, Context, Destination, Eligibility, Health, Message, SECOND};
-use crate::state::{State, View};
-use crate::value::value_at;
-use crate::{retry, Action, DestinationId, EndpointId, MessageId, Micros};
+use crate::model::{CallId, Candidate, Choice, Context, Eligibility, Health, Message};
+use crate::model::{State, View, SECOND};
+use crate::{admission::value_at, endpoints::UNKNOWN_LATENCY, retry};
+use crate::{Action, DestinationId, EndpointId, MessageId, Micros};
 
 const COST_LATENCY: f64 = 20e6; // Answer time in µs that a unit of cost weighs in the choice
 const FAILURE_LATENCY: f64 = 4e6; // Answer time in µs that a failure in a row weighs in the choice
@@ -38,11 +37,8 @@
         for candidate in candidates {
             self.dispatch(candidate.id);
         }
-        if self.state.wake_ups.is_permit_awaited() && limits.may_cancel {
-            self.free_permit()
-        } else {
-            None
-        }
+        let may_free_permit = self.state.wake_ups.is_permit_awaited() && limits.may_cancel;
+        may_free_permit.then(|| self.free_permit()).flatten()
     }
 
     fn view(&self) -> View<'_> {
@@ -105,7 +101,8 @@
     fn add_candidates(&self, id: DestinationId, candidates: &mut Vec<Candidate>) {
         let Some(destination) = self.state.endpoints.destination(id) else { return };
         let later = self.context.now + self.expected_wait(destination);
-        let permit_time = self.permit_time(destination);
+        let latencies = destination.endpoints.iter().map(|id| self.state.endpoints[*id].latency);
+        let permit_time = latencies.fold(MAX_PERMIT_TIME, f64::min).max(MIN_PERMIT_TIME);
         for &id in &destination.waiting {
             let message = &self.state.messages[id];
             let urgency = self.urgency(id, message, later, permit_time);
@@ -113,19 +110,12 @@
         }
     }
 
-    /// Time in µs for which a message of the destination uses its permit.
-    fn permit_time(&self, destination: &Destination) -> f64 {
-        let latencies = destination.endpoints.iter().map(|id| self.state.endpoints[*id].latency);
-        latencies.fold(MAX_PERMIT_TIME, f64::min).max(MIN_PERMIT_TIME)
-    }
-
     fn urgency(&self, id: MessageId, message: &Message, later: Micros, permit_time: f64) -> f64 {
         if message.recovered_unattempted {
             return f64::MAX;
         }
-        let loss = |message: &Message| {
-            value_at(self.context, message, self.context.now) - value_at(self.context, message, later)
-        };
+        let value = |message, at| value_at(self.context, message, at);
+        let loss = |message| value(message, self.context.now) - value(message, later);
         // The first of a key holds up all behind it, wherever they go.
         let followers = self.state.queues.followers(message.order_key.as_ref(), id);
         let held_up: f64 = followers.filter_map(|id| self.state.messages.get(id)).map(loss).sum();
@@ -134,23 +124,16 @@
 
     fn choose(&self, id: MessageId, destination: DestinationId) -> Choice {
         let mut choice = Choice::default();
-        let mut least_cost = f64::INFINITY;
+        let mut eligible = Vec::new();
         for &endpoint in self.state.endpoints.available(destination) {
             match self.eligibility(id, endpoint) {
-                Eligibility::Now => {
-                    let cost = self.cost(endpoint);
-                    if choice.endpoint.is_none() || cost < least_cost {
-                        choice.endpoint = Some(endpoint);
-                        least_cost = cost;
-                    }
-                }
-                Eligibility::NotBefore(at) => {
-                    choice.retry_at = Some(choice.retry_at.map_or(at, |earliest| earliest.min(at)));
-                }
+                Eligibility::Now => eligible.push(endpoint),
+                Eligibility::NotBefore(at) => choice.retry_at = Some(choice.retry_at.unwrap_or(at).min(at)),
                 Eligibility::NoPermit => choice.lacks_permit = true,
                 Eligibility::No => {}
             }
         }
+        choice.endpoint = eligible.into_iter().min_by(|a, b| self.cost(*a).total_cmp(&self.cost(*b)));
         choice
     }
 
--- a/crates/delivery-control/src/eligibility.rs
+++ b/crates/delivery-control/src/eligibility.rs
@@ -1,11 +1,8 @@
 //! Whether a message may be sent to an endpoint now. Every send has passed this check, so that the rules hold
 //! by construction.
 
-use crate::model::{Eligibility, Endpoint, Health, Message, RouteKey};
-use crate::rate_limit::RateLimit;
-use crate::retry;
-use crate::state::View;
-use crate::{EndpointId, Idempotency, IdempotencyScope, MessageId, Micros};
+use crate::model::{Eligibility, Endpoint, Health, Message, RateLimit, RouteKey, View};
+use crate::{retry, EndpointId, Idempotency, IdempotencyScope, MessageId, Micros};
 
 const DESTINATION_SHARE: f64 = 0.6; // Part of the concurrency limit that one destination may use
 
@@ -15,24 +12,15 @@
         let now = self.context.now;
         let message = &self.state.messages[id];
         let endpoint = &self.state.endpoints[to];
-        if !self.is_admissible(id, message, endpoint) {
-            return Eligibility::No;
-        }
-        let ready_at = self.ready_at(id, message, endpoint);
-        if ready_at > now {
-            return Eligibility::NotBefore(ready_at);
-        }
+        let ready = Eligibility::allow_if(self.is_admissible(id, message, endpoint))
+            .and_then(|| Eligibility::not_before(self.ready_at(id, message, endpoint), now));
         if self.state.in_flight.has_batch_room(to) {
-            return Eligibility::Now;
-        }
-        let permit_at = self.next_rate_permit(endpoint);
-        if permit_at > now {
-            return Eligibility::NotBefore(permit_at);
-        }
-        match self.check_health(message, endpoint) {
-            Eligibility::Now => self.check_concurrency(message),
-            other => other,
+            return ready;
         }
+        ready
+            .and_then(|| Eligibility::not_before(self.next_rate_permit(endpoint), now))
+            .and_then(|| self.check_health(message, endpoint))
+            .and_then(|| self.check_concurrency(message))
     }
 
     /// Whether the endpoint is right for the message, and another attempt is allowed, whenever that is.
@@ -53,16 +41,15 @@
 
     /// When backoff, Retry-After and quarantine are over.
     fn ready_at(&self, id: MessageId, message: &Message, endpoint: &Endpoint) -> Micros {
-        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
-        let retry_after_until = rate_limit.map_or(0, RateLimit::retry_after_until);
+        let retry_after_until = self.rate_limit_of(endpoint).map_or(0, RateLimit::retry_after_until);
         let quarantined_until = self.state.queues.quarantined_until(message.order_key.as_ref(), id);
         message.ready_at.max(retry_after_until).max(quarantined_until)
     }
 
     fn next_rate_permit(&self, endpoint: &Endpoint) -> Micros {
-        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
+        let now = self.context.now;
         let demand = || self.assured_demand(endpoint);
-        rate_limit.map_or(self.context.now, |limit| limit.next_permit(self.context.now, demand))
+        self.rate_limit_of(endpoint).map_or(now, |limit| limit.next_permit(now, demand))
     }
 
     fn check_health(&self, message: &Message, endpoint: &Endpoint) -> Eligibility {
@@ -71,22 +58,15 @@
             Health::SlowStart(start) => start.next_call_at,
             Health::Ejected(ejection) => ejection.next_probe_at,
         };
-        if not_before > self.context.now {
-            return Eligibility::NotBefore(not_before);
-        }
         let may_probe = || !self.is_probed(endpoint.route) && !self.leaves_probe(message);
-        let is_eligible = !endpoint.health.is_ejected() || may_probe();
-        if is_eligible {
-            Eligibility::Now
-        } else {
-            Eligibility::No
-        }
+        Eligibility::not_before(not_before, self.context.now)
+            .and_then(|| Eligibility::allow_if(!endpoint.health.is_ejected() || may_probe()))
     }
 
     /// Whether a probe to the route is in flight.
     fn is_probed(&self, route: RouteKey) -> bool {
-        let has_probe = |health: &Health| health.ejection().is_some_and(|other| other.probe.is_some());
-        self.state.endpoints.on_route(route).iter().any(|id| has_probe(&self.state.endpoints[*id].health))
+        let endpoints = &self.state.endpoints;
+        endpoints.on_route(route).iter().any(|id| endpoints[*id].health.has_probe())
     }
 
     /// Whether a message that may not be repeated leaves the probe to one that may and waits for the same
@@ -112,10 +92,6 @@
         let is_here = |id: EndpointId| self.state.endpoints[id].route.destination == message.destination;
         let calls = self.state.in_flight.calls().filter(|call| is_here(call.endpoint)).count();
         let most = (max_in_flight as f64 * DESTINATION_SHARE).max(1.0);
-        if calls as f64 >= most {
-            Eligibility::No
-        } else {
-            Eligibility::Now
-        }
+        Eligibility::allow_if((calls as f64) < most)
     }
 }
--- a/crates/delivery-control/src/endpoints.rs
+++ b/crates/delivery-control/src/endpoints.rs
@@ -1,19 +1,12 @@
 //! Which endpoints are available: what is listed, what an operator drained, and what is remembered of
 //! endpoints that departed.
 
-mod registry;
-
-use crate::model::{Context, Ejection, Endpoint, Health, RouteKey, SECOND};
-use crate::rate_limit::RateLimit;
-use crate::state::{State, View};
+use crate::model::{Context, Ejection, Endpoint, Health, RateLimit, RouteKey, State, View, SECOND};
 use crate::{EndpointEntry, EndpointId, ListingState, MaintenanceCommand, Micros, UpdateKind};
 
-pub(crate) use registry::Endpoints;
-
 /// Latency assumed of an endpoint that has not answered yet, in µs.
 pub(crate) const UNKNOWN_LATENCY: f64 = 400_000.0;
-/// How long the outage of an endpoint that departed is remembered: nothing ends it without calls.
-const DEPARTED_OUTAGE_MEMORY: Micros = 60 * SECOND;
+const DEPARTED_OUTAGE_MEMORY: Micros = 60 * SECOND; // Nothing ends the outage of what gets no calls
 
 /// Takes in an endpoint list, or changes to it.
 pub(crate) fn apply_update(
@@ -53,8 +46,7 @@
 /// Calls may go to endpoints that are listed as live, and not drained by an operator.
 fn update_availability(context: Context, state: &mut State, id: EndpointId) {
     let Some(endpoint) = state.endpoints.get(id) else { return };
-    let is_drained = state.endpoints.manually_drained.contains_key(&id);
-    let available = endpoint.listing == ListingState::Live && !is_drained;
+    let available = endpoint.listing == ListingState::Live && !state.endpoints.is_manually_drained(id);
     state.wake_ups.mark_dirty(endpoint.route.destination);
     state.endpoints.set_available(id, available, context.now);
 }
@@ -62,11 +54,10 @@
 /// Drained by an operator, an endpoint drains whatever is listed. It is restarted meanwhile, which is an
 /// outage: restored, it gets one probe, and then starts slowly.
 pub(crate) fn maintain(context: Context, state: &mut State, id: EndpointId, command: MaintenanceCommand) {
-    let endpoints = &mut state.endpoints;
     if command == MaintenanceCommand::Drain {
-        endpoints.manually_drained.entry(id).or_insert(context.now);
-    } else if let Some(since) = endpoints.manually_drained.remove(&id) {
-        if let Some(endpoint) = endpoints.get_mut(id) {
+        state.endpoints.drain_manually(id, context.now);
+    } else if let Some(since) = state.endpoints.end_manual_drain(id) {
+        if let Some(endpoint) = state.endpoints.get_mut(id) {
             endpoint.health = Health::Ejected(Ejection::confirmed(since, context.now));
             endpoint.consecutive_failures = 0;
             endpoint.delivered_at = None;
@@ -78,10 +69,8 @@
 /// Forgets endpoints that departed, once nothing is in flight there and no Retry-After, outage or manual
 /// drain must be remembered.
 fn forget_departed(context: Context, state: &mut State) {
-    for (id, since) in std::mem::take(&mut state.endpoints.departed) {
-        if state.view(context).must_remember(id, since) {
-            state.endpoints.departed.insert(id, since);
-        } else {
+    for (id, since) in state.endpoints.departed() {
+        if !state.view(context).must_remember(id, since) {
             state.endpoints.remove(id);
         }
     }
@@ -90,14 +79,13 @@
 
 impl View<'_> {
     fn must_remember(&self, id: EndpointId, departed_at: Micros) -> bool {
-        let endpoints = &self.state.endpoints;
-        let Some(endpoint) = endpoints.get(id) else { return false };
-        let retry_after_until = endpoints.rate_limit(endpoint.route).map_or(0, RateLimit::retry_after_until);
+        let Some(endpoint) = self.state.endpoints.get(id) else { return false };
+        let retry_after_until = self.rate_limit_of(endpoint).map_or(0, RateLimit::retry_after_until);
         let is_ill = endpoint.health_now(self.context) != Health::Healthy;
         retry_after_until > self.context.now
             || (is_ill && self.context.now - departed_at < DEPARTED_OUTAGE_MEMORY)
             || endpoint.listing != ListingState::Removed
-            || endpoints.manually_drained.contains_key(&id)
+            || self.state.endpoints.is_manually_drained(id)
             || self.state.in_flight.has_attempt_to(id)
     }
 }
--- a/crates/delivery-control/src/estimates.rs
+++ b/crates/delivery-control/src/estimates.rs
@@ -1,17 +1,12 @@
 //! Estimates from what this sender sees: the demand of all senders, the capacity of an endpoint, the pace of
 //! a slow start, and how long a destination takes to catch up.
 
-use crate::model::{Destination, Endpoint, Health, SECOND};
-use crate::rate_limit::RateLimit;
-use crate::state::View;
+use crate::model::{Destination, Endpoint, Health, RateLimit, View, SECOND};
 use crate::Micros;
 
-/// Part of the allowed overload that slow start uses; the rest is for chance.
-const SLOW_START_SHARE: f64 = 0.9;
-/// A destination of a known limit is taken to serve at most so many times its demand.
-const LIMITED_CAPACITY: f64 = 2.5;
-/// Where no limit is known it is taken to serve little more than its demand: it has kept up so far.
-const UNLIMITED_CAPACITY: f64 = 1.05;
+const SLOW_START_SHARE: f64 = 0.9; // Part of the allowed overload that slow start uses; the rest is for chance
+const LIMITED_CAPACITY: f64 = 2.5; // With a known limit: at most so many times the demand
+const UNLIMITED_CAPACITY: f64 = 1.05; // Without: little more than the demand, which has been kept up with so far
 const MIN_CAPACITY: f64 = 0.5; // Calls per second that any destination is taken to serve
 const DEMAND_PRIOR: f64 = 1.0; // Messages of an average destination that a new count starts with
 const DEMAND_SPAN: Micros = 5 * SECOND; // A clump must not pass for steady demand
@@ -31,9 +26,7 @@
     /// average destination's while it is small.
     fn demand(&self, endpoint: &Endpoint) -> f64 {
         let mean = self.state.endpoints.mean_arrivals();
-        let Some(destination) = self.state.endpoints.destination(endpoint.route.destination) else {
-            return 0.0;
-        };
+        let Some(destination) = self.destination_of(endpoint) else { return 0.0 };
         let seconds = self.state.endpoints.counted_seconds(self.context.now, 1);
         let own = (destination.arrivals + DEMAND_PRIOR) * mean / ((mean + DEMAND_PRIOR) * seconds);
         own.max(self.backlog_growth(destination)) * self.context.sender_count()
@@ -46,13 +39,11 @@
         if endpoint.health.is_ejected() {
             return 0.0;
         }
-        let Some(destination) = self.state.endpoints.destination(endpoint.route.destination) else {
-            return 0.0;
-        };
-        let rate_limit = self.state.endpoints.rate_limit(endpoint.route);
-        let fair_share = rate_limit.and_then(|limit| limit.fair_share(self.context.sender_count()));
-        let counted =
-            destination.arrivals / self.state.endpoints.counted_seconds(self.context.now, DEMAND_SPAN);
+        let Some(destination) = self.destination_of(endpoint) else { return 0.0 };
+        let sender_count = self.context.sender_count();
+        let fair_share = self.rate_limit_of(endpoint).and_then(|limit| limit.fair_share(sender_count));
+        let seconds = self.state.endpoints.counted_seconds(self.context.now, DEMAND_SPAN);
+        let counted = destination.arrivals / seconds;
         let own = counted.max(self.backlog_growth(destination)) / route_count(endpoint, destination);
         own.min(fair_share.unwrap_or(f64::MAX))
     }
@@ -65,19 +56,17 @@
     /// Calls per second of all senders that an endpoint is taken to serve.
     fn capacity(&self, endpoint: &Endpoint) -> f64 {
         let demand = self.demand(endpoint);
-        let limit = self.state.endpoints.rate_limit(endpoint.route).and_then(RateLimit::limit);
+        let limit = self.rate_limit_of(endpoint).and_then(RateLimit::limit);
         let limited = |limit: f64| limit.min((LIMITED_CAPACITY * demand).max(limit / 2.0));
         let of_route = limit.map_or(UNLIMITED_CAPACITY * demand, limited).max(MIN_CAPACITY);
-        if endpoint.route.endpoint.is_some() {
-            return of_route;
-        }
-        of_route / self.state.endpoints.available(endpoint.route.destination).len().max(1) as f64
+        let available = self.state.endpoints.available(endpoint.route.destination).len().max(1);
+        of_route / endpoint.route.endpoint.map_or(available, |_| 1) as f64
     }
 
     /// Calls per µs of all senders that would not overload an endpoint at full capacity.
     pub fn admissible_rate(&self, endpoint: &Endpoint) -> f64 {
-        (self.context.settings.rules.overload_factor * SLOW_START_SHARE).max(0.1) * self.capacity(endpoint)
-            / SECOND as f64
+        let overload = (self.context.settings.rules.overload_factor * SLOW_START_SHARE).max(0.1);
+        overload * self.capacity(endpoint) / SECOND as f64
     }
 
     /// The same as a part of it, right after an outage.
@@ -86,27 +75,21 @@
     }
 
     /// Interval until this sender's next call to an endpoint that came back `elapsed` ago, when the calls of
-    /// all competing senders use the allowed overload of a capacity that grows meanwhile.
-    pub fn slow_start_interval(
-        &self,
-        endpoint: &Endpoint,
-        elapsed: Micros,
-        competing_senders: f64,
-    ) -> Micros {
+    /// all competing `senders` use the allowed overload of a capacity that grows meanwhile.
+    pub fn slow_start_interval(&self, endpoint: &Endpoint, elapsed: Micros, senders: f64) -> Micros {
         let rules = &self.context.settings.rules;
         let growth = ((1.0 - rules.initial_capacity) / rules.warm_up_time.max(1) as f64).max(1e-12);
         let share = self.initial_share() + growth * elapsed as f64;
         // One call is due once the integral of the growing rate reaches one.
-        let squared = share * share + 2.0 * growth * competing_senders / self.admissible_rate(endpoint);
-        let interval = (squared.sqrt() - share) / growth;
-        interval.min(rules.warm_up_time as f64) as Micros
+        let squared = share * share + 2.0 * growth * senders / self.admissible_rate(endpoint);
+        ((squared.sqrt() - share) / growth).min(rules.warm_up_time as f64) as Micros
     }
 
     /// Time until a message enqueued now for a destination would be delivered, as far as is known.
     pub fn expected_wait(&self, destination: &Destination) -> Micros {
         let backlog = destination.waiting.len() as f64;
-        let waits =
-            destination.endpoints.iter().map(|id| self.endpoint_wait(&self.state.endpoints[*id], backlog));
+        let endpoints = destination.endpoints.iter().map(|id| &self.state.endpoints[*id]);
+        let waits = endpoints.map(|endpoint| self.endpoint_wait(endpoint, backlog));
         SECOND + waits.fold(MAX_WAIT, f64::min) as Micros
     }
 
@@ -120,7 +103,7 @@
                 self.slow_start_interval(endpoint, elapsed, start.competing_senders) as f64 * backlog
             }
             Health::Healthy => {
-                let rate = self.state.endpoints.rate_limit(endpoint.route).and_then(RateLimit::rate);
+                let rate = self.rate_limit_of(endpoint).and_then(RateLimit::rate);
                 rate.map_or(0.0, |rate| SECOND as f64 / rate) * backlog
             }
         }
--- a/crates/delivery-control/src/lib.rs
+++ b/crates/delivery-control/src/lib.rs
@@ -17,17 +17,14 @@
 mod event;
 mod health;
 mod ids;
-mod jitter;
 mod model;
 mod ordering;
 mod outlier_detection;
 mod rate_limit;
 mod retry;
 mod settings;
-mod state;
 mod subscription;
 mod turn;
-mod value;
 
 pub use action::Action;
 pub use controller::Controller;
--- a/crates/delivery-control/src/model/endpoint.rs
+++ b/crates/delivery-control/src/model/endpoint.rs
@@ -75,6 +75,11 @@
     pub fn is_ejected(&self) -> bool {
         self.ejection().is_some()
     }
+
+    /// Whether it is ejected and a probe is in flight.
+    pub fn has_probe(&self) -> bool {
+        self.ejection().is_some_and(|ejection| ejection.probe.is_some())
+    }
 }
 
 /// An endpoint that is or was listed.
--- a/crates/delivery-control/src/model/mod.rs
+++ b/crates/delivery-control/src/model/mod.rs
@@ -2,14 +2,24 @@
 
 mod choice;
 mod endpoint;
+mod endpoints;
 mod in_flight;
+mod key_queues;
 mod message;
+mod policy_state;
+mod rate_limit;
+mod state;
 mod wake_ups;
 
-pub(crate) use choice::{Candidate, Choice, Eligibility, Shed, StuckAttempt, TokenBucket};
+pub(crate) use choice::{Candidate, Choice, Eligibility, Shed, StuckAttempt};
 pub(crate) use endpoint::{Destination, Ejection, Endpoint, Health, RouteKey, SlowStart};
+pub(crate) use endpoints::Endpoints;
 pub(crate) use in_flight::{Attempt, AttemptKey, AttemptResult, CallId, InFlight};
+pub(crate) use key_queues::KeyQueues;
 pub(crate) use message::{Message, MessageBuffer};
+pub(crate) use policy_state::{Subscription, TenantQuotas};
+pub(crate) use rate_limit::{RareCallRate, RateLimit, Rejection, ReportedLimit};
+pub(crate) use state::{State, View};
 pub(crate) use wake_ups::WakeUps;
 
 use crate::ids::Micros;
--- a/crates/delivery-control/src/rate_limit/state.rs
+++ b/crates/delivery-control/src/model/rate_limit.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Micros;
+use crate::{LoadReport, Micros};
 
 /// What a route reported last about its limit.
 #[derive(Clone, Copy, Serialize, Deserialize)]
-pub(super) struct ReportedLimit {
+pub(crate) struct ReportedLimit {
     /// In calls per second, of all senders.
     pub limit: f64,
     /// Fraction that is left.
@@ -30,16 +30,16 @@
     /// No call before this time, as the route asked.
     retry_after_until: Micros,
     /// Calls per second of this sender; unlimited if absent.
-    pub(super) rate: Option<f64>,
-    pub(super) next_permit_at: Micros,
-    pub(super) decreased_at: Option<Micros>,
+    pub rate: Option<f64>,
+    pub next_permit_at: Micros,
+    pub decreased_at: Option<Micros>,
     /// When calls were made.
-    pub(super) sent: Vec<Micros>,
+    pub sent: Vec<Micros>,
     /// In calls per second, of all senders.
     listed_limit: Option<f64>,
-    pub(super) reported: Option<ReportedLimit>,
-    pub(super) consecutive_rejections: u32,
-    pub(super) rejected_since: Micros,
+    pub reported: Option<ReportedLimit>,
+    pub consecutive_rejections: u32,
+    pub rejected_since: Micros,
 }
 
 impl RateLimit {
@@ -69,6 +69,20 @@
         self.rate = None;
     }
 
+    /// Takes in a report; one without a limit, or with impossible figures, says nothing.
+    pub fn record_load_report(&mut self, report: Option<LoadReport>) {
+        let figures = report.and_then(|report| Some((report.limit?, report.limit_remaining?)));
+        let Some((limit, remaining)) = figures else { return };
+        if limit.is_finite() && limit > 0.0 && remaining >= 0.0 {
+            self.reported = Some(ReportedLimit { limit, remaining: remaining.min(1.0) });
+        }
+    }
+
+    /// The limit of all senders as reported last, or else as listed, in calls per second.
+    pub fn limit(&self) -> Option<f64> {
+        self.reported.map(|reported| reported.limit).or(self.listed_limit)
+    }
+
     /// Calls made in the latest `span`.
     pub fn sent_within(&self, now: Micros, span: Micros) -> f64 {
         self.sent.iter().filter(|at| now - **at <= span).count() as f64
@@ -78,7 +92,13 @@
 /// Learns, over all routes, how low a rate a first rejection calls for where calls are rare.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct RareCallRate {
-    pub(super) factor: f64,
+    pub factor: f64,
+}
+
+impl Default for RareCallRate {
+    fn default() -> Self {
+        Self { factor: crate::rate_limit::INITIAL_RARE_CALL_FACTOR }
+    }
 }
 
 impl RareCallRate {
--- a/crates/delivery-control/src/state.rs
+++ b/crates/delivery-control/src/model/state.rs
@@ -2,11 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::endpoints::Endpoints;
 use crate::model::{
-    Attempt, AttemptKey, CallId, Context, Endpoint, InFlight, Message, MessageBuffer, WakeUps,
+    Attempt, AttemptKey, CallId, Context, Destination, Endpoint, Endpoints, InFlight, KeyQueues, Message,
+    MessageBuffer, RateLimit, WakeUps,
 };
-use crate::ordering::KeyQueues;
 use crate::{AttemptEnd, EndpointId, ListingState, MessageId, Micros};
 
 /// Everything that is buffered, in flight, listed and due.
@@ -101,7 +100,17 @@
     }
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    /// The destination of an endpoint.
+    pub fn destination_of(&self, endpoint: &Endpoint) -> Option<&'a Destination> {
+        self.state.endpoints.destination(endpoint.route.destination)
+    }
+
+    /// The rate limit of an endpoint's route.
+    pub fn rate_limit_of(&self, endpoint: &Endpoint) -> Option<&'a RateLimit> {
+        self.state.endpoints.rate_limit(endpoint.route)
+    }
+
     /// How many of the listed endpoints get no calls: drained by an operator, draining, or ejected.
     pub fn avoided_endpoint_count(&self) -> usize {
         let endpoints = self.state.endpoints.iter();
--- a/crates/delivery-control/src/ordering.rs
+++ b/crates/delivery-control/src/ordering.rs
@@ -1,14 +1,9 @@
 //! Messages of one order key go one at a time, in order. After an attempt that may still run at its endpoint,
 //! the key is quarantined for all messages but that attempt's own.
 
-mod queues;
-
-use crate::model::{Attempt, Context};
-use crate::state::State;
+use crate::model::{Attempt, Context, State};
 use crate::{AttemptEnd, AttemptOutcome, MessageId};
 
-pub(crate) use queues::KeyQueues;
-
 /// Takes in how an attempt of an ordered message ended.
 pub(crate) fn record_attempt_end(context: Context, state: &mut State, attempt: &Attempt, end: &AttemptEnd) {
     let Some(key) = attempt.order_key.as_ref().filter(|key| state.queues.contains(key, end.id)) else {
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -1,19 +1,16 @@
 //! Outlier detection: failing and unresponsive endpoints are ejected, probed, and start slowly once a probe
 //! is delivered. Also hands each result to the route's rate limit.
 
-use crate::jitter::jittered;
-use crate::model::{AttemptResult, CallId, Context, Ejection, Health, SlowStart, SECOND};
-use crate::rate_limit::Rejection;
-use crate::state::{State, View};
-use crate::{AttemptOutcome, EndpointId, Micros};
+use crate::model::{
+    AttemptResult, CallId, Context, Ejection, Health, Rejection, SlowStart, State, View, SECOND,
+};
+use crate::{retry::jittered, AttemptOutcome, EndpointId, Micros};
 
 const LATENCY_GAIN: f64 = 0.2; // Weight of a new answer time in the moving average
 const OUTAGE_FAILURES: u32 = 3; // Failures in a row that mean an outage; one, with no delivery of late
-/// Interval of probes of an ejected endpoint, its growth and bound; with many senders it is longer, see
-/// [`OutlierDetection::eject`].
-const MIN_PROBE_INTERVAL: Micros = 600_000;
-const PROBE_BACKOFF: f64 = 1.5;
+const MIN_PROBE_INTERVAL: Micros = 600_000; // With many senders it is longer, see OutlierDetection::eject
 const MAX_PROBE_INTERVAL: Micros = 3 * SECOND;
+const PROBE_BACKOFF: f64 = 1.5; // Growth of the interval with each failed probe
 
 /// Judges endpoints by the results of calls, and by calls without one.
 pub(crate) struct OutlierDetection<'a> {
@@ -39,10 +36,7 @@
             AttemptOutcome::Delivered => return self.record_delivery(result),
             AttemptOutcome::Rejected => self.record_rejection(result, rare_call_factor, chance),
             AttemptOutcome::Cancelled | AttemptOutcome::NotSent => false,
-            AttemptOutcome::Error
-            | AttemptOutcome::Timeout
-            | AttemptOutcome::Reset
-            | AttemptOutcome::ConnectFailed => self.record_failure(result),
+            _ => self.record_failure(result),
         };
         if is_outage || was_ejected {
             self.eject(result.endpoint, Some(result.call), result.retry_after);
@@ -156,7 +150,7 @@
     /// all permits. Returns when to look again.
     pub fn detect_unresponsive(&mut self) -> Option<Micros> {
         let mut unresponsive = Vec::new();
-        let mut next_check_at: Option<Micros> = None;
+        let mut next_check_at = None;
         for call in self.state.in_flight.calls() {
             let endpoint = &self.state.endpoints[call.endpoint];
             if endpoint.health.is_ejected() || endpoint.answered_at >= Some(call.sent_at) {
@@ -166,7 +160,7 @@
             if due <= self.context.now {
                 unresponsive.push(call.endpoint);
             } else {
-                next_check_at = Some(next_check_at.map_or(due, |at| at.min(due)));
+                next_check_at = Some(due.min(next_check_at.unwrap_or(due)));
             }
         }
         for id in unresponsive {
--- a/crates/delivery-control/src/rate_limit.rs
+++ b/crates/delivery-control/src/rate_limit.rs
@@ -1,17 +1,10 @@
 //! Client-side rate limit of a route: additive increase, multiplicative decrease, bounded by what the route
 //! lists or reports as its limit; and the Retry-After that binds it.
 
-mod state;
+use crate::model::{RareCallRate, RateLimit, Rejection, ReportedLimit, SECOND};
+use crate::{retry::JITTER, AttemptOutcome, Micros};
 
-use crate::jitter::JITTER;
-use crate::model::SECOND;
-use crate::{AttemptOutcome, LoadReport, Micros};
-
-use state::ReportedLimit;
-pub(crate) use state::{RareCallRate, RateLimit, Rejection};
-
-/// Lowest rate in calls per second of all senders: they share a limit.
-const MIN_RATE: f64 = 0.75;
+const MIN_RATE: f64 = 0.75; // In calls per second of all senders: they share a limit
 /// No decrease below this part of a known limit's fair share or of the assured demand, unless rejections
 /// go on: little traffic so far, or the rejections of an outage, must not starve a route that recovers.
 const FLOOR_SHARE: f64 = 0.4;
@@ -19,8 +12,7 @@
 const DOUBLING_SECONDS: f64 = 8.0; // Or doubled in this time, where calls are rare
 const RECOVERY_DOUBLING_SECONDS: f64 = 3.0; // Doubled in this time while below the assured demand
 const MAX_UNTRIED_GROWTH: f64 = 1.5; // No growth beyond so many times the calls of the last second
-/// How long calls are remembered; a rate that held nothing back for so long is forgotten.
-const HISTORY_SPAN: Micros = 8 * SECOND;
+const HISTORY_SPAN: Micros = 8 * SECOND; // A rate that held nothing back for so long is forgotten
 const LOW_REMAINING: f64 = 0.3; // Reported fraction left below which calls slow down before any rejection
 const AMPLE_REMAINING: f64 = 0.5; // Reported fraction left with which the limit explains no rejection
 const EXHAUSTED_SHARE: f64 = 0.5; // Part of a reported fair share that is used while nothing of it is left
@@ -29,7 +21,7 @@
 const OUTAGE_RETRY_AFTER: Micros = 3 * SECOND; // No rate limit asks for so long a Retry-After: an outage
 /// Calls per second that a first rejection leaves for each call in the history, where calls are rare. It is
 /// adapted: lower when a retry after a rejection is rejected again, higher when it is delivered.
-const INITIAL_RARE_CALL_FACTOR: f64 = 0.125;
+pub(crate) const INITIAL_RARE_CALL_FACTOR: f64 = 0.125;
 const MIN_RARE_CALL_FACTOR: f64 = 0.03;
 const MAX_RARE_CALL_FACTOR: f64 = 0.5;
 const RARE_CALL_DECREASE: f64 = 0.8;
@@ -37,21 +29,6 @@
 const YIELD_SHARE: f64 = 0.8; // Part of such a rate's interval for which a rejected message lets others go
 
 impl RateLimit {
-    /// Takes in a report; one without a limit, or with impossible figures, says nothing.
-    pub fn record_load_report(&mut self, report: Option<LoadReport>) {
-        let Some(LoadReport { limit: Some(limit), limit_remaining: Some(remaining), .. }) = report else {
-            return;
-        };
-        if limit.is_finite() && limit > 0.0 && remaining >= 0.0 {
-            self.reported = Some(ReportedLimit { limit, remaining: remaining.min(1.0) });
-        }
-    }
-
-    /// The limit of all senders as reported last, or else as listed, in calls per second.
-    pub fn limit(&self) -> Option<f64> {
-        self.reported.map(|reported| reported.limit).or(self.listed_limit())
-    }
-
     /// This sender's fair share of the limit.
     pub fn fair_share(&self, sender_count: f64) -> Option<f64> {
         self.limit().map(|limit| limit / sender_count)
@@ -97,8 +74,8 @@
     /// The next permit comes after the rate's interval on average, with jitter: senders must not fall into
     /// step.
     fn schedule_next_permit(&mut self, from: Micros, chance: f64) {
-        let interval =
-            self.rate.map_or(0.0, |rate| SECOND as f64 / rate * (1.0 + JITTER * (2.0 * chance - 1.0)));
+        let factor = 1.0 + JITTER * (2.0 * chance - 1.0);
+        let interval = self.rate.map_or(0.0, |rate| SECOND as f64 / rate * factor);
         self.next_permit_at = self.next_permit_at.max(from) + interval as Micros;
     }
 
@@ -174,12 +151,6 @@
     }
 }
 
-impl Default for RareCallRate {
-    fn default() -> Self {
-        Self { factor: INITIAL_RARE_CALL_FACTOR }
-    }
-}
-
 impl RareCallRate {
     /// Takes in how the retry of a rejected message ended.
     pub fn record_retry(&mut self, outcome: AttemptOutcome) {
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -1,25 +1,33 @@
 //! Retries of a message under one idempotency key: backoff, time-outs, the latest start of an attempt, and
 //! how a message ends.
 
-use crate::jitter::JITTER;
+use crate::admission::value_at;
 use crate::model::{AttemptResult, Context, Endpoint, Message, SECOND};
-use crate::value::value_at;
 use crate::{Action, AmbiguousAttempt, AttemptOutcome, Idempotency, MessageId, Micros};
 
 /// Backoff before the second attempt, and its growth: the design's 200 ms and 600 ms.
 const INITIAL_BACKOFF: Micros = 200_000;
 const BACKOFF_MULTIPLIER: Micros = 3;
 const MAX_BACKOFF_EXPONENT: u32 = 9; // Longer than any deadline, and far from overflow
+pub(crate) const JITTER: f64 = 0.5; // Waits stretch by up to this part, so that nothing falls into step
 const SHARED_ATTEMPTS: u32 = 4; // Attempts that share the time left; more follow those that never ran
 const MIN_TIMEOUT: Micros = 4 * SECOND; // Generous: repeating what still runs costs more
 const TIMEOUT_LATENCIES: f64 = 8.0; // A time-out is never less than so many usual answer times
-/// Time-outs leave room for a retry only where that is so many usual answer times, lest most be cut off.
-const RETRY_LATENCIES: f64 = 1.5;
+const RETRY_LATENCIES: f64 = 1.5; // Room for a retry must be so many usual answer times, lest most be cut off
 const START_MARGIN: Micros = 50_000; // An attempt that starts later than this before its limit has no chance
 pub(crate) const EXPIRED_RETRY_AFTER: Micros = 3 * SECOND; // Advice to clients whose message's time is up
 const MAX_RECOVERY_INTERVAL: Micros = 600_000; // Between recovered messages, also without a listed rate
 const UNKNOWN_PAST: Micros = Micros::MIN / 4; // Before any window, and far from overflow
 
+/// Random factor by which a wait is stretched.
+pub(crate) fn jitter_factor(random: &mut fastrand::Rng) -> f64 {
+    1.0 + JITTER * random.f64()
+}
+
+pub(crate) fn jittered(span: Micros, random: &mut fastrand::Rng) -> Micros {
+    (span as f64 * jitter_factor(random)) as Micros
+}
+
 fn backoff(message: &Message) -> Micros {
     INITIAL_BACKOFF * BACKOFF_MULTIPLIER.pow(message.sent_attempts.min(MAX_BACKOFF_EXPONENT))
 }
@@ -32,9 +40,7 @@
         _ if message.attempts >= context.settings.limits.max_attempts => Micros::MIN,
         (None, _) | (_, Idempotency::Always) => in_time,
         (Some(_), Idempotency::Never) => Micros::MIN,
-        (Some(first), Idempotency::WithKey) => {
-            in_time.min(first.sent_at + class.idempotency_window - START_MARGIN)
-        }
+        (Some(first), _) => in_time.min(first.sent_at + class.idempotency_window - START_MARGIN),
     }
 }
 
--- a/crates/delivery-control/src/subscription.rs
+++ b/crates/delivery-control/src/subscription.rs
@@ -1,23 +1,12 @@
 //! When to subscribe to changes of the endpoint list: at the start and again after errors, with backoff.
 
-use serde::{Deserialize, Serialize};
+use crate::model::{Context, Subscription, SECOND};
+use crate::{retry::jittered, DiscoveryMode, Micros, UpdateKind};
 
-use crate::jitter::jittered;
-use crate::model::{Context, SECOND};
-use crate::{DiscoveryMode, Micros, UpdateKind};
-
-/// Backoff after the first failure; it doubles so many times at most.
-const INITIAL_BACKOFF: Micros = SECOND;
-const MAX_DOUBLINGS: u32 = 3;
+const INITIAL_BACKOFF: Micros = SECOND; // After the first failure
+const MAX_DOUBLINGS: u32 = 3; // Of the backoff, with each further failure
 const ANSWER_TIMEOUT: Micros = 10 * SECOND; // How long the answer may take
 
-/// The subscription of a sender that gets endpoint lists on a subscription only.
-#[derive(Default, Clone, Serialize, Deserialize)]
-pub(crate) struct Subscription {
-    next_attempt_at: Option<Micros>,
-    failures: u32,
-}
-
 impl Subscription {
     pub fn new(mode: DiscoveryMode) -> Self {
         Self { next_attempt_at: (mode == DiscoveryMode::Subscribe).then_some(Micros::MIN), failures: 0 }
@@ -25,18 +14,13 @@
 
     /// Takes in that an update arrived or failed. A list from the disk says nothing of the subscription.
     pub fn record_update(&mut self, context: Context, update: UpdateKind, random: &mut fastrand::Rng) {
-        match update {
-            UpdateKind::Failed => {
-                let backoff = jittered(INITIAL_BACKOFF << self.failures, random);
-                let is_needed = context.settings.discovery == DiscoveryMode::Subscribe;
-                self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
-                self.next_attempt_at = is_needed.then_some(context.now + backoff);
-            }
-            UpdateKind::Cached => {}
-            UpdateKind::Delta | UpdateKind::Snapshot => {
-                self.next_attempt_at = None;
-                self.failures = 0;
-            }
+        if update == UpdateKind::Failed {
+            let backoff = jittered(INITIAL_BACKOFF << self.failures, random);
+            let is_needed = context.settings.discovery == DiscoveryMode::Subscribe;
+            self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
+            self.next_attempt_at = is_needed.then_some(context.now + backoff);
+        } else if update != UpdateKind::Cached {
+            *self = Self::default();
         }
     }
 
@@ -48,8 +32,4 @@
         }
         is_due
     }
-
-    pub fn next_attempt_at(&self) -> Option<Micros> {
-        self.next_attempt_at
-    }
 }
--- a/crates/delivery-control/src/turn.rs
+++ b/crates/delivery-control/src/turn.rs
@@ -1,13 +1,8 @@
 //! One turn: in which order the policies decide, and what the end of an attempt or a message changes.
 
-use crate::admission::TenantQuotas;
-use crate::dispatch::Dispatcher;
-use crate::jitter::{jitter_factor, jittered};
-use crate::model::{AttemptKey, AttemptResult, Context};
-use crate::outlier_detection::OutlierDetection;
-use crate::rate_limit::RareCallRate;
-use crate::state::State;
-use crate::subscription::Subscription;
+use crate::model::{AttemptKey, AttemptResult, Context, RareCallRate, State, Subscription, TenantQuotas};
+use crate::retry::{jitter_factor, jittered};
+use crate::{dispatch::Dispatcher, outlier_detection::OutlierDetection};
 use crate::{endpoints, ordering, retry, Action, AmbiguousAttempt, AttemptEnd, AttemptOutcome};
 use crate::{EndpointEntry, MessageId, MessageSubmission, Micros, UpdateKind};
 
@@ -34,7 +29,7 @@
             self.give_up(shed.id, shed.retry_after);
         }
         let next_cancellation = self.dispatcher().run();
-        let due = [self.subscription.next_attempt_at(), next_response_check, next_cancellation];
+        let due = [self.subscription.next_attempt_at, next_response_check, next_cancellation];
         due.into_iter().chain(self.state.next_due()).flatten().min()
     }
 
