--- a/crates/delivery-control/src/cancellation.rs
+++ b/crates/delivery-control/src/cancellation.rs
@@ -1,7 +1,7 @@
 //! Which call is cancelled when others wait for its permit.
 
 use crate::model::{Attempt, StuckAttempt, View};
-use crate::{Idempotency, MessageId, Micros};
+use crate::{MessageId, Micros};
 
 const LATE_LATENCIES: f64 = 10.0; // An overtaken call is late after so many usual answer times
 const MIN_LATE: Micros = 200_000; // And this time at least
@@ -33,8 +33,7 @@
         let late = MIN_LATE.max((endpoint.latency * LATE_LATENCIES) as Micros);
         let response_timeout = endpoint.response_timeout();
         let time = if is_overtaken { late.min(response_timeout) } else { response_timeout };
-        let is_unrepeatable =
-            message.is_some_and(|message| self.context.class(message).idempotency == Idempotency::Never);
+        let is_unrepeatable = message.is_some_and(|message| self.context.is_unrepeatable(message));
         let factor = if is_unrepeatable { UNREPEATABLE_FACTOR } else { 1 };
         Some(attempt.sent_at + factor * time)
     }
--- a/crates/delivery-control/src/eligibility.rs
+++ b/crates/delivery-control/src/eligibility.rs
@@ -72,13 +72,13 @@
     /// Whether a message that may not be repeated leaves the probe to one that may and waits for the same
     /// destination: a probe that fails costs that one little, but ends the other.
     fn leaves_probe(&self, message: &Message) -> bool {
-        if self.context.class(message).idempotency != Idempotency::Never {
+        if !self.context.is_unrepeatable(message) {
             return false;
         }
         let destination = self.state.endpoints.destination(message.destination);
         destination.into_iter().flat_map(|destination| &destination.waiting).any(|id| {
             let other = &self.state.messages[*id];
-            self.context.class(other).idempotency != Idempotency::Never
+            !self.context.is_unrepeatable(other)
                 && other.order_key.is_none()
                 && other.ready_at <= self.context.now
         })
--- a/crates/delivery-control/src/endpoints.rs
+++ b/crates/delivery-control/src/endpoints.rs
@@ -4,18 +4,12 @@
 use crate::model::{Context, Ejection, Endpoint, Health, RateLimit, RouteKey, State, View, SECOND};
 use crate::{EndpointEntry, EndpointId, ListingState, MaintenanceCommand, Micros, UpdateKind};
 
-/// Latency assumed of an endpoint that has not answered yet, in µs.
-pub(crate) const UNKNOWN_LATENCY: f64 = 400_000.0;
+pub(crate) const UNKNOWN_LATENCY: f64 = 400_000.0; // In µs; assumed of an endpoint that has not answered yet
 const DEPARTED_OUTAGE_MEMORY: Micros = 60 * SECOND; // Nothing ends the outage of what gets no calls
 
 /// Takes in an endpoint list, or changes to it.
-pub(crate) fn apply_update(
-    context: Context,
-    state: &mut State,
-    update: UpdateKind,
-    entries: &[EndpointEntry],
-) {
-    if update != UpdateKind::Delta {
+pub(crate) fn update(context: Context, state: &mut State, kind: UpdateKind, entries: &[EndpointEntry]) {
+    if kind != UpdateKind::Delta {
         state.endpoints.clear_listing(context.now);
     }
     for entry in entries {
--- a/crates/delivery-control/src/health.rs
+++ b/crates/delivery-control/src/health.rs
@@ -3,9 +3,8 @@
 use crate::model::{Context, Endpoint, Health, SECOND};
 use crate::Micros;
 
-/// No answer for so many usual answer times, and this time at least, is no response.
-const UNRESPONSIVE_LATENCIES: f64 = 6.0;
-const MIN_UNRESPONSIVE: Micros = 1_500_000;
+const UNRESPONSIVE_LATENCIES: f64 = 6.0; // Unresponsive: no answer for so many usual answer times
+const MIN_UNRESPONSIVE: Micros = 1_500_000; // And for this time at least
 const COLD_AFTER: Micros = 3 * SECOND; // Without a delivery for this long, an outage leaves an endpoint cold
 const MAX_QUIET: Micros = 10 * SECOND; // An outage is not taken to have begun long before it was found
 
@@ -20,13 +19,11 @@
         self.quiet_time(now) >= COLD_AFTER
     }
 
-    /// When an outage that is found now began. Where calls are rare, halfway since the last delivery on average.
+    /// When an outage that is found now began. Where calls are rare, that is halfway since the last delivery
+    /// on average.
     pub fn outage_start(&self, now: Micros) -> Micros {
-        if self.is_quiet(now) {
-            now - self.quiet_time(now) / 2
-        } else {
-            now
-        }
+        let undetected = if self.is_quiet(now) { self.quiet_time(now) / 2 } else { 0 };
+        now - undetected
     }
 
     /// A call without an answer for this long means that the endpoint is unresponsive.
--- a/crates/delivery-control/src/model/endpoint.rs
+++ b/crates/delivery-control/src/model/endpoint.rs
@@ -113,6 +113,13 @@
         self.idle_connections.push(now);
     }
 
+    /// Notes a delivery, and how much it changes the average latency.
+    pub fn record_delivery(&mut self, now: Micros, latency_change: f64) {
+        self.latency += latency_change;
+        self.consecutive_failures = 0;
+        self.delivered_at = Some(now);
+    }
+
     /// Whether a connection is idle and has not been closed.
     pub fn has_idle_connection(&self, now: Micros, idle_limit: Micros) -> bool {
         self.idle_connections.iter().any(|since| now - since < idle_limit)
--- a/crates/delivery-control/src/model/mod.rs
+++ b/crates/delivery-control/src/model/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use wake_ups::WakeUps;
 
 use crate::ids::Micros;
-use crate::settings::{MessageClass, Settings};
+use crate::settings::{Idempotency, MessageClass, Settings};
 
 /// One second.
 pub(crate) const SECOND: Micros = 1_000_000;
@@ -41,6 +41,11 @@
         &self.settings.classes[message.class]
     }
 
+    /// Whether the message may be sent once only.
+    pub fn is_unrepeatable(&self, message: &Message) -> bool {
+        self.class(message).idempotency == Idempotency::Never
+    }
+
     /// Number of senders in the fleet, as a factor.
     pub fn sender_count(&self) -> f64 {
         f64::from(self.settings.sender_count)
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -1,10 +1,8 @@
 //! Outlier detection: failing and unresponsive endpoints are ejected, probed, and start slowly once a probe
 //! is delivered. Also hands each result to the route's rate limit.
 
-use crate::model::{
-    AttemptResult, CallId, Context, Ejection, Health, Rejection, SlowStart, State, View, SECOND,
-};
-use crate::{retry::jittered, AttemptOutcome, EndpointId, Micros};
+use crate::model::{AttemptResult, CallId, Context, Ejection, Health, Rejection, SlowStart, State, View};
+use crate::{model::SECOND, retry::jittered, AttemptOutcome, EndpointId, Micros};
 
 const LATENCY_GAIN: f64 = 0.2; // Weight of a new answer time in the moving average
 const OUTAGE_FAILURES: u32 = 3; // Failures in a row that mean an outage; one, with no delivery of late
@@ -28,6 +26,7 @@
     pub fn record_result(&mut self, result: &AttemptResult, rare_call_factor: f64) {
         let chance = self.random.f64();
         let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
+        let route = endpoint.route;
         let was_ejected = endpoint.health.is_ejected();
         if result.is_answer() {
             endpoint.record_answer(self.context.now);
@@ -38,16 +37,20 @@
             AttemptOutcome::Cancelled | AttemptOutcome::NotSent => false,
             _ => self.record_failure(result),
         };
-        if is_outage || was_ejected {
-            self.eject(result.endpoint, Some(result.call), result.retry_after);
+        if !is_outage && !was_ejected {
+            return;
         }
+        if result.outcome == AttemptOutcome::Rejected {
+            for id in self.state.endpoints.on_route(route) {
+                self.eject(id, Some(result.call), result.retry_after);
+            }
+        }
+        self.eject(result.endpoint, Some(result.call), result.retry_after);
     }
 
-    /// Takes in a rejection; one that looks like an outage ejects all endpoints of the route.
+    /// Takes in a rejection; returns whether it looks like an outage, which is one of the whole route.
     fn record_rejection(&mut self, result: &AttemptResult, rare_call_factor: f64, chance: f64) -> bool {
         let endpoint = &self.state.endpoints[result.endpoint];
-        let route = endpoint.route;
-        let was_ejected = endpoint.health.is_ejected();
         let rejection = Rejection {
             retry_after: result.retry_after,
             sender_count: self.context.sender_count(),
@@ -55,14 +58,8 @@
             assured_demand: self.view().assured_demand(endpoint),
             chance,
         };
-        let rate_limit = self.state.endpoints.rate_limit_mut(route);
-        let is_outage = rate_limit.record_rejection(self.context.now, &rejection);
-        if is_outage || was_ejected {
-            for id in self.state.endpoints.on_route(route) {
-                self.eject(id, Some(result.call), result.retry_after);
-            }
-        }
-        is_outage
+        let route = endpoint.route;
+        self.state.endpoints.rate_limit_mut(route).record_rejection(self.context.now, &rejection)
     }
 
     /// Counts a failure; returns whether it looks like an outage.
@@ -108,44 +105,45 @@
         }
     }
 
-    /// A delivery ends an ejection; after a confirmed outage the endpoint is cold and starts slowly.
+    /// A delivery raises the rate, and ends an ejection.
     fn record_delivery(&mut self, result: &AttemptResult) {
         let now = self.context.now;
         let endpoint = &self.state.endpoints[result.endpoint];
         let route = endpoint.route;
-        let outage = endpoint.health.ejection().map_or(0, |ejection| now - ejection.since);
-        let view = self.view();
-        let competing_senders = view.competing_senders(endpoint, outage);
-        let assured_demand = view.assured_demand(endpoint);
-        let interval = view.slow_start_interval(endpoint, 0, competing_senders);
-        // The first call falls by chance: the admissible rate of one sender among many is far below a call.
-        let next_call_at = now + (interval as f64 * self.random.f64()) as Micros;
+        let assured_demand = self.view().assured_demand(endpoint);
+        let slow_start = self.slow_start(result.endpoint);
         let sender_count = self.context.sender_count();
         let rate_limit = self.state.endpoints.rate_limit_mut(route);
         rate_limit.record_success(now, assured_demand, sender_count);
         rate_limit.apply_load_report(now, sender_count, self.random);
         let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
-        let latency = (now - result.sent_at) as f64;
-        endpoint.latency += LATENCY_GAIN * (latency - endpoint.latency);
-        endpoint.consecutive_failures = 0;
         let is_cold = endpoint.is_quiet(now);
-        endpoint.delivered_at = Some(now);
+        endpoint.record_delivery(now, LATENCY_GAIN * ((now - result.sent_at) as f64 - endpoint.latency));
         let Health::Ejected(ejection) = &mut endpoint.health else { return };
         if !ejection.confirmed || !is_cold {
             endpoint.health = Health::Healthy;
-        } else if result.sent_at < ejection.since {
-            // Sent before the outage: only a reason for an early probe.
-            if ejection.probe.is_none() {
-                ejection.next_probe_at = now;
-            }
-        } else {
-            endpoint.health = Health::SlowStart(SlowStart { since: now, competing_senders, next_call_at });
+        } else if result.sent_at >= ejection.since {
+            endpoint.health = Health::SlowStart(slow_start);
             // Rejections of an outage say nothing of the limit: from here on slow start sets the rate.
             // Covers hangs and queues that filled in them; may hurt where rejected calls use up a limit.
             self.state.endpoints.rate_limit_mut(route).forget_rate();
+        } else if ejection.probe.is_none() {
+            ejection.next_probe_at = now; // Sent before the outage: only a reason for an early probe
         }
     }
 
+    /// The slow start of an endpoint that comes back now, and may be cold.
+    fn slow_start(&mut self, id: EndpointId) -> SlowStart {
+        let now = self.context.now;
+        let endpoint = &self.state.endpoints[id];
+        let outage = endpoint.health.ejection().map_or(0, |ejection| now - ejection.since);
+        let competing_senders = self.view().competing_senders(endpoint, outage);
+        let interval = self.view().slow_start_interval(endpoint, 0, competing_senders);
+        // The first call falls by chance: the admissible rate of one sender among many is far below a call.
+        let next_call_at = now + (interval as f64 * self.random.f64()) as Micros;
+        SlowStart { since: now, competing_senders, next_call_at }
+    }
+
     /// Ejects endpoints that leave calls without an answer, well before time-outs: such calls must not take
     /// all permits. Returns when to look again.
     pub fn detect_unresponsive(&mut self) -> Option<Micros> {
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -59,7 +59,7 @@
     let max_attempts = context.settings.limits.max_attempts;
     let attempts = SHARED_ATTEMPTS.min(max_attempts).saturating_sub(message.sent_attempts).max(1);
     let usual = (endpoint.latency * TIMEOUT_LATENCIES) as Micros;
-    let span = if context.class(message).idempotency == Idempotency::Never {
+    let span = if context.is_unrepeatable(message) {
         left
     } else if endpoint.health.is_ejected() {
         usual.clamp(MIN_TIMEOUT / 2, 2 * MIN_TIMEOUT)
--- a/crates/delivery-control/src/turn.rs
+++ b/crates/delivery-control/src/turn.rs
@@ -44,7 +44,7 @@
     pub fn update_endpoints(&mut self, update: UpdateKind, entries: &[EndpointEntry]) {
         self.subscription.record_update(self.context, update, self.random);
         if update != UpdateKind::Failed {
-            endpoints::apply_update(self.context, self.state, update, entries);
+            endpoints::update(self.context, self.state, update, entries);
         }
     }
 
@@ -104,8 +104,7 @@
 
     /// Removes a message that has its final answer, or needs none.
     pub fn remove(&mut self, id: MessageId) {
-        let key = self.state.remove(id).and_then(|message| message.order_key);
-        if let Some(key) = key {
+        if let Some(key) = self.state.remove(id).and_then(|message| message.order_key) {
             ordering::advance(self.context, self.state, &key, id);
         }
     }
