--- a/crates/delivery-control/src/admission.rs
+++ b/crates/delivery-control/src/admission.rs
@@ -61,8 +61,8 @@
 
 impl View<'_> {
     /// When the buffer is nearly full: the message with the least value left by the time it could be
-    /// delivered, lest messages for healthy destinations find no room. May hurt when a long outage is about to
-    /// end. Messages that may have taken effect, or waited through a restart, stay.
+    /// delivered, lest messages for healthy destinations find no room. May hurt when a long outage is about
+    /// to end. Messages that may have taken effect, or waited through a restart, stay.
     pub fn next_to_shed(&self) -> Option<Shed> {
         let messages = &self.state.messages;
         let most = (self.context.settings.limits.buffer_capacity as f64 * SHED_FILL) as usize;
--- a/crates/delivery-control/src/estimates.rs
+++ b/crates/delivery-control/src/estimates.rs
@@ -4,7 +4,7 @@
 use crate::model::{Destination, Endpoint, Health, RateLimit, View, SECOND};
 use crate::Micros;
 
-const SLOW_START_SHARE: f64 = 0.9; // Part of the allowed overload that slow start uses; the rest is for chance
+const SLOW_START_SHARE: f64 = 0.9; // Part of the allowed overload for slow start; the rest is for chance
 const LIMITED_CAPACITY: f64 = 2.5; // With a known limit: at most so many times the demand
 const UNLIMITED_CAPACITY: f64 = 1.05; // Without: little more than the demand, which it has kept up with
 const MIN_CAPACITY: f64 = 0.5; // Calls per second that any destination is taken to serve
