--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -31,6 +31,7 @@
         Ok(Self {
             random: fastrand::Rng::with_seed(seed),
             quotas: TenantQuotas::new(settings.tenants.len()),
+            rare_call_rate: RareCallRate::new(),
             subscription: Subscription::new(settings.discovery),
             settings,
             ..Self::default()
--- a/crates/delivery-control/src/diagnostics.rs
+++ b/crates/delivery-control/src/diagnostics.rs
@@ -73,7 +73,7 @@
     let health = endpoint.health_now(view.context);
     let in_flight = view.state.in_flight.calls_to(id);
     let rate_limit = view.state.endpoints.rate_limit(endpoint.route).cloned().unwrap_or_default();
-    let rate = rate_limit.rate();
+    let rate = rate_limit.rate;
     let listed = rate_limit.listed_limit();
     let sent = rate_limit.sent_within(now, SECOND);
     let retry_after_us = (rate_limit.retry_after_until() - now).max(0);
--- a/crates/delivery-control/src/endpoints.rs
+++ b/crates/delivery-control/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! Which endpoints are available: what is listed, what an operator drained, and what is remembered of
 //! endpoints that departed.
 
-use crate::model::{Context, Ejection, Endpoint, Health, RateLimit, RouteKey, State, View, SECOND};
+use crate::model::{Context, Ejection, Endpoint, Health, RateLimit, RouteKey, State, SECOND};
 use crate::{EndpointEntry, EndpointId, ListingState, MaintenanceCommand, Micros, UpdateKind};
 
 pub(crate) const UNKNOWN_LATENCY: f64 = 400_000.0; // In µs; assumed of an endpoint that has not answered yet
@@ -64,22 +64,20 @@
 /// drain must be remembered.
 fn forget_departed(context: Context, state: &mut State) {
     for (id, since) in state.endpoints.departed() {
-        if !state.view(context).must_remember(id, since) {
+        if !must_remember(context, state, id, since) {
             state.endpoints.remove(id);
         }
     }
     state.endpoints.drop_unused_destinations();
 }
 
-impl View<'_> {
-    fn must_remember(&self, id: EndpointId, departed_at: Micros) -> bool {
-        let Some(endpoint) = self.state.endpoints.get(id) else { return false };
-        let retry_after_until = self.rate_limit_of(endpoint).map_or(0, RateLimit::retry_after_until);
-        let is_ill = endpoint.health_now(self.context) != Health::Healthy;
-        retry_after_until > self.context.now
-            || (is_ill && self.context.now - departed_at < DEPARTED_OUTAGE_MEMORY)
-            || endpoint.listing != ListingState::Removed
-            || self.state.endpoints.is_manually_drained(id)
-            || self.state.in_flight.has_attempt_to(id)
-    }
+fn must_remember(context: Context, state: &State, id: EndpointId, departed_at: Micros) -> bool {
+    let Some(endpoint) = state.endpoints.get(id) else { return false };
+    let rate_limit = state.endpoints.rate_limit(endpoint.route);
+    let is_ill = endpoint.health_now(context) != Health::Healthy;
+    rate_limit.is_some_and(|limit| limit.retry_after_until() > context.now)
+        || (is_ill && context.now - departed_at < DEPARTED_OUTAGE_MEMORY)
+        || endpoint.listing != ListingState::Removed
+        || state.endpoints.is_manually_drained(id)
+        || state.in_flight.has_attempt_to(id)
 }
--- a/crates/delivery-control/src/estimates.rs
+++ b/crates/delivery-control/src/estimates.rs
@@ -103,7 +103,7 @@
                 self.slow_start_interval(endpoint, elapsed, start.competing_senders) as f64 * backlog
             }
             Health::Healthy => {
-                let rate = self.rate_limit_of(endpoint).and_then(RateLimit::rate);
+                let rate = self.rate_limit_of(endpoint).and_then(|limit| limit.rate);
                 rate.map_or(0.0, |rate| SECOND as f64 / rate) * backlog
             }
         }
--- a/crates/delivery-control/src/model/rate_limit.rs
+++ b/crates/delivery-control/src/model/rate_limit.rs
@@ -60,15 +60,6 @@
         self.listed_limit = limit;
     }
 
-    /// Calls per second of this sender; unlimited if absent.
-    pub fn rate(&self) -> Option<f64> {
-        self.rate
-    }
-
-    pub fn forget_rate(&mut self) {
-        self.rate = None;
-    }
-
     /// Takes in a report; one without a limit, or with impossible figures, says nothing.
     pub fn record_load_report(&mut self, report: Option<LoadReport>) {
         let figures = report.and_then(|report| Some((report.limit?, report.limit_remaining?)));
@@ -78,32 +69,15 @@
         }
     }
 
-    /// The limit of all senders as reported last, or else as listed, in calls per second.
-    pub fn limit(&self) -> Option<f64> {
-        self.reported.map(|reported| reported.limit).or(self.listed_limit)
-    }
-
     /// Calls made in the latest `span`.
     pub fn sent_within(&self, now: Micros, span: Micros) -> f64 {
         self.sent.iter().filter(|at| now - **at <= span).count() as f64
     }
 }
 
-/// Learns, over all routes, how low a rate a first rejection calls for where calls are rare.
-#[derive(Clone, Serialize, Deserialize)]
+/// What was learned, over all routes, of how low a rate a first rejection calls for where calls are rare.
+#[derive(Default, Clone, Serialize, Deserialize)]
 pub(crate) struct RareCallRate {
-    pub factor: f64,
-}
-
-impl Default for RareCallRate {
-    fn default() -> Self {
-        Self { factor: crate::rate_limit::INITIAL_RARE_CALL_FACTOR }
-    }
-}
-
-impl RareCallRate {
     /// Calls per second that a first rejection leaves for each call in the history.
-    pub fn factor(&self) -> f64 {
-        self.factor
-    }
+    pub factor: f64,
 }
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -126,7 +126,7 @@
             endpoint.health = Health::SlowStart(slow_start);
             // Rejections of an outage say nothing of the limit: from here on slow start sets the rate.
             // Covers hangs and queues that filled in them; may hurt where rejected calls use up a limit.
-            self.state.endpoints.rate_limit_mut(route).forget_rate();
+            self.state.endpoints.rate_limit_mut(route).rate = None;
         } else if ejection.probe.is_none() {
             ejection.next_probe_at = now; // Sent before the outage: only a reason for an early probe
         }
--- a/crates/delivery-control/src/rate_limit.rs
+++ b/crates/delivery-control/src/rate_limit.rs
@@ -21,7 +21,7 @@
 const OUTAGE_RETRY_AFTER: Micros = 3 * SECOND; // No rate limit asks for so long a Retry-After: an outage
 /// Calls per second that a first rejection leaves for each call in the history, where calls are rare. It is
 /// adapted: lower when a retry after a rejection is rejected again, higher when it is delivered.
-pub(crate) const INITIAL_RARE_CALL_FACTOR: f64 = 0.125;
+const INITIAL_RARE_CALL_FACTOR: f64 = 0.125;
 const MIN_RARE_CALL_FACTOR: f64 = 0.03;
 const MAX_RARE_CALL_FACTOR: f64 = 0.5;
 const RARE_CALL_DECREASE: f64 = 0.8;
@@ -29,6 +29,11 @@
 const YIELD_SHARE: f64 = 0.8; // Part of such a rate's interval for which a rejected message lets others go
 
 impl RateLimit {
+    /// The limit of all senders as reported last, or else as listed, in calls per second.
+    pub fn limit(&self) -> Option<f64> {
+        self.reported.map(|reported| reported.limit).or(self.listed_limit())
+    }
+
     /// This sender's fair share of the limit.
     pub fn fair_share(&self, sender_count: f64) -> Option<f64> {
         self.limit().map(|limit| limit / sender_count)
@@ -152,6 +157,10 @@
 }
 
 impl RareCallRate {
+    pub fn new() -> Self {
+        Self { factor: INITIAL_RARE_CALL_FACTOR }
+    }
+
     /// Takes in how the retry of a rejected message ended.
     pub fn record_retry(&mut self, outcome: AttemptOutcome) {
         let step = match outcome {
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -17,6 +17,7 @@
 const START_MARGIN: Micros = 50_000; // An attempt that starts later than this before its limit has no chance
 pub(crate) const EXPIRED_RETRY_AFTER: Micros = 3 * SECOND; // Advice to clients whose message's time is up
 const MAX_RECOVERY_INTERVAL: Micros = 600_000; // Between recovered messages, also without a listed rate
+const YIELD_DIVISOR: f64 = 3.0; // A rejected message waits for no more than this part of its time left
 const UNKNOWN_PAST: Micros = Micros::MIN / 4; // Before any window, and far from overflow
 
 /// Random factor by which a wait is stretched.
@@ -44,15 +45,6 @@
     }
 }
 
-/// When the message must end unless it is delivered before.
-pub(crate) fn end_due(context: Context, message: &Message) -> Micros {
-    if message.in_flight {
-        message.deadline - context.settings.turn_interval
-    } else {
-        latest_start(context, message)
-    }
-}
-
 /// Time-out of the message's next attempt.
 pub(crate) fn timeout(context: Context, message: &Message, endpoint: &Endpoint) -> Micros {
     let left = message.deadline - context.now - 2 * context.settings.turn_interval;
@@ -103,7 +95,7 @@
 /// Has a rejected message leave room for first attempts, on other routes too: for `interval` at most, and
 /// while it loses little value by waiting.
 pub(crate) fn yield_to_others(context: Context, message: &mut Message, interval: f64, jitter: f64) {
-    let longest = (message.deadline - context.now) as f64 / 3.0;
+    let longest = (message.deadline - context.now) as f64 / YIELD_DIVISOR;
     let interval = interval.min(longest) * jitter;
     let value_after = |span: Micros| value_at(context, message, context.now + span);
     let value_kept = value_after(interval as Micros) / value_after(0).max(f64::MIN_POSITIVE);
--- a/crates/delivery-control/src/turn.rs
+++ b/crates/delivery-control/src/turn.rs
@@ -79,7 +79,7 @@
         self.state.record_limits(self.context, &attempt, end);
         let result = AttemptResult::new(&attempt, end, self.state.endpoints.get(attempt.endpoint));
         if self.state.in_flight.record_outcome(attempt.call) {
-            let rare_call_factor = self.rare_call_rate.factor();
+            let rare_call_factor = self.rare_call_rate.factor;
             self.outlier_detection().record_result(&result, rare_call_factor);
         }
         ordering::record_attempt_end(self.context, self.state, &attempt, end);
@@ -122,7 +122,9 @@
         while let Some(id) = self.state.messages.take_due_end_check(self.context.now) {
             let message = self.state.messages.get(id).filter(|message| !message.streaming);
             let Some(message) = message else { continue };
-            let due = retry::end_due(self.context, message);
+            let last_answer = message.deadline - self.context.settings.turn_interval;
+            let due =
+                if message.in_flight { last_answer } else { retry::latest_start(self.context, message) };
             if due <= self.context.now {
                 self.give_up(id, retry::EXPIRED_RETRY_AFTER);
             } else {
