--- a/crates/delivery-control/src/endpoints.rs
+++ b/crates/delivery-control/src/endpoints.rs
@@ -74,9 +74,9 @@
 fn must_remember(context: Context, state: &State, id: EndpointId, departed_at: Micros) -> bool {
     let Some(endpoint) = state.endpoints.get(id) else { return false };
     let rate_limit = state.endpoints.rate_limit(endpoint.route);
-    let is_ill = endpoint.health_now(context) != Health::Healthy;
+    let is_unhealthy = endpoint.health_now(context) != Health::Healthy;
     rate_limit.is_some_and(|limit| limit.retry_after_until() > context.now)
-        || (is_ill && context.now - departed_at < DEPARTED_OUTAGE_MEMORY)
+        || (is_unhealthy && context.now - departed_at < DEPARTED_OUTAGE_MEMORY)
         || endpoint.listing != ListingState::Removed
         || state.endpoints.is_manually_drained(id)
         || state.in_flight.has_attempt_to(id)
--- a/crates/delivery-control/src/estimates.rs
+++ b/crates/delivery-control/src/estimates.rs
@@ -1,12 +1,12 @@
-//! Estimates from what this sender sees: the demand of all senders, the capacity of an endpoint, the pace of
-//! a slow start, and how long a destination takes to catch up.
+//! Estimates from what this sender sees: the demand of all senders, the capacity of an endpoint, the call
+//! interval of a slow start, and how long a destination takes to catch up.
 
 use crate::model::{Destination, Endpoint, Health, RateLimit, View, SECOND};
 use crate::Micros;
 
 const SLOW_START_SHARE: f64 = 0.9; // Part of the allowed overload for slow start; the rest is for chance
 const LIMITED_CAPACITY: f64 = 2.5; // With a known limit: at most so many times the demand
-const UNLIMITED_CAPACITY: f64 = 1.05; // Without: little more than the demand, which it has kept up with
+const UNLIMITED_CAPACITY: f64 = 1.05; // Without: little more than the demand, which it has met so far
 const MIN_CAPACITY: f64 = 0.5; // Calls per second that any destination is taken to serve
 const DEMAND_PRIOR: f64 = 1.0; // Messages of an average destination that a new count starts with
 const DEMAND_SPAN: Micros = 5 * SECOND; // A clump must not pass for steady demand
@@ -48,7 +48,7 @@
         own.min(fair_share.unwrap_or(f64::MAX))
     }
 
-    /// Senders that hold messages for an endpoint after an outage of `span`.
+    /// Senders that have messages buffered for an endpoint after an outage of `span`.
     pub fn competing_senders(&self, endpoint: &Endpoint, span: Micros) -> f64 {
         (self.demand(endpoint) * span as f64 / SECOND as f64).clamp(1.0, self.context.sender_count())
     }
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -74,8 +74,8 @@
         endpoint.consecutive_failures >= enough
     }
 
-    /// Ejects an endpoint, or keeps it ejected after a failed probe: its messages are held, not spent, and
-    /// one probe at a time goes there, at growing intervals. `call` has failed or was rejected, if any.
+    /// Ejects an endpoint, or keeps it ejected after a failed probe: its messages stay buffered, and one
+    /// probe at a time goes there, at growing intervals. `call` has failed or was rejected, if any.
     /// Many senders with a message each would overload what comes back, or use up a limit that counts
     /// rejections: the probes of all keep to the rate of a slow start. May hurt where few of them wait.
     fn eject(&mut self, id: EndpointId, call: Option<CallId>, retry_after: Micros) {
--- a/crates/delivery-control/src/rate_limit.rs
+++ b/crates/delivery-control/src/rate_limit.rs
@@ -102,8 +102,8 @@
             if self.has_low_remaining() { floored } else { self.increased(now, floored, assured_demand) };
         let increased = grown.max(self.reported_rate(sender_count));
         // The interval that runs shrinks too: at a low rate, it lasts for seconds.
-        let rest = (self.next_permit_at - now) as f64 * rate / increased;
-        self.next_permit_at = self.next_permit_at.min(now + rest as Micros);
+        let remaining = (self.next_permit_at - now) as f64 * rate / increased;
+        self.next_permit_at = self.next_permit_at.min(now + remaining as Micros);
         self.rate = Some(increased);
     }
 
