--- /dev/null
+++ b/crates/delivery-control/src/dispatch.rs
@@ -0,0 +1,172 @@
+//! Which message goes next, and to which endpoint.
+
+use crate::model::{CallId, Candidate, Choice, Context, Eligibility, Health, Message};
+use crate::model::{State, View, SECOND};
+use crate::{admission::value_at, endpoints::UNKNOWN_LATENCY, retry};
+use crate::{Action, DestinationId, EndpointId, MessageId, Micros};
+
+const COST_LATENCY: f64 = 20e6; // Answer time in µs that a unit of cost weighs in the choice
+const FAILURE_LATENCY: f64 = 4e6; // Answer time in µs that a failure in a row weighs in the choice
+/// Time in µs for which a message is taken to use its permit, where no endpoint is available, and at least.
+const MAX_PERMIT_TIME: f64 = 10.0 * UNKNOWN_LATENCY;
+const MIN_PERMIT_TIME: f64 = UNKNOWN_LATENCY / 8.0;
+const SLOW_START_CREDIT: Micros = SECOND; // Calls that were not made for this long may be made up for
+
+/// Sends what may be sent.
+pub(crate) struct Dispatcher<'a> {
+    pub context: Context<'a>,
+    pub state: &'a mut State,
+    pub random: &'a mut fastrand::Rng,
+    pub actions: &'a mut Vec<Action>,
+}
+
+impl Dispatcher<'_> {
+    /// Looks at the destinations that something happened to, or whose time or permit has come, and sends what
+    /// may be sent, the most urgent first. Returns when a call may be cancelled for its permit.
+    pub fn run(&mut self) -> Option<Micros> {
+        let limits = &self.context.settings.limits;
+        self.state.wake_ups.release_due(self.context.now);
+        if self.state.in_flight.call_count() < limits.max_in_flight {
+            self.state.wake_ups.release_awaiting_permit();
+        }
+        let mut candidates = Vec::new();
+        for destination in self.state.wake_ups.take_dirty() {
+            self.view().add_candidates(destination, &mut candidates);
+        }
+        candidates.sort_by(|a, b| b.urgency.total_cmp(&a.urgency).then(a.objective_at.cmp(&b.objective_at)));
+        for candidate in candidates {
+            self.dispatch(candidate.id);
+        }
+        let may_free_permit = self.state.wake_ups.is_permit_awaited() && limits.may_cancel;
+        may_free_permit.then(|| self.free_permit()).flatten()
+    }
+
+    fn view(&self) -> View<'_> {
+        self.state.view(self.context)
+    }
+
+    /// Sends a message to the cheapest endpoint that it may go to, or notes when to look again.
+    fn dispatch(&mut self, id: MessageId) {
+        let destination = self.state.messages[id].destination;
+        let choice = self.view().choose(id, destination);
+        if choice.lacks_permit {
+            self.state.wake_ups.await_permit(destination);
+        }
+        if let Some(endpoint) = choice.endpoint {
+            self.send(id, endpoint);
+        } else if let Some(at) = choice.retry_at {
+            self.state.wake_ups.schedule(destination, at);
+        }
+    }
+
+    fn send(&mut self, id: MessageId, to: EndpointId) {
+        let chance = self.random.f64();
+        let message = &self.state.messages[id];
+        let timeout = retry::timeout(self.context, message, &self.state.endpoints[to]);
+        let begin_by = retry::latest_start(self.context, message);
+        let joined = self.state.in_flight.join_batch(to);
+        let call = joined.unwrap_or_else(|| self.start_call(to, chance));
+        self.state.record_attempt(self.context, id, to, call);
+        self.actions.push(Action::Send { id, endpoint: to, timeout, begin_by });
+    }
+
+    fn start_call(&mut self, to: EndpointId, chance: f64) -> CallId {
+        let now = self.context.now;
+        let call = self.state.in_flight.start_call(to, now);
+        let health = self.view().health_after_call(to, call);
+        let Some(endpoint) = self.state.endpoints.get_mut(to) else { return call };
+        endpoint.take_connection(now, self.context.settings.limits.connection_idle);
+        endpoint.health = health;
+        // Probes and calls of a slow start carry one message.
+        let free = if health == Health::Healthy { endpoint.batch_size - 1 } else { 0 };
+        let route = endpoint.route;
+        self.state.in_flight.open_batch(to, call, free);
+        self.state.endpoints.rate_limit_mut(route).record_call(now, chance);
+        call
+    }
+
+    /// Cancels the call that is overdue first, when others wait for its permit; or returns when one will be.
+    fn free_permit(&mut self) -> Option<Micros> {
+        let stuck = self.view().first_stuck_attempt()?;
+        if stuck.overdue_at >= self.context.now {
+            return Some(stuck.overdue_at + 1);
+        }
+        self.state.in_flight.mark_cancelled(stuck.key);
+        self.actions.push(Action::Cancel { id: stuck.key.message, attempt: stuck.key.number });
+        None
+    }
+}
+
+impl View<'_> {
+    fn add_candidates(&self, id: DestinationId, candidates: &mut Vec<Candidate>) {
+        let Some(destination) = self.state.endpoints.destination(id) else { return };
+        let later = self.context.now + self.expected_wait(destination);
+        let latencies = destination.endpoints.iter().map(|id| self.state.endpoints[*id].latency);
+        let permit_time = latencies.fold(MAX_PERMIT_TIME, f64::min).max(MIN_PERMIT_TIME);
+        for &id in &destination.waiting {
+            let message = &self.state.messages[id];
+            let urgency = self.urgency(id, message, later, permit_time);
+            candidates.push(Candidate { id, urgency, objective_at: message.objective_at });
+        }
+    }
+
+    fn urgency(&self, id: MessageId, message: &Message, later: Micros, permit_time: f64) -> f64 {
+        if message.recovered_unattempted {
+            return f64::MAX;
+        }
+        let value = |message, at| value_at(self.context, message, at);
+        let loss = |message| value(message, self.context.now) - value(message, later);
+        // The first of a key holds up all behind it, wherever they go.
+        let followers = self.state.queues.followers(message.order_key.as_ref(), id);
+        let held_up: f64 = followers.filter_map(|id| self.state.messages.get(id)).map(loss).sum();
+        (loss(message) + held_up) / permit_time
+    }
+
+    fn choose(&self, id: MessageId, destination: DestinationId) -> Choice {
+        let mut choice = Choice::default();
+        let mut eligible = Vec::new();
+        for &endpoint in self.state.endpoints.available(destination) {
+            match self.eligibility(id, endpoint) {
+                Eligibility::Now => eligible.push(endpoint),
+                Eligibility::NotBefore(at) => choice.retry_at = Some(choice.retry_at.unwrap_or(at).min(at)),
+                Eligibility::NoPermit => choice.lacks_permit = true,
+                Eligibility::No => {}
+            }
+        }
+        choice.endpoint = eligible.into_iter().min_by(|a, b| self.cost(*a).total_cmp(&self.cost(*b)));
+        choice
+    }
+
+    /// Expected time to an answer in µs, with costs counted as time.
+    fn cost(&self, id: EndpointId) -> f64 {
+        let endpoint = &self.state.endpoints[id];
+        let settings = self.context.settings;
+        let is_connected = endpoint.has_idle_connection(self.context.now, settings.limits.connection_idle);
+        let zone = endpoint.route.endpoint.and(settings.zones.get(endpoint.zone));
+        let fee = zone.map_or(0.0, |zone| zone.fee);
+        let crossing = if endpoint.zone == settings.zone { 0.0 } else { settings.prices.cross_zone };
+        let handshake = if is_connected { 0.0 } else { settings.prices.handshake };
+        let joins_batch = self.state.in_flight.has_batch(id);
+        let queue = if joins_batch { 1.0 } else { 1.0 + self.state.in_flight.calls_to(id) as f64 };
+        let costs = (fee + crossing + handshake) * COST_LATENCY;
+        endpoint.latency * queue + costs + FAILURE_LATENCY * f64::from(endpoint.consecutive_failures)
+    }
+
+    /// The endpoint's health once a call is made: a call to an ejected one is its probe, and each call of a
+    /// slow start puts the next one off.
+    fn health_after_call(&self, to: EndpointId, call: CallId) -> Health {
+        let now = self.context.now;
+        let endpoint = &self.state.endpoints[to];
+        let mut health = endpoint.health_now(self.context);
+        match &mut health {
+            Health::Healthy => {}
+            Health::Ejected(ejection) => ejection.probe = Some(call),
+            Health::SlowStart(start) => {
+                let elapsed = now - start.since;
+                let interval = self.slow_start_interval(endpoint, elapsed, start.competing_senders);
+                start.next_call_at = start.next_call_at.max(now - SLOW_START_CREDIT) + interval;
+            }
+        }
+        health
+    }
+}
--- /dev/null
+++ b/crates/delivery-control/src/subscription.rs
@@ -0,0 +1,35 @@
+//! When to subscribe to changes of the endpoint list: at the start and again after errors, with backoff.
+
+use crate::model::{Context, Subscription, SECOND};
+use crate::{retry::jittered, DiscoveryMode, Micros, UpdateKind};
+
+const INITIAL_BACKOFF: Micros = SECOND; // After the first failure
+const MAX_DOUBLINGS: u32 = 3; // Of the backoff, with each further failure
+const ANSWER_TIMEOUT: Micros = 10 * SECOND; // How long the answer may take
+
+impl Subscription {
+    pub fn new(mode: DiscoveryMode) -> Self {
+        Self { next_attempt_at: (mode == DiscoveryMode::Subscribe).then_some(Micros::MIN), failures: 0 }
+    }
+
+    /// Takes in that an update arrived or failed. A list from the disk says nothing of the subscription.
+    pub fn record_update(&mut self, context: Context, update: UpdateKind, random: &mut fastrand::Rng) {
+        if update == UpdateKind::Failed {
+            let backoff = jittered(INITIAL_BACKOFF << self.failures, random);
+            let is_needed = context.settings.discovery == DiscoveryMode::Subscribe;
+            self.failures = (self.failures + 1).min(MAX_DOUBLINGS);
+            self.next_attempt_at = is_needed.then_some(context.now + backoff);
+        } else if update != UpdateKind::Cached {
+            *self = Self::default();
+        }
+    }
+
+    /// Whether to subscribe now. If so, the next attempt comes when no answer does.
+    pub fn take_due_attempt(&mut self, now: Micros) -> bool {
+        let is_due = self.next_attempt_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.next_attempt_at = Some(now + ANSWER_TIMEOUT);
+        }
+        is_due
+    }
+}
