Report backlogs as typed values, and lint with clippy's pedantic group

Cause: the controller put its reports on late messages together as sentences; only the default lints ran. The adapter's test of the log line now checks the whole text.

--- a/crates/delivery-control/src/action.rs
+++ b/crates/delivery-control/src/action.rs
@@ -1,5 +1,6 @@
 //! What a controller asks its host to do.
 
+use crate::backlog::BacklogReport;
 use crate::ids::{EndpointId, MessageId, Micros};
 
 /// Something to do. Actions are carried out in the order given.
@@ -66,9 +67,6 @@
     },
     /// Fetch the complete endpoint list once.
     FetchList,
-    /// Write a line to the log.
-    Log {
-        /// The text.
-        text: String,
-    },
+    /// Log what holds back messages past their latency objective.
+    ReportBacklog(BacklogReport),
 }
--- a/crates/delivery-control/src/admission.rs
+++ b/crates/delivery-control/src/admission.rs
@@ -78,7 +78,7 @@
                 let is_exempt = message.first_ambiguous.is_some() || message.recovered_unattempted;
                 let is_less = least.as_ref().is_none_or(|least: &Shed| value.total_cmp(&least.value).is_lt());
                 if is_less && !is_exempt {
-                    least = Some(Shed { id, value, retry_after });
+                    least = Some(Shed { id, retry_after, value });
                 }
             }
         }
--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -26,6 +26,9 @@
 
 impl Controller {
     /// Makes a controller; all its random numbers come from `seed`.
+    ///
+    /// # Errors
+    /// Names the setting that is not well formed.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
         Ok(Self {
@@ -39,6 +42,9 @@
     }
 
     /// Continues from the state of another process, whose settings listed the same classes, kinds and so on.
+    ///
+    /// # Errors
+    /// Names the setting that is not well formed.
     pub fn restore(self, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
         Ok(Self { settings, random: fastrand::Rng::with_seed(seed), ..self })
@@ -72,8 +78,8 @@
         }
         let due = turn.decide();
         let view = self.state.view(Context { now, settings: &self.settings });
-        let lines = self.backlog_reporter.report(&view);
-        actions.extend(lines.into_iter().map(|text| Action::Log { text }));
+        let reports = self.backlog_reporter.report(&view);
+        actions.extend(reports.into_iter().map(Action::ReportBacklog));
         if let Some(due) = due {
             self.set_timer(due, actions);
         }
--- a/crates/delivery-control/src/diagnostics.rs
+++ b/crates/delivery-control/src/diagnostics.rs
@@ -1,10 +1,11 @@
-//! Log texts on what holds back messages past their latency objective.
+//! Reports on what holds back messages past their latency objective.
 
 use std::cmp::Reverse;
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Destination, View, SECOND};
+use crate::backlog::{BacklogReport, EndpointHealth};
+use crate::model::{Destination, Health, View, SECOND};
 use crate::{DestinationId, EndpointId, Micros};
 
 /// Reports come no more often than this, so that a long outage doesn't flood the log.
@@ -19,8 +20,8 @@
 }
 
 impl BacklogReporter {
-    /// One line for each endpoint of the reported destinations.
-    pub fn report(&mut self, view: &View) -> Vec<String> {
+    /// One report for each endpoint of the destinations with the longest backlogs.
+    pub fn report(&mut self, view: &View) -> Vec<BacklogReport> {
         let now = view.context.now;
         if now - self.reported_at < REPORT_INTERVAL {
             return Vec::new();
@@ -36,14 +37,14 @@
         }
         self.reported_at = now;
         late.sort_by_key(|(_, destination)| Reverse(destination.waiting.len()));
-        let mut lines = Vec::new();
+        let mut reports = Vec::new();
         for (id, destination) in late.into_iter().take(MAX_REPORTED_DESTINATIONS) {
-            let backlog = describe_backlog(view, id, destination);
+            let backlog = Backlog::of(view, id, destination);
             for endpoint in &destination.endpoints {
-                lines.push(format!("{backlog}; {}", describe_endpoint(view, *endpoint)));
+                reports.push(backlog.report(view, *endpoint));
             }
         }
-        lines
+        reports
     }
 }
 
@@ -52,33 +53,47 @@
     oldest.is_some_and(|id| view.state.messages[*id].objective_at < view.context.now)
 }
 
-fn describe_backlog(view: &View, id: DestinationId, destination: &Destination) -> String {
-    let waiting = destination.waiting.len();
-    let mut in_backoff = 0;
-    let mut behind_others = 0;
-    for id in &destination.waiting {
-        let message = &view.state.messages[*id];
-        in_backoff += usize::from(message.ready_at > view.context.now);
-        behind_others += usize::from(!view.state.queues.is_head(message.order_key.as_ref(), *id));
-    }
-    format!(
-        "latency objective missed: destination {id}, {waiting} waiting, {in_backoff} in backoff, \
-         {behind_others} behind others of their order key"
-    )
+/// The messages that wait for a destination.
+struct Backlog {
+    destination: DestinationId,
+    waiting: usize,
+    in_backoff: usize,
+    behind_others: usize,
 }
 
-fn describe_endpoint(view: &View, id: EndpointId) -> String {
-    let now = view.context.now;
-    let endpoint = &view.state.endpoints[id];
-    let health = endpoint.health_now(view.context);
-    let in_flight = view.state.in_flight.calls_to(id);
-    let rate_limit = view.state.endpoints.rate_limit(endpoint.route).cloned().unwrap_or_default();
-    let rate = rate_limit.rate;
-    let listed = rate_limit.listed_limit();
-    let sent = rate_limit.sent_within(now, SECOND);
-    let retry_after_us = (rate_limit.retry_after_until() - now).max(0);
-    format!(
-        "endpoint {id}, {in_flight} in flight, rate {rate:.1?}, {sent} sent in 1 s, \
-         listed rate limit {listed:.1?}, Retry-After {retry_after_us} us, {health:?}"
-    )
+impl Backlog {
+    fn of(view: &View, id: DestinationId, destination: &Destination) -> Self {
+        let mut in_backoff = 0;
+        let mut behind_others = 0;
+        for id in &destination.waiting {
+            let message = &view.state.messages[*id];
+            in_backoff += usize::from(message.ready_at > view.context.now);
+            behind_others += usize::from(!view.state.queues.is_head(message.order_key.as_ref(), *id));
+        }
+        Self { destination: id, waiting: destination.waiting.len(), in_backoff, behind_others }
+    }
+
+    /// The backlog beside the state of one of the destination's endpoints.
+    fn report(&self, view: &View, id: EndpointId) -> BacklogReport {
+        let now = view.context.now;
+        let endpoint = &view.state.endpoints[id];
+        let rate_limit = view.state.endpoints.rate_limit(endpoint.route).cloned().unwrap_or_default();
+        BacklogReport {
+            destination: self.destination,
+            waiting: self.waiting,
+            in_backoff: self.in_backoff,
+            behind_others: self.behind_others,
+            endpoint: id,
+            in_flight: view.state.in_flight.calls_to(id),
+            rate: rate_limit.rate,
+            sent_last_second: rate_limit.sent_within(now, SECOND),
+            listed_rate_limit: rate_limit.listed_limit(),
+            retry_after: (rate_limit.retry_after_until() - now).max(0),
+            health: match endpoint.health_now(view.context) {
+                Health::Healthy => EndpointHealth::Healthy,
+                Health::Ejected(_) => EndpointHealth::Ejected,
+                Health::SlowStart(_) => EndpointHealth::SlowStart,
+            },
+        }
+    }
 }
--- a/crates/delivery-control/src/lib.rs
+++ b/crates/delivery-control/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod action;
 mod admission;
+mod backlog;
 mod cancellation;
 mod controller;
 mod diagnostics;
@@ -27,6 +28,7 @@
 mod turn;
 
 pub use action::Action;
+pub use backlog::{BacklogReport, EndpointHealth};
 pub use controller::Controller;
 pub use event::{
     AmbiguousAttempt, AttemptEnd, AttemptOutcome, EndpointEntry, Event, ListingState, LoadReport,
--- a/crates/delivery-control/src/settings.rs
+++ b/crates/delivery-control/src/settings.rs
@@ -223,6 +223,9 @@
 
 impl Settings {
     /// Checks that the settings are well formed.
+    ///
+    /// # Errors
+    /// Names the first setting that is not.
     pub fn validate(&self) -> Result<(), SettingsError> {
         if self.classes.is_empty() {
             return Err(SettingsError::NoClasses);
--- a/crates/delivery-control/tests/controller/fleet_slow_start.rs
+++ b/crates/delivery-control/tests/controller/fleet_slow_start.rs
@@ -111,6 +111,6 @@
         let grown = (1.0 - rules.initial_capacity) * at as f64 / rules.warm_up_time as f64;
         (rules.initial_capacity + grown).min(1.0)
     };
-    let mean = (warm_share(from) + warm_share(from + rules.overload_tolerance)) / 2.0;
+    let mean = f64::midpoint(warm_share(from), warm_share(from + rules.overload_tolerance));
     rules.overload_factor * fleet.capacity * mean * rules.overload_tolerance as f64 / SECOND as f64
 }
--- a/crates/delivery-control/tests/module_limits.rs
+++ b/crates/delivery-control/tests/module_limits.rs
@@ -9,8 +9,9 @@
 const CRATE: &str = "crates/delivery-control/src";
 
 /// Files that decide nothing: the public types, the records and containers, log texts.
-const PLAIN_FILES: [&str; 18] = [
+const PLAIN_FILES: [&str; 19] = [
     "action.rs",
+    "backlog.rs",
     "controller.rs",
     "diagnostics.rs",
     "event.rs",
--- a/crates/deployment-config/src/config.rs
+++ b/crates/deployment-config/src/config.rs
@@ -154,6 +154,9 @@
 
     /// The settings in the controller's terms. They say that a message ends as soon as the controller decides
     /// so: in the simulator, notices need no acknowledgement.
+    ///
+    /// # Errors
+    /// Names a value that is none of the known ones.
     pub fn settings(&self) -> Result<Settings, SettingsError> {
         let classes = self.classes.iter().map(ClassConfig::message_class);
         Ok(Settings {
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -148,12 +148,11 @@
         reply: oneshot::Sender<SubmissionReply>,
     ) {
         self.summary.count_rejection(cause, submission.destination);
-        let answer = match cause {
-            RejectionCause::UnknownDestination => SubmissionReply::UnknownDestination,
-            _ => {
-                self.metrics.count_outcome(submission.class, MessageOutcome::Rejected);
-                SubmissionReply::Rejected(UNAVAILABLE_RETRY_AFTER)
-            }
+        let answer = if cause == RejectionCause::UnknownDestination {
+            SubmissionReply::UnknownDestination
+        } else {
+            self.metrics.count_outcome(submission.class, MessageOutcome::Rejected);
+            SubmissionReply::Rejected(UNAVAILABLE_RETRY_AFTER)
         };
         // A client that is gone needs no reply.
         let _ = reply.send(answer);
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use delivery_control::{Action, Event, MessageId, Micros};
+use delivery_control::{Action, BacklogReport, Event, MessageId, Micros};
 
 use super::attempts::AttemptLimits;
 use super::EventLoop;
@@ -46,10 +46,10 @@
             Action::Fail { id } => self.end_with_notice(id, NoticeResult::Failed),
             Action::SetTimer { at, token } => self.timers.set(at, token),
             Action::CloseIdle { endpoint } => self.delivery.close_idle(endpoint),
-            Action::Log { text } => tracing::info!("{text}"),
+            Action::ReportBacklog(report) => log_backlog(&report),
             // The watch runs all the time; endpoints are not probed, and senders exchange no notes.
-            Action::Subscribe { .. } | Action::FetchList => {}
-            Action::Probe { .. } | Action::SendNote { .. } => {}
+            Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::SendNote { .. } => {
+            }
         }
     }
 }
@@ -64,3 +64,21 @@
     }
     rejections
 }
+
+/// Logs why messages for a destination are late.
+fn log_backlog(report: &BacklogReport) {
+    tracing::info!(
+        destination = report.destination,
+        waiting = report.waiting,
+        in_backoff = report.in_backoff,
+        behind_others = report.behind_others,
+        endpoint = report.endpoint,
+        in_flight = report.in_flight,
+        rate = report.rate,
+        sent_last_second = report.sent_last_second,
+        listed_rate_limit = report.listed_rate_limit,
+        retry_after_us = report.retry_after,
+        health = ?report.health,
+        "latency objective missed"
+    );
+}
--- a/crates/message-sender/src/handover/mod.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -7,7 +7,7 @@
 //! # Protocol
 //!
 //! The sender listens on a Unix socket in the state folder. A frame is its length as a little-endian `u32`,
-//! then MessagePack with named fields.
+//! then `MessagePack` with named fields.
 //!
 //! 1. The successor sends [`Hello`](protocol::Hello) with the protocol version that it understands, or with
 //!    none where only the journal is of use to it.
--- a/crates/simulator-adapter/src/outgoing.rs
+++ b/crates/simulator-adapter/src/outgoing.rs
@@ -137,7 +137,7 @@
             },
             Action::Subscribe { on } => Self::Subscribe { instance, on },
             Action::FetchList => Self::FetchList { instance },
-            Action::Log { text } => Self::Log { instance, text },
+            Action::ReportBacklog(report) => Self::Log { instance, text: report.to_string() },
         }
     }
 
--- a/crates/simulator-adapter/src/outgoing/tests.rs
+++ b/crates/simulator-adapter/src/outgoing/tests.rs
@@ -1,6 +1,6 @@
 //! The lines of all actions, as the simulator reads them.
 
-use delivery_control::Action;
+use delivery_control::{Action, BacklogReport, EndpointHealth};
 
 use super::{append_action, append_batch_end, append_panic};
 
@@ -39,7 +39,12 @@
         ),
         (Action::Subscribe { on: true }, r#"{"event_type":"follow","i":5,"on":true}"#),
         (Action::FetchList, r#"{"event_type":"readList","i":5}"#),
-        (Action::Log { text: "t".to_owned() }, r#"{"event_type":"writeLog","i":5,"reasonText":"t"}"#),
+        (
+            Action::ReportBacklog(backlog_report()),
+            "{\"event_type\":\"writeLog\",\"i\":5,\"reasonText\":\"latency objective missed: destination 7, 4 waiting, \
+             1 in backoff, 2 behind others of their order key; endpoint 9, 3 in flight, rate Some(1.5), 6 sent in \
+             1 s, listed rate limit None, Retry-After 8 us, Ejected\"}",
+        ),
     ];
     for (action, expected) in cases {
         assert_eq!(line(action), format!("{expected}\n"));
@@ -66,3 +71,19 @@
     append_batch_end(&mut reply, 6);
     assert_eq!(reply, "{\"event_type\":\"ready\",\"round\":6}\n");
 }
+
+fn backlog_report() -> BacklogReport {
+    BacklogReport {
+        destination: 7,
+        waiting: 4,
+        in_backoff: 1,
+        behind_others: 2,
+        endpoint: 9,
+        in_flight: 3,
+        rate: Some(1.5),
+        sent_last_second: 6.0,
+        listed_rate_limit: None,
+        retry_after: 8,
+        health: EndpointHealth::Ejected,
+    }
+}
--- a/crates/simulator-adapter/tests/transcripts.rs
+++ b/crates/simulator-adapter/tests/transcripts.rs
@@ -31,7 +31,10 @@
 /// A batch of events at a time in milliseconds.
 fn batch(number: u32, at_ms: f64, events: &[String]) -> String {
     let begin = format!("{{\"event_type\":\"round\",\"tMs\":{at_ms},\"round\":{number}}}\n");
-    let events: String = events.iter().map(|event| format!("{event}\n")).collect();
+    let mut events = events.join("\n");
+    if !events.is_empty() {
+        events.push('\n');
+    }
     begin + &events + "{\"event_type\":\"overToYou\"}\n"
 }
 
