Give the end of an attempt and the meaning of an outcome one definition each

Change: FinishedAttempt crosses the relay as it is (protocol 3 has not been released); had_no_effect and is_answer are methods of AttemptOutcome; the tests share assert_first_call_delivers and write_two_records. The restart test thereby also checks the id of its first call; no assertion is dropped.

--- a/crates/delivery-control/src/event.rs
+++ b/crates/delivery-control/src/event.rs
@@ -25,6 +25,20 @@
     NotSent,
 }
 
+impl AttemptOutcome {
+    /// The endpoint answered.
+    #[must_use]
+    pub fn is_answer(self) -> bool {
+        matches!(self, Self::Delivered | Self::Error | Self::Rejected)
+    }
+
+    /// The message certainly had no effect at the endpoint.
+    #[must_use]
+    pub fn had_no_effect(self) -> bool {
+        matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+    }
+}
+
 /// State of an endpoint in the endpoint list.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListingState {
--- a/crates/delivery-control/src/model/in_flight.rs
+++ b/crates/delivery-control/src/model/in_flight.rs
@@ -52,19 +52,6 @@
             retry_after: end.retry_after,
         }
     }
-
-    /// The endpoint answered.
-    pub fn is_answer(&self) -> bool {
-        matches!(self.outcome, AttemptOutcome::Delivered | AttemptOutcome::Error | AttemptOutcome::Rejected)
-    }
-
-    /// The message certainly had no effect at the endpoint.
-    pub fn had_no_effect(&self) -> bool {
-        matches!(
-            self.outcome,
-            AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
-        )
-    }
 }
 
 /// A call in flight; it holds one permit of the concurrency limit.
--- a/crates/delivery-control/src/outlier_detection.rs
+++ b/crates/delivery-control/src/outlier_detection.rs
@@ -28,7 +28,7 @@
         let Some(endpoint) = self.state.endpoints.get_mut(result.endpoint) else { return };
         let route = endpoint.route;
         let was_ejected = endpoint.health.is_ejected();
-        if result.is_answer() {
+        if result.outcome.is_answer() {
             endpoint.record_answer(self.context.now);
         }
         let is_outage = match result.outcome {
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -82,7 +82,7 @@
 
 /// Notes in the message what a failed attempt means for the next one, and when that may start.
 pub(crate) fn schedule_retry(context: Context, message: &mut Message, failed: &AttemptResult, jitter: f64) {
-    if !failed.had_no_effect() && message.first_ambiguous.is_none() {
+    if !failed.outcome.had_no_effect() && message.first_ambiguous.is_none() {
         message.first_ambiguous = Some(AmbiguousAttempt { sent_at: failed.sent_at, zone: failed.zone });
     }
     // The backoff grows from attempt to attempt, so far that the attempts left last to the deadline.
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -10,7 +10,7 @@
 use super::EventLoop;
 use crate::attempt_id::AttemptId;
 use crate::delivery::{AttemptPhase, Call};
-use crate::event::SenderEvent;
+use crate::event::{FinishedAttempt, SenderEvent};
 use crate::journal::{AttemptStart, JournalError};
 use crate::time::{duration, micros};
 
@@ -111,13 +111,8 @@
         tokio::task::spawn_local(async move {
             let started = Instant::now();
             let result = delivery.call(call, cancelled).await;
-            let ended = SenderEvent::AttemptEnded {
-                id: attempt_id.message_id,
-                attempt: attempt_id.attempt,
-                endpoint,
-                elapsed: micros(started.elapsed()),
-                result,
-            };
+            let elapsed = micros(started.elapsed());
+            let ended = SenderEvent::AttemptEnded(FinishedAttempt { attempt_id, endpoint, elapsed, result });
             // Only at the process's end is there nobody left who receives it.
             let _ = event_sender.send(ended).await;
         });
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -1,22 +1,20 @@
 //! What happens on sockets, as events for the controller.
 
-use delivery_control::{AttemptEnd, AttemptOutcome, EndpointId, Event, MessageId, Micros};
+use delivery_control::{AttemptEnd, Event, MessageId};
 
 use super::completion::{final_outcome, log_journal_error};
 use super::EventLoop;
 use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
 use crate::endpoint_registry::RegistryUpdate;
-use crate::event::SenderEvent;
+use crate::event::{FinishedAttempt, SenderEvent};
 
 impl EventLoop {
     /// Takes in what happened on a socket.
     pub(super) fn handle_event(&mut self, event: SenderEvent) {
         match event {
             SenderEvent::Submitted(submission, reply) => self.handle_submission(*submission, reply),
-            SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
-                self.handle_attempt_end(AttemptId { message_id: id, attempt }, endpoint, elapsed, result);
-            }
+            SenderEvent::AttemptEnded(finished) => self.handle_attempt_end(finished),
             SenderEvent::EndpointListReceived(list) => {
                 let update = self.registry.apply_update(&list);
                 self.report_endpoints(list.version, update);
@@ -35,23 +33,19 @@
     pub fn replay_missed_events(&mut self, events: Vec<SenderEvent>) {
         for event in events {
             match event {
-                SenderEvent::AttemptEnded { id, result, .. } if result.is_final => {
-                    self.end_without_notice(id, Some(final_outcome(&result)));
+                SenderEvent::AttemptEnded(finished) if finished.result.is_final => {
+                    let id = finished.attempt_id.message_id;
+                    self.end_without_notice(id, Some(final_outcome(&finished.result)));
                     self.events.push(Event::MessageWithdrawn { id });
                 }
-                SenderEvent::AttemptEnded { .. } => {}
+                SenderEvent::AttemptEnded(_) => {}
                 other => self.handle_event(other),
             }
         }
     }
 
-    fn handle_attempt_end(
-        &mut self,
-        attempt_id: AttemptId,
-        endpoint: EndpointId,
-        elapsed: Micros,
-        result: AttemptResult,
-    ) {
+    fn handle_attempt_end(&mut self, finished: FinishedAttempt) {
+        let FinishedAttempt { attempt_id, endpoint, elapsed, result } = finished;
         let AttemptId { message_id, attempt } = attempt_id;
         self.in_flight.remove(attempt_id);
         if let Some(registered) = self.registry.get(endpoint) {
@@ -71,7 +65,7 @@
         );
         if is_final {
             self.end_without_notice(message_id, Some(final_outcome(&result)));
-        } else if request_started && was_not_processed(outcome) && self.open_messages.contains(message_id) {
+        } else if request_started && outcome.had_no_effect() && self.open_messages.contains(message_id) {
             log_journal_error(self.journal.borrow_mut().record_unprocessed(message_id));
         }
         self.events.push(Event::AttemptEnded(AttemptEnd {
@@ -100,8 +94,3 @@
         self.events.push(Event::EndpointsUpdated { update: update.update, version, entries: update.entries });
     }
 }
-
-/// Whether the outcome proves that the message had no effect.
-fn was_not_processed(outcome: AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent)
-}
--- a/crates/message-sender/src/handover/relay/mod.rs
+++ b/crates/message-sender/src/handover/relay/mod.rs
@@ -4,13 +4,13 @@
 mod predecessor;
 mod successor;
 
-use delivery_control::{EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 
 pub use self::predecessor::{Predecessor, RelayEnd};
 pub use self::successor::{relay_predecessor, RemoteCall};
 use super::protocol::Frame;
-use crate::delivery::AttemptResult;
+use crate::attempt_id::AttemptId;
+use crate::event::FinishedAttempt;
 use crate::submission::{Submission, SubmissionReply};
 
 /// Frames that wait to be written, or to be handled.
@@ -22,18 +22,7 @@
     /// A message that a client submits, under a number that the answer names.
     Submitted(u64, Box<Submission>),
     /// An attempt that was in flight at the handover has ended.
-    AttemptEnded {
-        /// The message.
-        id: MessageId,
-        /// The number of the attempt.
-        attempt: u32,
-        /// Where it was sent, by the identifier that both processes use.
-        endpoint: EndpointId,
-        /// How long it took.
-        elapsed: Micros,
-        /// How it ended.
-        result: AttemptResult,
-    },
+    AttemptEnded(FinishedAttempt),
     /// So many client connections are still open there.
     OpenConnections(usize),
 }
@@ -45,7 +34,7 @@
     Answered(u64, SubmissionReply),
     /// The attempt is to be called off. Also sent for one that has ended, which the predecessor then passes
     /// over.
-    Cancel { id: MessageId, attempt: u32 },
+    Cancel(AttemptId),
 }
 
 impl Frame for PredecessorFrame {
--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -108,9 +108,9 @@
     async fn relay(&mut self, event: SenderEvent) -> Result<(), HandoverError> {
         let frame = match event {
             SenderEvent::Submitted(submission, reply) => self.register(submission, reply),
-            SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
-                self.in_flight.remove(&AttemptId { message_id: id, attempt });
-                PredecessorFrame::AttemptEnded { id, attempt, endpoint, elapsed, result }
+            SenderEvent::AttemptEnded(finished) => {
+                self.in_flight.remove(&finished.attempt_id);
+                PredecessorFrame::AttemptEnded(finished)
             }
             SenderEvent::ShutdownRequested => {
                 self.shutdown_requested_at = self.shutdown_requested_at.or(Some(Instant::now()));
@@ -150,8 +150,8 @@
                     let _ = pending.reply.send(answer);
                 }
             }
-            SuccessorFrame::Cancel { id, attempt } => {
-                self.in_flight.remove(&AttemptId { message_id: id, attempt });
+            SuccessorFrame::Cancel(attempt_id) => {
+                self.in_flight.remove(&attempt_id);
             }
         }
     }
@@ -183,8 +183,8 @@
         let mut in_flight: BTreeSet<AttemptId> = self.in_flight.into_keys().collect();
         while !in_flight.is_empty() {
             let Some(event) = inbox.recv().await else { return RelayEnd::Over };
-            if let SenderEvent::AttemptEnded { id, attempt, .. } = &event {
-                in_flight.remove(&AttemptId { message_id: *id, attempt: *attempt });
+            if let SenderEvent::AttemptEnded(finished) = &event {
+                in_flight.remove(&finished.attempt_id);
             }
             events.push(event);
         }
--- a/crates/message-sender/src/handover/relay/successor.rs
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -11,7 +11,7 @@
 use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
 use crate::attempt_id::AttemptId;
 use crate::connection_limiter::ConnectionLimiter;
-use crate::event::SenderEvent;
+use crate::event::{FinishedAttempt, SenderEvent};
 use crate::handover::protocol::{read_frame, write_frame};
 use crate::submission::{Submission, SubmissionReply};
 
@@ -45,9 +45,8 @@
 async fn relay_cancellation(call: RemoteCall, outgoing: mpsc::Sender<SuccessorFrame>) {
     // The event loop drops its end; also when the attempt has ended, which the predecessor then passes over.
     let _ = call.cancelled.await;
-    let AttemptId { message_id, attempt } = call.attempt;
     // Fails with the predecessor's end, which ends the attempt too.
-    let _ = outgoing.send(SuccessorFrame::Cancel { id: message_id, attempt }).await;
+    let _ = outgoing.send(SuccessorFrame::Cancel(call.attempt)).await;
 }
 
 async fn relay_reply(
@@ -95,9 +94,9 @@
     fn handle(&mut self, frame: PredecessorFrame) -> Option<SenderEvent> {
         match frame {
             PredecessorFrame::Submitted(number, submission) => Some(self.submit(number, submission)),
-            PredecessorFrame::AttemptEnded { id, attempt, endpoint, elapsed, result } => {
-                self.in_flight.remove(&AttemptId { message_id: id, attempt });
-                Some(SenderEvent::AttemptEnded { id, attempt, endpoint, elapsed, result })
+            PredecessorFrame::AttemptEnded(finished) => {
+                self.in_flight.remove(&finished.attempt_id);
+                Some(SenderEvent::AttemptEnded(finished))
             }
             PredecessorFrame::OpenConnections(open) => {
                 self.limiter.reserve_for_predecessor(open);
@@ -114,14 +113,13 @@
 
     /// The connections of the predecessor's attempts ended with it.
     async fn reset_attempts(self) {
-        for AttemptId { message_id, attempt } in self.in_flight {
-            let event = SenderEvent::AttemptEnded {
-                id: message_id,
-                attempt,
+        for attempt_id in self.in_flight {
+            let event = SenderEvent::AttemptEnded(FinishedAttempt {
+                attempt_id,
                 endpoint: 0,
                 elapsed: 0,
                 result: AttemptOutcome::Reset.into(),
-            };
+            });
             if self.inbox.send(event).await.is_err() {
                 return;
             }
--- a/crates/message-sender/src/journal/tests.rs
+++ b/crates/message-sender/src/journal/tests.rs
@@ -88,11 +88,7 @@
 fn an_incomplete_last_record_is_cut_off_wherever_it_ends() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join(FILE_NAME);
-    let mut journal = open(folder.path());
-    journal.record_accepted(1, accepted("m1", 40)).unwrap();
-    let first_length = fs::read(&path).unwrap().len();
-    journal.record_accepted(2, accepted("m2", 40)).unwrap();
-    let complete = fs::read(&path).unwrap();
+    let TwoRecords { first_length, bytes: complete } = write_two_records(folder.path());
     for length in first_length..complete.len() {
         fs::write(&path, &complete[..length]).unwrap();
         let mut journal = open(folder.path());
@@ -107,11 +103,7 @@
 fn a_corrupt_byte_leaves_earlier_records_intact() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join(FILE_NAME);
-    let mut journal = open(folder.path());
-    journal.record_accepted(1, accepted("m1", 40)).unwrap();
-    let first_length = fs::read(&path).unwrap().len();
-    journal.record_accepted(2, accepted("m2", 40)).unwrap();
-    let complete = fs::read(&path).unwrap();
+    let TwoRecords { first_length, bytes: complete } = write_two_records(folder.path());
     for offset in first_length..complete.len() {
         let mut bytes = complete.clone();
         bytes[offset] ^= 0x55;
@@ -127,11 +119,7 @@
 fn records_after_a_corrupt_one_are_still_read() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join(FILE_NAME);
-    let mut journal = open(folder.path());
-    journal.record_accepted(1, accepted("m1", 40)).unwrap();
-    let first_length = fs::read(&path).unwrap().len();
-    journal.record_accepted(2, accepted("m2", 40)).unwrap();
-    let mut bytes = fs::read(&path).unwrap();
+    let TwoRecords { first_length, mut bytes } = write_two_records(folder.path());
     bytes[first_length - 1] ^= 0x55;
     fs::write(&path, &bytes).unwrap();
     let expected = JournalEntry::Open(accepted("m2", 40), AttemptHistory::default());
@@ -261,3 +249,20 @@
     drop(journal);
     assert_eq!(history(&open(folder.path())), (1, Some(attempt(6))));
 }
+
+/// A journal of two records: the messages `m1` and `m2`, accepted under the ids 1 and 2.
+struct TwoRecords {
+    /// Where the first record ends.
+    first_length: usize,
+    /// The whole file.
+    bytes: Vec<u8>,
+}
+
+fn write_two_records(folder: &Path) -> TwoRecords {
+    let path = folder.join(FILE_NAME);
+    let mut journal = open(folder);
+    journal.record_accepted(1, accepted("m1", 40)).unwrap();
+    let first_length = fs::read(&path).unwrap().len();
+    journal.record_accepted(2, accepted("m2", 40)).unwrap();
+    TwoRecords { first_length, bytes: fs::read(&path).unwrap() }
+}
--- a/crates/message-sender/tests/malformed_answers.rs
+++ b/crates/message-sender/tests/malformed_answers.rs
@@ -8,7 +8,6 @@
 use support::configuration::{Idempotency, SenderOptions};
 use support::endpoint::{Reply, OK};
 use support::environment::Environment;
-use support::sender_process::Signal;
 
 /// An environment in which messages may not be repeated once they may have taken effect.
 fn with_non_idempotent_messages(script: Vec<Reply>) -> Environment {
@@ -16,18 +15,9 @@
     Environment::with_options(script, options)
 }
 
-/// A message answered like this is delivered: whatever a drain or the next process still had to send of it
-/// would come before the second message.
+/// A message answered like this is delivered.
 fn assert_delivered_by(answer: &'static str) {
-    let environment = Environment::new(vec![Reply::Raw(answer), OK]);
-    let mut sender = environment.start_sender();
-    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
-    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
-    sender.signal(Signal::Terminate);
-    assert!(sender.wait().success());
-    let sender = environment.start_sender();
-    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
-    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    Environment::new(vec![Reply::Raw(answer), OK]).assert_first_call_delivers();
 }
 
 /// Guards against a retry of a message that a status line has confirmed.
--- a/crates/message-sender/tests/restart.rs
+++ b/crates/message-sender/tests/restart.rs
@@ -150,15 +150,7 @@
 /// Guards against delivered messages that come back from the journal.
 #[test]
 fn delivered_message_is_not_sent_again_after_a_restart() {
-    let environment = Environment::new(vec![OK]);
-    let mut sender = environment.start_sender();
-    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
-    environment.endpoint.next_call();
-    sender.signal(Signal::Terminate);
-    assert!(sender.wait().success());
-    let sender = environment.start_sender();
-    assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
-    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    Environment::new(vec![OK]).assert_first_call_delivers();
 }
 
 /// Guards against new connections being rejected while the front does not know of the drain yet, and against
--- a/crates/message-sender/tests/support/environment.rs
+++ b/crates/message-sender/tests/support/environment.rs
@@ -4,10 +4,11 @@
 
 use serde_json::Value;
 
+use super::client::ACCEPTED;
 use super::configuration::SenderOptions;
 use super::discovery::{endpoint_line, Discovery};
 use super::endpoint::{Endpoint, Reply};
-use super::sender_process::SenderProcess;
+use super::sender_process::{SenderProcess, Signal};
 
 /// A directory that is removed with the value, and the path of a state directory in it.
 pub struct StateDirectory {
@@ -67,4 +68,17 @@
     pub fn launch_sender(&self, options: &SenderOptions) -> SenderProcess {
         SenderProcess::launch(&self.state.path, &self.discovery, self.endpoint_list(), options)
     }
+
+    /// Checks that the endpoint's first answer delivers its message: whatever a drain or the next process
+    /// still had to send of it would come before the second message.
+    pub fn assert_first_call_delivers(&self) {
+        let mut sender = self.start_sender();
+        assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+        assert_eq!(self.endpoint.next_call().message_id(), "m1");
+        sender.signal(Signal::Terminate);
+        assert!(sender.wait().success());
+        let sender = self.start_sender();
+        assert_eq!(sender.submit("m2", 20_000, "x"), ACCEPTED);
+        assert_eq!(self.endpoint.next_call().message_id(), "m2");
+    }
 }
