--- /dev/null
+++ b/crates/fault-soak/src/discovery.rs
@@ -0,0 +1,226 @@
+//! Discovery: one state, and a listener for each sender, so that what a sender was told is known.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, Instant};
+
+use crate::endpoint::Endpoint;
+use crate::history::{History, NoticeResult, Told};
+use crate::http::{read_message, HttpMessage};
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// How long a silent discovery keeps a connection.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// Whether the list can be had. Notices are always taken, at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Service {
+    /// It can.
+    Up,
+    /// Each call for it ends with 503.
+    Down,
+    /// No call for it is answered.
+    Silent,
+}
+
+impl Service {
+    const ALL: [Self; 3] = [Self::Up, Self::Down, Self::Silent];
+}
+
+/// What an endpoint is listed as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    /// It takes calls.
+    Up,
+    /// It completes what it holds.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+impl Status {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Draining => "draining",
+            Self::Removed => "removed",
+        }
+    }
+}
+
+#[derive(Clone)]
+struct List {
+    version: u64,
+    /// The version at which each endpoint changed last, and its status.
+    endpoints: Vec<(u64, Status)>,
+}
+
+/// The discovery service.
+pub struct Discovery {
+    endpoints: Vec<Arc<Endpoint>>,
+    list: watch::Sender<List>,
+    service: AtomicU8,
+    history: Arc<History>,
+    /// A planted mistake: notices are acknowledged and forgotten.
+    pub swallows_notices: bool,
+    addresses: Mutex<Vec<SocketAddr>>,
+}
+
+impl Discovery {
+    /// A service that lists all these endpoints as up.
+    #[must_use]
+    pub fn new(endpoints: Vec<Arc<Endpoint>>, history: Arc<History>, swallows_notices: bool) -> Arc<Self> {
+        let list = List { version: 1, endpoints: vec![(1, Status::Up); endpoints.len()] };
+        Arc::new(Self {
+            endpoints,
+            list: watch::Sender::new(list),
+            service: AtomicU8::new(Service::Up as u8),
+            history,
+            swallows_notices,
+            addresses: Mutex::default(),
+        })
+    }
+
+    /// Opens one more address for a sender.
+    ///
+    /// # Errors
+    ///
+    /// No address is free.
+    pub async fn listen(self: &Arc<Self>, sender: usize) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let discovery = self.clone();
+        tokio::spawn(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    tokio::spawn(discovery.clone().serve(sender, stream));
+                }
+            }
+        });
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).push(address);
+        Ok(address)
+    }
+
+    /// Lists an endpoint with this status from now on.
+    pub fn list(&self, endpoint: usize, status: Status) {
+        self.list.send_modify(|list| {
+            list.version += 1;
+            list.endpoints[endpoint] = (list.version, status);
+        });
+    }
+
+    /// Counts versions anew, from 1.
+    pub fn reset_versions(&self) {
+        self.list.send_modify(|list| {
+            list.version = 1;
+            for (version, _) in &mut list.endpoints {
+                *version = 1;
+            }
+        });
+    }
+
+    /// Whether the list can be had from now on.
+    pub fn set_service(&self, service: Service) {
+        self.service.store(service as u8, Ordering::Relaxed);
+    }
+
+    /// The complete list, in the wire's form.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Value> {
+        let list = self.list.borrow();
+        (0..self.endpoints.len()).map(|index| self.entry(&list, index)).collect()
+    }
+
+    fn entry(&self, list: &List, index: usize) -> Value {
+        let endpoint = &self.endpoints[index];
+        json!({"name": endpoint.name(), "address": endpoint.address.to_string(), "zone": "here", "type": "big",
+            "group": endpoint.destination, "status": list.endpoints[index].1.name(), "weight": 1.0,
+            "since_ms": 0})
+    }
+
+    async fn serve(self: Arc<Self>, sender: usize, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut stream = BufReader::new(stream);
+        while let Ok(Some(request)) = read_message(&mut stream).await {
+            let answer = if request.start_line.starts_with("POST") {
+                self.take_notices(&request)
+            } else {
+                self.answer_list(sender, &request).await
+            };
+            if stream.get_mut().write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn take_notices(&self, request: &HttpMessage) -> String {
+        let now = Instant::now();
+        for line in request.body.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
+            let Ok(notice) = serde_json::from_slice::<Value>(line) else {
+                return "HTTP/1.1 400 Malformed\r\nContent-Length: 0\r\n\r\n".to_owned();
+            };
+            let result =
+                if notice["result"] == "dead" { NoticeResult::Failed } else { NoticeResult::Rejected };
+            let call_id = notice["ref"].as_str().unwrap_or_default().to_owned();
+            if !self.swallows_notices {
+                self.history.records().notices.entry(call_id).or_default().push((result, now));
+            }
+        }
+        "HTTP/1.1 204 No Content\r\n\r\n".to_owned()
+    }
+
+    async fn answer_list(&self, sender: usize, request: &HttpMessage) -> String {
+        match Service::ALL[self.service.load(Ordering::Relaxed) as usize] {
+            Service::Up => {}
+            Service::Down => return "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Service::Silent => sleep(SILENCE).await,
+        }
+        let after = parameter(&request.start_line, "after");
+        let wait = parameter(&request.start_line, "wait_ms").map_or(Duration::ZERO, Duration::from_millis);
+        let list = self.await_change(after, wait.min(MAX_WAIT)).await;
+        let after = after.filter(|after| *after <= list.version);
+        let changed = |index: &usize| after.is_none_or(|after| list.endpoints[*index].0 > after);
+        let indices: Vec<usize> = (0..self.endpoints.len()).filter(changed).collect();
+        self.record_told(sender, &list, &indices);
+        let entries: Vec<Value> = indices.iter().map(|index| self.entry(&list, *index)).collect();
+        let body = json!({"index": list.version, "snapshot": after.is_none(), "endpoints": entries});
+        let text = format!("{body:#}");
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+    }
+
+    /// The list, once it has another version, or the wait is over.
+    async fn await_change(&self, after: Option<u64>, wait: Duration) -> List {
+        let mut list = self.list.subscribe();
+        let changed = list.wait_for(|list| Some(list.version) != after);
+        if let Ok(Ok(list)) = timeout(wait, changed).await {
+            return list.clone();
+        }
+        self.list.borrow().clone()
+    }
+
+    fn record_told(&self, sender: usize, list: &List, indices: &[usize]) {
+        let at = Instant::now();
+        let told = indices.iter().map(|index| Told {
+            sender,
+            endpoint: *index,
+            is_up: list.endpoints[*index].1 == Status::Up,
+            at,
+        });
+        self.history.records().told.extend(told);
+    }
+}
+
+fn parameter(request_line: &str, name: &str) -> Option<u64> {
+    let query = request_line.split(' ').nth(1)?.split_once('?')?.1;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+}
--- /dev/null
+++ b/crates/fault-soak/src/settings.rs
@@ -0,0 +1,89 @@
+//! The deployment that the soak plays: its classes, destinations and limits, as a sender is told them.
+
+use std::net::SocketAddr;
+
+use serde_json::{json, Value};
+
+/// How long the idempotency key of a message is known.
+pub const IDEMPOTENCY_WINDOW_MS: u64 = 6_000;
+/// New attempts to a draining endpoint must have ceased after this time.
+pub const DRAIN_GRACE_MS: u64 = 300;
+/// The longest time that a message may take.
+pub const DEADLINE_MS: u64 = 8_000;
+/// Descriptors of a sender.
+pub const MAX_DESCRIPTORS: usize = 256;
+/// Destinations, numbered from 1.
+pub const DESTINATIONS: u64 = 3;
+/// Endpoints of each destination.
+pub const ENDPOINTS_PER_DESTINATION: u64 = 2;
+
+/// A class of messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// Repeated under an idempotency key.
+    Keyed,
+    /// Never repeated once it may have taken effect.
+    Once,
+    /// Repeated without more ado.
+    Pure,
+    /// Repeated under an idempotency key, in order of its key.
+    Ordered,
+}
+
+impl Class {
+    /// All classes.
+    pub const ALL: [Self; 4] = [Self::Keyed, Self::Once, Self::Pure, Self::Ordered];
+
+    /// Its name in the settings.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Keyed => "keyed",
+            Self::Once => "once",
+            Self::Pure => "pure",
+            Self::Ordered => "ordered",
+        }
+    }
+
+    fn effect(self) -> &'static str {
+        match self {
+            Self::Keyed | Self::Ordered => "token",
+            Self::Once => "side_effect",
+            Self::Pure => "pure",
+        }
+    }
+
+    fn settings(self) -> Value {
+        json!({"name": self.name(), "effect": self.effect(), "dedupScope": "all",
+            "windowMs": IDEMPOTENCY_WINDOW_MS as f64, "aimMs": 1000.0, "deadlineMs": DEADLINE_MS as f64,
+            "worth": 1.0, "lateShare": 0.5, "fifoByKey": self == Self::Ordered})
+    }
+}
+
+/// The configuration file of one sender.
+#[must_use]
+pub fn configuration(
+    name: &str,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    senders: usize,
+    endpoints: &[Value],
+) -> Value {
+    let classes: Vec<Value> = Class::ALL.iter().map(|class| class.settings()).collect();
+    json!({
+        "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": MAX_DESCRIPTORS, "disk_mb": 1.0},
+        "known": {"index": 0, "snapshot": true, "endpoints": endpoints},
+        "settings": {
+            "balancers": senders, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
+            "categories": classes,
+            "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": 20},
+            "orgs": [{"name": "tenant", "allowancePerS": 1000.0}], "overShareWorth": 0.2,
+            "membershipMode": "subscribe", "weights": "none", "resolutionMs": 5.0,
+            "limits": {"mostHeld": 250, "sendCap": 8, "cancel": true, "retryAfter": true,
+                "maxRetryAfterMs": 3000.0, "connectTimeoutMs": 1000.0, "connIdleMs": 5000.0},
+            "rules": {"answerSlackMs": 20.0, "drainGraceMs": DRAIN_GRACE_MS as f64, "fallMs": 2000.0,
+                "overloadFactor": 2.0, "startCapacity": 0.18, "warmWithinMs": 4000.0, "orderPauseMs": 100.0},
+        },
+    })
+}
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -166,7 +166,9 @@
         self.update_gauges();
         while !self.is_finished(&inputs) {
             if self.events.is_empty() && self.pending_replies.is_empty() && successor.is_none() {
+                let wake_up = self.next_wake_up();
                 successor = self.wait_for_input(&mut inputs).await;
+                self.audits.record_wake_up(wake_up);
             }
             self.wait_for_turn_interval().await;
             self.take_in_commands(&mut inputs);
