--- a/crates/fault-soak/tests/journal.rs
+++ b/crates/fault-soak/tests/journal.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use fault_soak::endpoint::Behaviour;
 use fault_soak::settings::Class;
 use fault_soak::shim::{Call, Mode};
@@ -19,6 +21,8 @@
     scene.fail(Call::Truncate, Mode::Fails, EIO);
     assert_ne!(scene.submit("torn", Class::Keyed, 1, 8_000).await, 202);
     scene.sender.control.clear(Call::WriteFile).unwrap();
+    // A file that could not be written is tried again some moments later.
+    tokio::time::sleep(Duration::from_millis(300)).await;
     let is_accepted = scene.submit("m2", Class::Keyed, 1, 8_000).await == 202;
     scene.behave(1, Behaviour::Healthy);
     scene.sender.kill_and_start().await;
@@ -51,3 +55,39 @@
     assert_eq!(accepts, 202, "the folder takes writes again");
     scene.await_delivery("m4", LIMIT).await;
 }
+
+/// Guards against a message that is sent again after a restart because its end could not be recorded.
+#[tokio::test(flavor = "multi_thread")]
+async fn end_that_could_not_be_recorded_at_once_is_recorded_later() {
+    let scene = Scene::start(2).await;
+    scene.behave(1, Behaviour::Slow);
+    scene.accept("m1", Class::Pure, 1, 8_000).await;
+    scene.await_call("m1").await;
+    scene.fail(Call::WriteFile, Mode::Fails, ENOSPC);
+    scene.await_delivery("m1", LIMIT).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    scene.mend();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    scene.sender.kill_and_start().await;
+    scene.accept("m2", Class::Pure, 1, 8_000).await;
+    scene.await_delivery("m2", LIMIT).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(scene.calls("m1"), 1, "m1 was delivered before the restart");
+}
+
+/// Guards against a message that is given up since attempts that could not be recorded, and so were not sent,
+/// count towards the limit of attempts.
+#[tokio::test(flavor = "multi_thread")]
+async fn attempts_that_could_not_be_recorded_do_not_count() {
+    let scene = Scene::start(3).await;
+    scene.behave(1, Behaviour::Slow);
+    scene.accept("m1", Class::Ordered, 1, 8_000).await;
+    scene.accept("m2", Class::Ordered, 1, 8_000).await;
+    scene.await_call("m1").await;
+    scene.fail(Call::WriteFile, Mode::Fails, ENOSPC);
+    scene.await_delivery("m1", LIMIT).await;
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    assert_eq!((scene.calls("m2"), scene.notice("m2")), (0, None));
+    scene.mend();
+    scene.await_delivery("m2", LIMIT).await;
+}
--- a/crates/message-sender/src/client_api/response.rs
+++ b/crates/message-sender/src/client_api/response.rs
@@ -27,6 +27,7 @@
             Self::Submission(SubmissionReply::Accepted) => empty(StatusCode::ACCEPTED),
             Self::Submission(SubmissionReply::UnknownDestination) => empty(StatusCode::NOT_FOUND),
             Self::Submission(SubmissionReply::Rejected(retry_after)) => rejected(retry_after),
+            Self::Submission(SubmissionReply::Undetermined) => empty(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 }
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -8,11 +8,12 @@
 use tokio::time::Instant;
 
 use super::audit::check_start;
+use super::journal_sync::UnrecordedStep;
 use super::EventLoop;
 use crate::attempt_id::AttemptId;
 use crate::delivery::{AttemptPhase, Call};
 use crate::event::{FinishedAttempt, SenderEvent};
-use crate::journal::{AttemptStart, JournalError};
+use crate::journal::AttemptStart;
 use crate::time::{duration, micros};
 
 /// The times that the controller sets for an attempt.
@@ -138,6 +139,7 @@
         let clock = self.clock;
         let guard = self.guard.clone();
         let invariants = self.invariants.clone();
+        let failures = self.journal_failures.clone();
         let journal = Rc::downgrade(&self.journal);
         Box::new(move |phase| {
             let Some(journal) = journal.upgrade() else { return false };
@@ -153,14 +155,10 @@
                 AttemptPhase::Starting => journal.record_attempt(id, start),
                 AttemptPhase::NotStarted => journal.record_unsent(id),
             };
-            log_unrecorded_phase(&written);
+            if let Err(error) = &written {
+                failures.count(UnrecordedStep::AttemptStart, error);
+            }
             written.is_ok()
         })
     }
 }
-
-fn log_unrecorded_phase(written: &Result<(), JournalError>) {
-    if let Err(error) = written {
-        tracing::warn!(%error, "attempt not journalled");
-    }
-}
--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -1,7 +1,8 @@
 //! How messages end.
 
-use delivery_control::{AttemptOutcome, Event, MessageId};
+use delivery_control::{AttemptOutcome, Event, Idempotency, MessageId, Micros};
 
+use super::journal_sync::{HeldNotice, UnrecordedStep};
 use super::open_messages::{MessageOrigin, OpenMessage};
 use super::summary::RejectionCause;
 use super::EventLoop;
@@ -16,7 +17,8 @@
     pub(super) fn end_without_notice(&mut self, id: MessageId, outcome: Option<MessageOutcome>) {
         if self.close_message(id, outcome).is_some() {
             self.guard_end(id, false);
-            log_journal_error(self.journal.borrow_mut().record_end(id, None));
+            let recorded = self.journal.borrow_mut().record_end(id, None);
+            self.note_outcome(recorded);
         }
     }
 
@@ -30,7 +32,9 @@
         match self.close_message(id, Some(outcome)) {
             Some(message) => {
                 self.guard_end(id, true);
-                self.queue_notice(id, message.call_id, result);
+                let notice = Notice { call_id: message.call_id, result };
+                let is_repeatable = self.settings.classes[message.class].idempotency == Idempotency::Always;
+                self.queue_notice(id, notice, is_repeatable, message.deadline);
             }
             None => self.events.push(Event::NoticeAcknowledged { id }),
         }
@@ -55,11 +59,31 @@
         self.summary.count_rejection(cause, message.destination);
     }
 
-    /// Writes a message's end to the journal, and queues the notice of it.
-    pub(super) fn queue_notice(&mut self, id: MessageId, call_id: String, result: NoticeResult) {
-        let notice = Notice { call_id, result };
-        log_journal_error(self.journal.borrow_mut().record_end(id, Some(notice.clone())));
-        self.notices.push(id, notice);
+    /// Writes a message's end to the journal, and queues the notice of it. A rejection asks the client to
+    /// submit the message again: until it is sure that no later process sends this one too, it is held back.
+    pub(super) fn queue_notice(
+        &mut self,
+        id: MessageId,
+        notice: Notice,
+        is_repeatable: bool,
+        deadline: Micros,
+    ) {
+        let recorded = self.journal.borrow_mut().record_end(id, Some(notice.clone()));
+        let is_recorded = recorded.is_ok();
+        self.note_outcome(recorded);
+        let is_rejection = matches!(notice.result, NoticeResult::Rejected { .. });
+        if is_recorded || is_repeatable || !is_rejection {
+            self.notices.push(id, notice);
+        } else {
+            self.journal_sync.hold(HeldNotice { id, deadline, notice });
+        }
+    }
+
+    /// Notes whether what became of a message or an attempt could be recorded at once; if not, it is later.
+    pub(super) fn note_outcome(&self, recorded: Result<(), JournalError>) {
+        if let Err(error) = recorded {
+            self.journal_failures.count(UnrecordedStep::Outcome, &error);
+        }
     }
 
     fn close_message(&mut self, id: MessageId, outcome: Option<MessageOutcome>) -> Option<OpenMessage> {
@@ -80,11 +104,3 @@
         MessageOutcome::Failed
     }
 }
-
-/// Logs that a record of a message's end is missing. Its last steps may then be repeated after a restart,
-/// which the idempotency key makes harmless.
-pub fn log_journal_error(written: Result<(), JournalError>) {
-    if let Err(error) = written {
-        tracing::error!(%error, "message end not journalled");
-    }
-}
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -2,7 +2,7 @@
 
 use delivery_control::{AttemptEnd, Event, MessageId};
 
-use super::completion::{final_outcome, log_journal_error};
+use super::completion::final_outcome;
 use super::EventLoop;
 use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
@@ -67,7 +67,8 @@
         if is_final {
             self.end_without_notice(message_id, Some(final_outcome(&result)));
         } else if request_started && outcome.had_no_effect() && self.open_messages.contains(message_id) {
-            log_journal_error(self.journal.borrow_mut().record_unprocessed(message_id));
+            let recorded = self.journal.borrow_mut().record_unprocessed(message_id);
+            self.note_outcome(recorded);
         }
         self.events.push(Event::AttemptEnded(AttemptEnd {
             id: message_id,
@@ -83,7 +84,8 @@
 
     fn handle_notice_acknowledged(&mut self, id: MessageId) {
         self.guard.borrow_mut().acknowledge_notice(id);
-        log_journal_error(self.journal.borrow_mut().record_notice_acknowledged(id));
+        let recorded = self.journal.borrow_mut().record_notice_acknowledged(id);
+        self.note_outcome(recorded);
         self.events.push(Event::NoticeAcknowledged { id });
     }
 
--- a/crates/message-sender/src/event_loop/handover.rs
+++ b/crates/message-sender/src/event_loop/handover.rs
@@ -2,6 +2,7 @@
 
 use tokio::net::UnixStream;
 
+use super::journal_sync::UnrecordedStep;
 use super::{EventLoop, LoopEnd};
 use crate::handover::relay::Predecessor;
 use crate::handover::{self, HandoverState, Successor};
@@ -11,6 +12,12 @@
     /// then nothing changes for this process. A successor that can only read the journal gets this process's
     /// end: it shuts down.
     pub(super) async fn offer(&mut self, successor: Successor) -> Option<UnixStream> {
+        let synchronized = self.journal.borrow_mut().synchronize();
+        if let Err(error) = synchronized {
+            // The successor reads the journal: it would take up again what has ended.
+            self.journal_failures.count(UnrecordedStep::Outcome, &error);
+            return None;
+        }
         let state = if successor.reads_state() { self.handover_state() } else { None };
         let is_complete = state.is_some();
         match successor.offer(state).await {
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod in_flight;
 mod inputs;
+mod journal_sync;
 mod open_messages;
 mod recovery;
 mod shutdown;
@@ -35,6 +36,7 @@
 use self::clock::UnixClock;
 use self::in_flight::InFlightAttempts;
 pub use self::inputs::EventLoopInputs;
+use self::journal_sync::{JournalFailureLog, JournalSync};
 use self::open_messages::OpenMessages;
 use self::shutdown::Shutdown;
 use self::submissions::PendingReply;
@@ -99,6 +101,8 @@
     /// Shared with attempts, which write when they begin to be sent; nobody writes once the event loop is
     /// gone.
     journal: Rc<RefCell<Journal>>,
+    journal_sync: JournalSync,
+    journal_failures: Rc<JournalFailureLog>,
     delivery: Rc<DeliveryClient>,
     notices: Rc<NoticeQueue>,
     event_sender: mpsc::Sender<SenderEvent>,
@@ -140,6 +144,8 @@
             clock: UnixClock::start(),
             next_message_id: config.journal.next_id(),
             journal: Rc::new(RefCell::new(config.journal)),
+            journal_sync: JournalSync::new(),
+            journal_failures: Rc::new(JournalFailureLog::new()),
             delivery: config.delivery,
             notices: config.notices,
             event_sender: config.event_sender,
@@ -177,6 +183,7 @@
             yield_now().await;
             self.last_turn_at = Some(Instant::now());
             self.turn();
+            self.synchronize_journal();
             self.update_gauges();
             self.acknowledge_commands();
             self.log_summary();
@@ -209,7 +216,8 @@
         let poll = if self.shutdown.is_requested() { now + SHUTDOWN_TURN_INTERVAL } else { idle };
         let timer = self.timers.next_due().map_or(idle, |due| self.clock.instant(due));
         let rejections = self.summary.rejections_due().unwrap_or(idle);
-        timer.min(poll).min(rejections)
+        let journal = self.next_journal_retry().unwrap_or(idle);
+        timer.min(poll).min(rejections).min(journal)
     }
 
     /// Whether the process can end: before the deadline only with nothing to do and no request on its way.
@@ -221,6 +229,7 @@
         self.open_messages.is_empty()
             && self.in_flight.is_empty()
             && self.notices.len() == 0
+            && self.is_journal_synchronized()
             && self.pending_replies.is_empty()
     }
 
@@ -235,7 +244,9 @@
     }
 
     fn update_gauges(&self) {
-        self.metrics.in_progress.set(self.open_messages.len() + self.notices.len());
+        self.metrics
+            .in_progress
+            .set(self.open_messages.len() + self.notices.len() + self.journal_sync.held());
         self.metrics.known_endpoints.set(self.registry.listed_count());
         self.metrics.skipped_endpoints.set(self.controller.avoided_endpoint_count());
     }
--- a/crates/message-sender/src/event_loop/open_messages.rs
+++ b/crates/message-sender/src/event_loop/open_messages.rs
@@ -30,6 +30,8 @@
     pub attempts: u32,
     /// When this process accepted or recovered it.
     pub accepted_at: Micros,
+    /// When it must have ended.
+    pub deadline: Micros,
     /// How it came to this process.
     pub origin: MessageOrigin,
 }
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -11,7 +11,7 @@
 use crate::handover::relay::RemoteCall;
 use crate::handover::HandoverState;
 use crate::journal::{AcceptedMessage, AttemptHistory, Body, JournalEntry};
-use crate::notice::NoticeResult;
+use crate::notice::{Notice, NoticeResult};
 
 /// What the journal contains at the start, for the log.
 #[derive(Default)]
@@ -106,7 +106,8 @@
     fn recover_message(&mut self, id: MessageId, accepted: AcceptedMessage, history: AttemptHistory) {
         let Some(class) = self.names.class(&accepted.class) else {
             // The class is not served any more: nobody can say whether another attempt would be harmless.
-            self.queue_notice(id, accepted.call_id, NoticeResult::Failed);
+            let notice = Notice { call_id: accepted.call_id, result: NoticeResult::Failed };
+            self.queue_notice(id, notice, false, accepted.deadline);
             return;
         };
         self.events.push(Event::MessageSubmitted(MessageSubmission {
@@ -152,6 +153,7 @@
             body,
             attempts: history.attempts,
             accepted_at: self.clock.now(),
+            deadline,
             origin: MessageOrigin::Recovered,
         };
         self.open_messages.insert(id, message);
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -6,11 +6,12 @@
 use tokio::sync::oneshot;
 
 use super::audit::OpenedMessage;
+use super::journal_sync::UnrecordedStep;
 use super::open_messages::{MessageOrigin, OpenMessage};
 use super::summary::RejectionCause;
 use super::EventLoop;
 use crate::endpoint_registry::DestinationStatus;
-use crate::journal::{AcceptedMessage, Body};
+use crate::journal::{AcceptedMessage, Body, JournalError};
 use crate::metrics::MessageOutcome;
 use crate::submission::{Submission, SubmissionReply};
 
@@ -79,7 +80,9 @@
             DestinationStatus::Unknown => return Err(RejectionCause::UnknownDestination),
             DestinationStatus::Undetermined => return Err(RejectionCause::UndeterminedDestination),
         }
-        if self.open_messages.len() + self.notices.len() >= self.settings.limits.buffer_capacity {
+        if self.open_messages.len() + self.notices.len() + self.journal_sync.held()
+            >= self.settings.limits.buffer_capacity
+        {
             return Err(RejectionCause::BufferFull);
         }
         Ok(())
@@ -101,8 +104,12 @@
             body: Body(submission.body.clone()),
         };
         self.journal.borrow_mut().record_accepted(id, accepted).map_err(|error| {
-            tracing::warn!(%error, "message not journalled");
-            RejectionCause::JournalFull
+            self.journal_failures.count(UnrecordedStep::Submission, &error);
+            match error {
+                JournalError::Full => RejectionCause::JournalFull,
+                JournalError::Uncertain => RejectionCause::JournalUncertain,
+                _ => RejectionCause::JournalUnavailable,
+            }
         })
     }
 
@@ -147,6 +154,7 @@
             body: submission.body,
             attempts: 0,
             accepted_at: now,
+            deadline: now.saturating_add(submission.time_left),
             origin: MessageOrigin::Submitted,
         };
         self.open_messages.insert(id, message);
@@ -160,11 +168,16 @@
     ) {
         tracing::debug!(call_id = submission.call_id, ?cause, "submission rejected");
         self.summary.count_rejection(cause, submission.destination);
-        let answer = if cause == RejectionCause::UnknownDestination {
-            SubmissionReply::UnknownDestination
-        } else {
-            self.metrics.count_outcome(submission.class, MessageOutcome::Rejected);
-            SubmissionReply::Rejected(UNAVAILABLE_RETRY_AFTER)
+        let answer = match cause {
+            RejectionCause::UnknownDestination => SubmissionReply::UnknownDestination,
+            RejectionCause::JournalUncertain => {
+                self.metrics.count_outcome(submission.class, MessageOutcome::Failed);
+                SubmissionReply::Undetermined
+            }
+            _ => {
+                self.metrics.count_outcome(submission.class, MessageOutcome::Rejected);
+                SubmissionReply::Rejected(UNAVAILABLE_RETRY_AFTER)
+            }
         };
         // A client that is gone needs no reply.
         let _ = reply.send(answer);
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -24,8 +24,12 @@
 pub enum RejectionCause {
     /// The buffer is full.
     BufferFull,
-    /// The journal could not store it.
+    /// The journal has no room for it.
     JournalFull,
+    /// The journal could not be written.
+    JournalUnavailable,
+    /// The journal may hold it although its write failed.
+    JournalUncertain,
     /// No complete endpoint list has arrived that tells whether its destination exists.
     UndeterminedDestination,
     /// The endpoint list has no such destination.
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -61,6 +61,7 @@
         body: Bytes::new(),
         attempts: 0,
         accepted_at: 0,
+        deadline: 0,
         origin: MessageOrigin::Submitted,
     }
 }
--- a/crates/message-sender/src/journal/error.rs
+++ b/crates/message-sender/src/journal/error.rs
@@ -21,6 +21,9 @@
         /// The reason.
         cause: io::Error,
     },
+    /// A write failed, and what it has written cannot be cut off yet: the next process may find the record.
+    #[error("journal record may have been written although that was reported as failed")]
+    Uncertain,
     /// A record has no stored form.
     #[error("journal record cannot be encoded: {0}")]
     Encoding(postcard::Error),
--- a/crates/message-sender/src/journal/frame.rs
+++ b/crates/message-sender/src/journal/frame.rs
@@ -22,7 +22,7 @@
     Ok(frame)
 }
 
-/// A complete frame, as read.
+/// A complete frame, or a damaged place before one, as read.
 pub(super) struct Frame {
     /// Where it begins in the file.
     pub(super) offset: usize,
@@ -33,6 +33,9 @@
 /// Why a complete frame holds no record.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum FrameError {
+    /// The length is none that was written, or a part of the frame is missing.
+    #[error("frame is torn")]
+    Length,
     /// The bytes are not those that were written.
     #[error("checksum does not match")]
     Checksum,
@@ -41,8 +44,8 @@
     Decoding(#[from] postcard::Error),
 }
 
-/// Reads frames one after the other, up to the first that is incomplete. One with a corrupt record does not
-/// end the reading: its length tells where the next one begins.
+/// Reads frames one after the other, up to a last one that is incomplete. A damaged place does not end the
+/// reading: it goes on with the next sound frame.
 pub(super) struct FrameReader<'a> {
     bytes: &'a [u8],
     offset: usize,
@@ -58,6 +61,25 @@
     pub(super) fn offset(&self) -> usize {
         self.offset
     }
+
+    /// The frame at this offset: its end, and its record. `None` if its length is none that was written, or
+    /// reaches beyond the file.
+    fn frame_at(&self, offset: usize) -> Option<(usize, Result<Record, FrameError>)> {
+        let rest = self.bytes.get(offset..)?;
+        let header = Header::read(rest)?;
+        let payload = rest.get(HEADER_BYTES..HEADER_BYTES + header.length)?;
+        Some((offset + HEADER_BYTES + header.length, decode(payload, header.checksum)))
+    }
+
+    fn is_sound(&self, offset: usize) -> bool {
+        matches!(self.frame_at(offset), Some((_, Ok(_))))
+    }
+
+    /// The first sound frame behind this offset. One that a client has put into the body of a message is
+    /// taken for one of ours only if the message itself is damaged.
+    fn next_sound(&self, offset: usize) -> Option<usize> {
+        (offset + 1..self.bytes.len().saturating_sub(HEADER_BYTES)).find(|offset| self.is_sound(*offset))
+    }
 }
 
 impl Iterator for FrameReader<'_> {
@@ -65,12 +87,21 @@
 
     fn next(&mut self) -> Option<Frame> {
         let offset = self.offset;
-        let rest = self.bytes.get(offset..)?;
-        let header = Header::read(rest)?;
-        let end = HEADER_BYTES + header.length;
-        let payload = rest.get(HEADER_BYTES..end)?;
-        self.offset += end;
-        Some(Frame { offset, record: decode(payload, header.checksum) })
+        let error = match self.frame_at(offset) {
+            Some((end, Ok(record))) => {
+                self.offset = end;
+                return Some(Frame { offset, record: Ok(record) });
+            }
+            // Its length tells where the next one begins, unless it is the length that is damaged.
+            Some((end, Err(error))) if end == self.bytes.len() || self.is_sound(end) => {
+                self.offset = end;
+                return Some(Frame { offset, record: Err(error) });
+            }
+            Some((_, Err(error))) => error,
+            None => FrameError::Length,
+        };
+        self.offset = self.next_sound(offset)?;
+        Some(Frame { offset, record: Err(error) })
     }
 }
 
--- a/crates/message-sender/src/journal/record.rs
+++ b/crates/message-sender/src/journal/record.rs
@@ -54,7 +54,7 @@
     pub destination: DestinationId,
     /// The key within which ordered classes keep their messages in order.
     pub order_key: Option<String>,
-    /// When it must have ended, in Unix time: monotonic time ends with the process.
+    /// When it must have ended, by the journal's clock.
     pub deadline: Micros,
     /// What is to be delivered.
     pub body: Body,
@@ -98,7 +98,7 @@
 /// When and in which zone an attempt was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AttemptStart {
-    /// When it was sent, in Unix time.
+    /// When it was sent, by the journal's clock.
     pub sent_at: Micros,
     /// Index of its endpoint's zone.
     pub zone: u64,
--- a/crates/message-sender/src/journal/state.rs
+++ b/crates/message-sender/src/journal/state.rs
@@ -19,6 +19,9 @@
     PendingNotice(Notice, Option<String>),
 }
 
+/// Records that cannot be read are logged one by one up to so many.
+const MAX_SKIPS_LOGGED: usize = 10;
+
 /// The state of a journal after all of its records.
 #[derive(Debug, Default)]
 pub(super) struct JournalState {
@@ -41,12 +44,21 @@
 pub(super) fn replay(bytes: &[u8]) -> Replay {
     let mut state = JournalState::default();
     let mut frames = FrameReader::new(bytes);
+    let mut skipped = 0;
     for frame in &mut frames {
         match frame.record {
             Ok(record) => state.apply(record),
-            Err(error) => tracing::warn!(offset = frame.offset, %error, "journal record skipped"),
+            Err(error) => {
+                skipped += 1;
+                if skipped <= MAX_SKIPS_LOGGED {
+                    tracing::warn!(offset = frame.offset, %error, "journal record skipped");
+                }
+            }
         }
     }
+    if skipped > MAX_SKIPS_LOGGED {
+        tracing::warn!(skipped, "journal records skipped");
+    }
     Replay { state, complete_length: frames.offset() }
 }
 
--- a/crates/message-sender/src/journal/tests.rs
+++ b/crates/message-sender/src/journal/tests.rs
@@ -127,6 +127,42 @@
     assert_eq!(fs::read(&path).unwrap(), bytes, "nothing is cut off");
 }
 
+/// Earlier versions appended behind a part that they could not cut off, and a disk may damage any place: what
+/// is sound behind it is read, wherever the damage begins and ends.
+#[test]
+fn records_behind_a_torn_part_are_still_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join(FILE_NAME);
+    let TwoRecords { first_length, bytes } = write_two_records(folder.path());
+    let (first, second) = bytes.split_at(first_length);
+    for torn_length in 1..first_length {
+        fs::write(&path, [&first[..torn_length], second].concat()).unwrap();
+        let journal = open(folder.path());
+        let expected = JournalEntry::Open(accepted("m2", 40), AttemptHistory::default());
+        assert_eq!(entries(&journal), [(2, expected)], "torn after {torn_length}");
+    }
+    for damage in [&[0; 64][..], &[0xff; 64], &[1; 13]] {
+        fs::write(&path, [first, damage, second].concat()).unwrap();
+        let mut journal = open(folder.path());
+        assert_eq!(entries(&journal).len(), 2, "{damage:?}");
+        journal.record_accepted(3, accepted("m3", 40)).unwrap();
+        assert_eq!(entries(&open(folder.path())).len(), 3, "{damage:?}");
+    }
+}
+
+/// Guards against a compaction that fails for good after one that died half-way.
+#[test]
+fn a_leftover_of_a_compaction_is_written_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = open(folder.path());
+    journal.record_accepted(1, accepted("m1", 40)).unwrap();
+    fs::write(folder.path().join(COMPACTED_FILE_NAME), vec![7; 9_000]).unwrap();
+    journal.compact().unwrap();
+    journal.record_accepted(2, accepted("m2", 40)).unwrap();
+    assert_eq!(entries(&open(folder.path())), entries(&journal));
+    assert!(!folder.path().join(COMPACTED_FILE_NAME).exists());
+}
+
 /// Versions that take turns on one folder must agree on the limits, or one finds the journal of the other
 /// full.
 #[test]
--- a/crates/message-sender/src/journal/writer.rs
+++ b/crates/message-sender/src/journal/writer.rs
@@ -1,7 +1,8 @@
 //! The journal as the sender uses it: opened once, then written before each step.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use delivery_control::MessageId;
 
@@ -18,25 +19,45 @@
 /// no such endpoint is listed any more.
 pub(super) const MAX_DRAINED_ENDPOINTS: usize = 1024;
 
+/// Least time between compactions that fail: each writes all of the state.
+const COMPACTION_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The journal of one sender.
+///
+/// Its state is ahead of the file while the folder takes no writes: what has happened to messages is kept in
+/// `unwritten` until it can be appended. What must be on the disk first is refused meanwhile.
 pub struct Journal {
     file: JournalFile,
     budget: DiskBudget,
     state: JournalState,
+    /// Frames that could not be appended yet, oldest first. They are bounded by the open messages: no new
+    /// message or attempt is recorded before them.
+    unwritten: VecDeque<Vec<u8>>,
+    /// When a compaction failed, so that it is not tried with each record.
+    compaction_failed_at: Option<Instant>,
 }
 
 impl Journal {
-    /// Opens the journal in the state folder and replays it. An incomplete record at its end is cut off. All
-    /// files of the journal together take no more than `disk_bytes`.
+    /// Opens the journal in the state folder and replays it. An incomplete record at its end is cut off, at
+    /// the latest before the next record. All files of the journal together take no more than `disk_bytes`.
     pub fn open(folder: &Path, disk_bytes: u64) -> Result<Self, JournalError> {
         let (mut file, contents) = JournalFile::open(folder)?;
         let replayed = replay(&contents);
         if replayed.complete_length < contents.len() {
             let bytes = contents.len() - replayed.complete_length;
             tracing::warn!(bytes, "incomplete journal record cut off");
-            file.truncate(replayed.complete_length as u64)?;
+            if let Err(error) = file.truncate(replayed.complete_length as u64) {
+                tracing::warn!(%error, "incomplete journal record not cut off yet");
+            }
         }
-        Ok(Self { file, budget: DiskBudget::new(disk_bytes), state: replayed.state })
+        let budget = DiskBudget::new(disk_bytes);
+        Ok(Self {
+            file,
+            budget,
+            state: replayed.state,
+            unwritten: VecDeque::new(),
+            compaction_failed_at: None,
+        })
     }
 
     /// All messages that are open or have a pending notice, in the order in which they were accepted.
@@ -101,22 +122,60 @@
 
     /// Records that no byte of the last attempt was sent, nor will be.
     pub fn record_unsent(&mut self, id: MessageId) -> Result<(), JournalError> {
-        self.append_within_hard_limit(Record::AttemptUnsent(id))
+        self.append_outcome(Record::AttemptUnsent(id))
     }
 
     /// Records that the last attempt was not processed by its endpoint.
     pub fn record_unprocessed(&mut self, id: MessageId) -> Result<(), JournalError> {
-        self.append_within_hard_limit(Record::AttemptUnprocessed(id))
+        self.append_outcome(Record::AttemptUnprocessed(id))
     }
 
     /// Records that a message ended, with the notice that the platform must get, if any.
     pub fn record_end(&mut self, id: MessageId, notice: Option<Notice>) -> Result<(), JournalError> {
-        self.append_within_hard_limit(Record::Ended(id, notice))
+        self.append_outcome(Record::Ended(id, notice))
     }
 
     /// Records that the platform acknowledged the notice.
     pub fn record_notice_acknowledged(&mut self, id: MessageId) -> Result<(), JournalError> {
-        self.append_within_hard_limit(Record::NoticeAcknowledged(id))
+        self.append_outcome(Record::NoticeAcknowledged(id))
+    }
+
+    /// Whether all that has happened is in the file.
+    pub fn is_synchronized(&self) -> bool {
+        self.unwritten.is_empty() && !self.file.is_torn()
+    }
+
+    /// Appends what could not be appended yet. Where the file cannot be appended to, it is replaced.
+    pub fn synchronize(&mut self) -> Result<(), JournalError> {
+        if self.is_synchronized() {
+            return Ok(());
+        }
+        let Err(error) = self.append_unwritten() else { return Ok(()) };
+        // The new file holds all of the state.
+        self.try_compact().then_some(()).ok_or(error)
+    }
+
+    fn append_unwritten(&mut self) -> Result<(), JournalError> {
+        self.file.repair()?;
+        while let Some(frame) = self.unwritten.front() {
+            let length = frame.len() as u64;
+            if self.file.length() + length > self.budget.hard_limit() {
+                return Err(JournalError::Full);
+            }
+            self.file.append(frame)?;
+            self.unwritten.pop_front();
+        }
+        Ok(())
+    }
+
+    /// Records what has happened already. It takes effect in any case, and is appended as soon as the file
+    /// can be; an error says that it is not in the file yet.
+    fn append_outcome(&mut self, record: Record) -> Result<(), JournalError> {
+        let frame = encode(&record)?;
+        self.state.apply(record);
+        self.unwritten.push_back(frame);
+        self.compact_when_due(0);
+        self.synchronize()
     }
 
     /// Appends a record that brings accepted messages on, or that is small: it may use the space that is
@@ -128,13 +187,10 @@
     /// Appends a record unless the file would grow past this length, and applies it. A file that has reached
     /// the threshold is compacted first; where that fails, it grows on up to its limits.
     pub(super) fn append(&mut self, record: Record, max_length: u64) -> Result<(), JournalError> {
+        self.synchronize()?;
         let frame = encode(&record)?;
         let frame_length = frame.len() as u64;
-        if self.file.length() + frame_length > self.budget.compaction_threshold() {
-            if let Err(error) = self.compact() {
-                tracing::warn!(%error, "journal compaction failed");
-            }
-        }
+        self.compact_when_due(frame_length);
         if self.file.length() + frame_length > max_length {
             return Err(JournalError::Full);
         }
@@ -143,12 +199,36 @@
         Ok(())
     }
 
+    /// Compacts the file, unless that failed a moment ago; whether it was compacted.
+    fn try_compact(&mut self) -> bool {
+        if self.compaction_failed_at.is_some_and(|at| at.elapsed() < COMPACTION_RETRY_INTERVAL) {
+            return false;
+        }
+        let compacted = self.compact();
+        self.compaction_failed_at = compacted.is_err().then(Instant::now);
+        if let Err(error) = &compacted {
+            tracing::debug!(%error, "journal compaction failed");
+        }
+        compacted.is_ok()
+    }
+
+    /// Compacts the file if this many more bytes would take it beyond the threshold.
+    fn compact_when_due(&mut self, more_bytes: u64) {
+        let unwritten: usize = self.unwritten.iter().map(Vec::len).sum();
+        let length = self.file.length() + unwritten as u64 + more_bytes;
+        if length > self.budget.compaction_threshold() {
+            self.try_compact();
+        }
+    }
+
     /// Replaces the file by one that holds the present state alone.
     pub(super) fn compact(&mut self) -> Result<(), JournalError> {
         let contents = encode_snapshot(&self.state)?;
         if !self.budget.fits_both(self.file.length(), contents.len() as u64) {
             return Err(JournalError::Full);
         }
-        self.file.replace(&contents)
+        self.file.replace(&contents)?;
+        self.unwritten.clear();
+        Ok(())
     }
 }
--- a/crates/message-sender/src/submission.rs
+++ b/crates/message-sender/src/submission.rs
@@ -42,4 +42,6 @@
     Rejected(Micros),
     /// There is no such destination.
     UnknownDestination,
+    /// Nobody knows whether the message was accepted: it must not be submitted again.
+    Undetermined,
 }
