--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -33,7 +33,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use self::audit::AuditSchedule;
-use self::clock::UnixClock;
+use self::clock::JournalClock;
 use self::in_flight::InFlightAttempts;
 pub use self::inputs::EventLoopInputs;
 use self::journal_sync::{JournalFailureLog, JournalSync};
@@ -50,6 +50,7 @@
 use crate::handover::OwnershipLock;
 use crate::invariants::InvariantMonitor;
 use crate::journal::Journal;
+use crate::machine_clock::MachineTime;
 use crate::metrics::Metrics;
 use crate::operator_api::CommandResult;
 use crate::time::duration;
@@ -97,7 +98,7 @@
     controller: Controller,
     settings: Settings,
     names: Names,
-    clock: UnixClock,
+    clock: JournalClock,
     /// Shared with attempts, which write when they begin to be sent; nobody writes once the event loop is
     /// gone.
     journal: Rc<RefCell<Journal>>,
@@ -141,7 +142,7 @@
             controller: config.controller,
             settings: config.settings,
             names: config.names,
-            clock: UnixClock::start(),
+            clock: JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref()),
             next_message_id: config.journal.next_id(),
             journal: Rc::new(RefCell::new(config.journal)),
             journal_sync: JournalSync::new(),
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -10,7 +10,8 @@
 use crate::endpoint_list::EndpointList;
 use crate::handover::relay::RemoteCall;
 use crate::handover::HandoverState;
-use crate::journal::{AcceptedMessage, AttemptHistory, Body, JournalEntry};
+use crate::journal::{AcceptedMessage, AttemptHistory, Body, ClockReading, JournalEntry};
+use crate::machine_clock::MachineTime;
 use crate::notice::{Notice, NoticeResult};
 
 /// What the journal contains at the start, for the log.
@@ -51,6 +52,7 @@
             let update = self.registry.load_cached(&list);
             self.report_endpoints(list.version, update);
         }
+        self.limit_deadlines();
         let entries = self.journal_entries();
         RecoveryCounts::of(&entries).log();
         for (id, entry) in entries {
@@ -65,6 +67,7 @@
                 JournalEntry::Open(accepted, history) => self.recover_message(id, accepted, history),
             }
         }
+        self.record_clock_reading();
     }
 
     /// Continues from the state that a predecessor handed over. Returns the predecessor's attempts that are
@@ -95,9 +98,35 @@
             let cancelled = self.in_flight.start(attempt);
             remote_calls.push(RemoteCall { attempt, cancelled });
         }
+        self.record_clock_reading();
         Ok(remote_calls)
     }
 
+    /// No message has longer than its class allows from now on. One that seems to was accepted by a clock
+    /// that has been set back since, and by which nobody can tell how much time has passed.
+    fn limit_deadlines(&self) {
+        let now = self.clock.now();
+        let latest: Vec<_> = self
+            .journal_entries()
+            .into_iter()
+            .filter_map(|(id, entry)| match entry {
+                JournalEntry::Open(message, _) => Some((id, self.names.class(&message.class)?)),
+                JournalEntry::PendingNotice(..) => None,
+            })
+            .map(|(id, class)| (id, now.saturating_add(self.settings.classes[class].deadline)))
+            .collect();
+        let recorded = self.journal.borrow_mut().limit_deadlines(latest);
+        self.note_outcome(recorded);
+    }
+
+    /// Records what the clocks show, for the next process to go on from.
+    fn record_clock_reading(&self) {
+        let Some(machine) = MachineTime::now() else { return };
+        let reading = ClockReading { machine, journal_time: self.clock.now() };
+        let recorded = self.journal.borrow_mut().record_clock_reading(reading);
+        self.note_outcome(recorded);
+    }
+
     fn journal_entries(&self) -> Vec<(MessageId, JournalEntry)> {
         self.journal.borrow().entries().map(|(id, entry)| (id, entry.clone())).collect()
     }
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -10,7 +10,7 @@
 use tokio::time::{advance, Instant};
 use tracing::subscriber::DefaultGuard;
 
-use super::clock::UnixClock;
+use super::clock::JournalClock;
 use super::in_flight::InFlightAttempts;
 use super::open_messages::{MessageOrigin, OpenMessage, OpenMessages};
 use super::shutdown::Shutdown;
@@ -18,6 +18,8 @@
 use super::timers::Timers;
 use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
+use crate::journal::ClockReading;
+use crate::machine_clock::MachineTime;
 
 /// The log of the present test's thread.
 #[derive(Clone, Default)]
@@ -69,7 +71,7 @@
 /// Guards against time that goes back, or leaps, when a process continues another's work.
 #[tokio::test(start_paused = true)]
 async fn a_restored_clock_follows_the_predecessor_only_where_the_two_disagree() {
-    let mut clock = UnixClock::start();
+    let mut clock = JournalClock::start();
     let now = clock.now();
     clock.restore(now);
     clock.restore(now - 1_999_999);
@@ -80,9 +82,28 @@
     assert_eq!(clock.now(), now - 2_000_000);
 }
 
+/// Guards against deadlines that move with the system's time from one process to the next.
+#[tokio::test(start_paused = true)]
+async fn a_clock_goes_on_from_the_last_reading_of_the_same_boot() {
+    let machine = |boot_id: &str, monotonic| MachineTime { boot_id: boot_id.to_owned(), monotonic };
+    let last = ClockReading { machine: machine("a", 1_000), journal_time: 50 };
+    let resumed = |now: Option<MachineTime>| JournalClock::resume(Some(&last), now.as_ref()).now();
+    assert_eq!(resumed(Some(machine("a", 1_007))), 57);
+    let system = JournalClock::start().now();
+    let by_system = [
+        resumed(Some(machine("b", 1_007))),
+        resumed(Some(machine("a", 999))),
+        resumed(None),
+        JournalClock::resume(None, Some(&machine("a", 1_007))).now(),
+    ];
+    for time in by_system {
+        assert!((system..system + 60_000_000).contains(&time), "{time}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_clock_advances_with_monotonic_time_and_names_instants() {
-    let clock = UnixClock::start();
+    let clock = JournalClock::start();
     let (now, instant) = (clock.now(), Instant::now());
     advance(Duration::from_micros(7)).await;
     assert_eq!(clock.now(), now + 7);
--- a/crates/message-sender/src/journal/compaction.rs
+++ b/crates/message-sender/src/journal/compaction.rs
@@ -10,6 +10,9 @@
 /// Encodes the records that add up to this state.
 pub(super) fn encode_snapshot(state: &JournalState) -> Result<Vec<u8>, JournalError> {
     let mut bytes = encode(&Record::HighestUsedId(state.highest_used_id()))?;
+    if let Some(reading) = state.clock_reading() {
+        bytes.extend(encode(&Record::ClockReading(reading.clone()))?);
+    }
     for name in state.drained_endpoints() {
         bytes.extend(encode(&Record::EndpointDrained(name.clone()))?);
     }
--- a/crates/message-sender/src/journal/compatibility_tests.rs
+++ b/crates/message-sender/src/journal/compatibility_tests.rs
@@ -215,16 +215,18 @@
         Record::EndpointRestored(..) => 9,
         Record::PendingNoticeOrderKey(..) => 10,
         Record::AttemptUnsent(..) => 11,
+        Record::ClockReading(..) => 12,
     }
 }
 
-/// The two journals leave no kind of record untested.
+/// The two journals leave no kind of record untested that the earlier version knew.
 #[test]
 fn the_journals_of_the_earlier_version_hold_every_kind_of_record() {
-    let mut found = [false; 12];
+    let mut found = [false; 13];
     for frame in FrameReader::new(APPENDED).chain(FrameReader::new(COMPACTED)) {
         let record = frame.record.unwrap();
         found[position(&record)] = true;
     }
-    assert_eq!(found, [true; 12]);
+    assert_eq!(found[..12], [true; 12]);
+    assert!(!found[12], "the earlier version wrote no readings of the clocks");
 }
--- a/crates/message-sender/src/journal/mod.rs
+++ b/crates/message-sender/src/journal/mod.rs
@@ -19,7 +19,7 @@
 mod writer;
 
 pub use self::error::JournalError;
-pub use self::record::{AcceptedMessage, AttemptHistory, AttemptStart, Body};
+pub use self::record::{AcceptedMessage, AttemptHistory, AttemptStart, Body, ClockReading};
 pub use self::state::JournalEntry;
 pub use self::writer::Journal;
 
--- a/crates/message-sender/src/journal/record.rs
+++ b/crates/message-sender/src/journal/record.rs
@@ -9,6 +9,7 @@
 use delivery_control::{DestinationId, MessageId, Micros};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::machine_clock::MachineTime;
 use crate::notice::Notice;
 
 /// One change of the journal's state.
@@ -39,6 +40,18 @@
     PendingNoticeOrderKey(MessageId, String),
     /// No byte of the last attempt was sent: it does not count as an attempt.
     AttemptUnsent(MessageId),
+    /// What the clocks showed when a process began. Earlier versions skip it.
+    ClockReading(ClockReading),
+}
+
+/// A reading of the clock in which the journal's times are told, together with the machine's own clock, by
+/// which the next process knows how much time has passed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockReading {
+    /// The machine's clock.
+    pub machine: MachineTime,
+    /// The journal's clock at the same moment.
+    pub journal_time: Micros,
 }
 
 /// A message as it was accepted.
--- a/crates/message-sender/src/journal/state.rs
+++ b/crates/message-sender/src/journal/state.rs
@@ -2,11 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use delivery_control::MessageId;
+use delivery_control::{MessageId, Micros};
 
 use super::capacity::reserved_bytes;
 use super::frame::FrameReader;
-use super::record::{AcceptedMessage, AttemptHistory, Record};
+use super::record::{AcceptedMessage, AttemptHistory, ClockReading, Record};
 use crate::notice::Notice;
 
 /// What the journal holds of a message.
@@ -30,6 +30,8 @@
     open_bytes: u64,
     highest_used_id: MessageId,
     drained_endpoints: BTreeSet<String>,
+    /// The last reading of the clocks.
+    clock_reading: Option<ClockReading>,
 }
 
 /// A journal file as read.
@@ -94,6 +96,19 @@
         &self.drained_endpoints
     }
 
+    /// The last reading of the clocks.
+    pub(super) fn clock_reading(&self) -> Option<&ClockReading> {
+        self.clock_reading.as_ref()
+    }
+
+    /// Brings the deadline of an open message forward to this time.
+    pub(super) fn limit_deadline(&mut self, id: MessageId, latest: Micros) -> bool {
+        let Some(JournalEntry::Open(message, _)) = self.entries.get_mut(&id) else { return false };
+        let is_later = message.deadline > latest;
+        message.deadline = message.deadline.min(latest);
+        is_later
+    }
+
     /// Applies one record. One of a message that is not held, or not in the state that it is for, changes
     /// nothing.
     pub(super) fn apply(&mut self, record: Record) {
@@ -112,6 +127,7 @@
             Record::NoticeAcknowledged(id) => {
                 self.remove(id);
             }
+            Record::ClockReading(reading) => self.clock_reading = Some(reading),
             Record::EndpointDrained(name) => {
                 self.drained_endpoints.insert(name);
             }
--- a/crates/message-sender/src/journal/writer.rs
+++ b/crates/message-sender/src/journal/writer.rs
@@ -4,14 +4,14 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use delivery_control::MessageId;
+use delivery_control::{MessageId, Micros};
 
 use super::capacity::{reserved_bytes, DiskBudget};
 use super::compaction::encode_snapshot;
 use super::error::JournalError;
 use super::file::JournalFile;
 use super::frame::encode;
-use super::record::{AcceptedMessage, AttemptStart, Record};
+use super::record::{AcceptedMessage, AttemptStart, ClockReading, Record};
 use super::state::{replay, JournalEntry, JournalState};
 use crate::notice::Notice;
 
@@ -80,6 +80,31 @@
         self.state.drained_endpoints()
     }
 
+    /// The last reading of the clocks, by the process that began to count in this time.
+    pub fn clock_reading(&self) -> Option<&ClockReading> {
+        self.state.clock_reading()
+    }
+
+    /// Records a reading of the clocks, from which the next process goes on.
+    pub fn record_clock_reading(&mut self, reading: ClockReading) -> Result<(), JournalError> {
+        self.append_outcome(Record::ClockReading(reading))
+    }
+
+    /// Brings the deadlines of open messages forward to these times, each of a message that can't have longer.
+    pub fn limit_deadlines(
+        &mut self,
+        latest: impl IntoIterator<Item = (MessageId, Micros)>,
+    ) -> Result<(), JournalError> {
+        let mut is_changed = false;
+        for (id, latest) in latest {
+            is_changed |= self.state.limit_deadline(id, latest);
+        }
+        if is_changed {
+            self.compact()?;
+        }
+        Ok(())
+    }
+
     /// An id that no message of this journal has had.
     pub fn next_id(&self) -> MessageId {
         self.state.highest_used_id() + 1
--- /dev/null
+++ b/crates/message-sender/src/machine_clock.rs
@@ -0,0 +1,58 @@
+//! The machine's monotonic clock, which runs on across the ends of processes and which nobody sets.
+//!
+//! It starts anew at each boot; the kernel's boot id tells one boot from another.
+
+use std::fs;
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use delivery_control::Micros;
+use rustix::time::{clock_gettime, ClockId};
+use serde::{Deserialize, Serialize};
+
+/// Where the kernel tells the boot id.
+const BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
+/// How often the file is read if that fails, and the pause before the next time.
+const READ_ATTEMPTS: u32 = 20;
+const READ_PAUSE: Duration = Duration::from_millis(10);
+
+const MICROS_PER_SECOND: Micros = 1_000_000;
+const NANOS_PER_MICRO: Micros = 1_000;
+
+/// A reading of the machine's monotonic clock.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineTime {
+    /// Identifies the boot since which the clock has run.
+    pub boot_id: String,
+    /// What the clock shows.
+    pub monotonic: Micros,
+}
+
+impl MachineTime {
+    /// Reads the clock; `None` where the boot cannot be identified.
+    pub fn now() -> Option<Self> {
+        let boot_id = read_boot_id()?;
+        let time = clock_gettime(ClockId::Monotonic);
+        Some(Self { boot_id, monotonic: time.tv_sec * MICROS_PER_SECOND + time.tv_nsec / NANOS_PER_MICRO })
+    }
+
+    /// The time since an earlier reading; `None` if the machine has been booted in between.
+    pub fn since(&self, earlier: &Self) -> Option<Micros> {
+        let is_same_boot = self.boot_id == earlier.boot_id && self.monotonic >= earlier.monotonic;
+        is_same_boot.then(|| self.monotonic - earlier.monotonic)
+    }
+}
+
+/// Reads the boot id, again where the system fails to for a moment.
+fn read_boot_id() -> Option<String> {
+    for _ in 0..READ_ATTEMPTS {
+        match fs::read_to_string(BOOT_ID_FILE) {
+            Ok(text) if text.trim().is_empty() => return None,
+            Ok(text) => return Some(text.trim().to_owned()),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return None,
+            Err(_) => thread::sleep(READ_PAUSE),
+        }
+    }
+    None
+}
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -27,6 +27,7 @@
 mod instrumented_stream;
 mod invariants;
 mod journal;
+mod machine_clock;
 mod metrics;
 mod notice;
 mod operator_api;
