Leave attempts that were never begun out of the limit of attempts

Change: the host says whether an attempt was begun; one that was not counts neither towards the limit nor in the time shared out to further attempts.

--- a/crates/delivery-control/src/event.rs
+++ b/crates/delivery-control/src/event.rs
@@ -161,6 +161,8 @@
     pub outcome: AttemptOutcome,
     /// Time since it was sent.
     pub elapsed: Micros,
+    /// Its request was begun to be sent; one that was not does not count towards the limit of attempts.
+    pub was_started: bool,
     /// The message has ended with it.
     pub is_final: bool,
     /// The Retry-After of a rejection; 0 if there was none.
--- a/crates/delivery-control/src/model/message.rs
+++ b/crates/delivery-control/src/model/message.rs
@@ -25,6 +25,9 @@
     pub attempts: u32,
     /// Attempts made so far without those that the host did not send; the backoff grows with it.
     pub sent_attempts: u32,
+    /// Attempts that the host gave up before it began to send them; the limit of attempts leaves them out.
+    #[serde(default)]
+    pub unstarted_attempts: u32,
     /// An attempt is in flight.
     pub in_flight: bool,
     /// Its response is being streamed to the client.
@@ -40,6 +43,11 @@
 }
 
 impl Message {
+    /// The attempts that count towards the limit.
+    pub fn counted_attempts(&self) -> u32 {
+        self.attempts.saturating_sub(self.unstarted_attempts)
+    }
+
     /// Takes over what a predecessor process did.
     pub fn recover(&mut self, attempts: u32, first_ambiguous: Option<AmbiguousAttempt>, ready_at: Micros) {
         self.attempts = attempts;
--- a/crates/delivery-control/src/retry.rs
+++ b/crates/delivery-control/src/retry.rs
@@ -38,7 +38,7 @@
     let class = context.class(message);
     let in_time = message.deadline - START_MARGIN.max(2 * context.settings.turn_interval);
     match (message.first_ambiguous, class.idempotency) {
-        _ if message.attempts >= context.settings.limits.max_attempts => Micros::MIN,
+        _ if message.counted_attempts() >= context.settings.limits.max_attempts => Micros::MIN,
         (None, _) | (_, Idempotency::Always) => in_time,
         (Some(_), Idempotency::Never) => Micros::MIN,
         (Some(first), _) => in_time.min(first.sent_at + class.idempotency_window - START_MARGIN),
@@ -76,7 +76,7 @@
     let longest_backoff = (backoff(message) as f64 * (1.0 + JITTER)) as Micros;
     let room = (window - 2 * START_MARGIN - longest_backoff).min((message.deadline - context.now) / 2);
     let usual = endpoint.answered_at.map_or(0, |_| (endpoint.latency * RETRY_LATENCIES) as Micros);
-    let may_retry = message.attempts + 1 < context.settings.limits.max_attempts;
+    let may_retry = message.counted_attempts() + 1 < context.settings.limits.max_attempts;
     (may_retry && room >= usual.max(INITIAL_BACKOFF)).then_some(room)
 }
 
@@ -86,7 +86,8 @@
         message.first_ambiguous = Some(AmbiguousAttempt { sent_at: failed.sent_at, zone: failed.zone });
     }
     // The backoff grows from attempt to attempt, so far that the attempts left last to the deadline.
-    let attempts_left = context.settings.limits.max_attempts.saturating_sub(message.attempts).max(1);
+    let attempts_left =
+        context.settings.limits.max_attempts.saturating_sub(message.counted_attempts()).max(1);
     let longest = (message.deadline - context.now) / Micros::from(attempts_left);
     message.ready_at = context.now + (backoff(message).min(longest) as f64 * jitter) as Micros;
     message.sent_attempts += u32::from(failed.outcome != AttemptOutcome::NotSent);
--- a/crates/delivery-control/src/turn.rs
+++ b/crates/delivery-control/src/turn.rs
@@ -86,6 +86,7 @@
         let jitter_factor = jitter_factor(self.random);
         let Some(message) = self.state.messages.get_mut(end.id) else { return };
         message.in_flight = false;
+        message.unstarted_attempts += u32::from(!end.was_started);
         if message.rejected {
             self.rare_call_rate.record_retry(end.outcome);
         }
--- a/crates/delivery-control/tests/controller/invariants/checker.rs
+++ b/crates/delivery-control/tests/controller/invariants/checker.rs
@@ -250,6 +250,7 @@
         message.is_finished |= outcome == AttemptOutcome::Delivered;
         let end = AttemptEnd {
             elapsed: self.now - call.sent_at,
+            was_started: true,
             is_final: message.is_finished,
             retry_after,
             ..attempt_end(id, message.attempts - 1, call.endpoint, outcome)
--- a/crates/delivery-control/tests/controller/retry.rs
+++ b/crates/delivery-control/tests/controller/retry.rs
@@ -1,13 +1,13 @@
 //! How attempts are timed and retried: backoff, time-outs and the idempotency window.
 
 use delivery_control::{
-    Action, AmbiguousAttempt, AttemptOutcome, Controller, Event, MessageSubmission, Settings,
+    Action, AmbiguousAttempt, AttemptEnd, AttemptOutcome, Controller, Event, MessageSubmission, Settings,
 };
 
 use crate::support::{
-    attempt_ended, endpoint_snapshot, message_recovered, message_submission, message_submitted, sends,
-    settings, timed_sends, two_destinations, ControllerHarness, IDEMPOTENT, IDEMPOTENT_WITH_KEY, MILLISECOND,
-    NOT_IDEMPOTENT, SECOND,
+    attempt_end, attempt_ended, endpoint_snapshot, message_recovered, message_submission, message_submitted,
+    sends, settings, timed_sends, two_destinations, ControllerHarness, IDEMPOTENT, IDEMPOTENT_WITH_KEY,
+    MILLISECOND, NOT_IDEMPOTENT, SECOND,
 };
 
 #[test]
@@ -163,3 +163,25 @@
     let later = harness.advance_to(harness.now + 30 * SECOND);
     assert!(later.iter().all(|(_, action)| matches!(action, Action::SetTimer { .. })), "{later:?}");
 }
+
+/// Guards against a message that is given up because its host could not begin attempts for a while, such as
+/// while the disk takes no records.
+#[test]
+fn attempts_that_were_not_begun_do_not_count_towards_the_limit() {
+    let mut controller = Controller::new(settings(), 1).expect("settings are valid");
+    let mut actions = Vec::new();
+    let mut now = 10 * SECOND;
+    let mut events = vec![endpoint_snapshot(two_destinations()), message_submitted(1, NOT_IDEMPOTENT, 10)];
+    let mut attempts = 0;
+    while attempts < 3 * settings().limits.max_attempts {
+        actions.clear();
+        controller.turn(now, &std::mem::take(&mut events), &mut actions);
+        assert!(!actions.iter().any(|action| matches!(action, Action::Reject { .. })), "after {attempts}");
+        for (id, endpoint) in sends(&actions) {
+            let end = attempt_end(id, attempts, endpoint, AttemptOutcome::NotSent);
+            events.push(Event::AttemptEnded(AttemptEnd { was_started: false, ..end }));
+            attempts += 1;
+        }
+        now += 50 * MILLISECOND;
+    }
+}
--- a/crates/delivery-control/tests/controller/support/events.rs
+++ b/crates/delivery-control/tests/controller/support/events.rs
@@ -86,6 +86,7 @@
         endpoint,
         outcome,
         elapsed: 0,
+        was_started: true,
         is_final: outcome == AttemptOutcome::Delivered,
         retry_after: 0,
         load_report: None,
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -108,6 +108,7 @@
             endpoint,
             outcome: AttemptOutcome::NotSent,
             elapsed: 0,
+            was_started: false,
             is_final: false,
             retry_after: 0,
             load_report: None,
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -76,6 +76,7 @@
             endpoint,
             outcome,
             elapsed,
+            was_started: request_started,
             is_final,
             retry_after,
             load_report,
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -212,6 +212,7 @@
         endpoint: 1,
         outcome: AttemptOutcome::Delivered,
         elapsed: 0,
+        was_started: true,
         is_final: true,
         retry_after: 0,
         load_report: None,
--- a/crates/simulator-adapter/src/incoming.rs
+++ b/crates/simulator-adapter/src/incoming.rs
@@ -346,6 +346,8 @@
             endpoint: self.endpoint,
             outcome: self.outcome.into(),
             elapsed: micros_or_zero(self.elapsed_ms),
+            // The simulator counts all attempts.
+            was_started: true,
             is_final: self.is_final,
             retry_after: if is_rejected { micros_or_zero(self.retry_after_ms) } else { 0 },
             load_report: decode_load_report(self.load_report),
--- a/crates/simulator-adapter/src/incoming/tests.rs
+++ b/crates/simulator-adapter/src/incoming/tests.rs
@@ -84,6 +84,7 @@
             endpoint: 3,
             outcome,
             elapsed: 5_500,
+            was_started: true,
             is_final: true,
             retry_after,
             load_report: Some(LoadReport { limit_remaining: Some(0.5), ..LoadReport::default() }),
