Try the steps of a start, and the handover socket, again while the system denies them

Cause: each step of a start was tried once. Change: steps that fail by what may pass (a shortage, an interruption, a device in trouble) are tried again every 50 ms, for 20 s in all, with one line in the log; the handover socket until it is bound.

--- a/crates/fault-soak/shim/fault_shim.c
+++ b/crates/fault-soak/shim/fault_shim.c
@@ -266,6 +266,18 @@
     return chosen_mode(SOCKET) ? fail(SOCKET) : next(domain, type, protocol);
 }
 
+int socketpair(int domain, int type, int protocol, int descriptors[2]) {
+    static int (*next)(int, int, int, int *);
+    if (!next) next = (int (*)(int, int, int, int *))dlsym(RTLD_NEXT, "socketpair");
+    return chosen_mode(SOCKET) ? fail(SOCKET) : next(domain, type, protocol, descriptors);
+}
+
+int epoll_create1(int flags) {
+    static int (*next)(int);
+    if (!next) next = NEXT(epoll_create1);
+    return chosen_mode(SOCKET) ? fail(SOCKET) : next(flags);
+}
+
 int connect(int descriptor, const struct sockaddr *address, socklen_t length) {
     static int (*next)(int, const struct sockaddr *, socklen_t);
     if (!next) next = NEXT(connect);
--- a/crates/message-sender/src/config/error.rs
+++ b/crates/message-sender/src/config/error.rs
@@ -7,6 +7,8 @@
 
 use delivery_control::SettingsError;
 
+use crate::transient::{is_transient, MayBeTransient};
+
 /// Why a configuration is not accepted. The messages hold their causes: they are printed as they are.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -29,3 +31,9 @@
     #[error("settings: {0}")]
     Settings(SettingsError),
 }
+
+impl MayBeTransient for ConfigError {
+    fn is_transient(&self) -> bool {
+        matches!(self, Self::Unreadable(_, error) if is_transient(error))
+    }
+}
--- a/crates/message-sender/src/config/mod.rs
+++ b/crates/message-sender/src/config/mod.rs
@@ -7,3 +7,4 @@
 mod tests;
 
 pub use deployment::Config;
+pub use error::ConfigError;
--- a/crates/message-sender/src/handover/ownership.rs
+++ b/crates/message-sender/src/handover/ownership.rs
@@ -11,6 +11,7 @@
 
 use super::error::HandoverError;
 use super::request::{request_handover, InheritedState, RequestedTransfer};
+use crate::transient::{is_transient, MayBeTransient, StartRetries};
 
 const LOCK_FILE: &str = "lock";
 /// Pause before the lock is tried again.
@@ -39,6 +40,13 @@
     },
 }
 
+impl MayBeTransient for OwnershipError {
+    fn is_transient(&self) -> bool {
+        let (Self::CreateFolder { source, .. } | Self::Lock { source, .. }) = self;
+        is_transient(source)
+    }
+}
+
 /// The right to be the sender, released when dropped.
 pub struct OwnershipLock {
     /// The system releases the lock when the file is closed.
@@ -62,6 +70,11 @@
     }
 }
 
+/// Tries to take the lock, again where the system fails to say whether it is free.
+async fn acquire_lock(folder: &Path) -> Result<Option<OwnershipLock>, OwnershipError> {
+    StartRetries::begin().run("ownership lock", || OwnershipLock::try_acquire(folder)).await
+}
+
 /// What a process has that has become the sender.
 pub struct Ownership {
     /// The right to be the sender.
@@ -74,11 +87,15 @@
 
 /// Becomes the sender: at once where there is none, else by a handover or when the current sender has ended.
 pub async fn acquire_ownership(folder: &Path, names: &Names) -> Result<Ownership, OwnershipError> {
-    std::fs::create_dir_all(folder)
-        .map_err(|source| OwnershipError::CreateFolder { path: folder.to_owned(), source })?;
+    let retries = StartRetries::begin();
+    let create_folder = || {
+        std::fs::create_dir_all(folder)
+            .map_err(|source| OwnershipError::CreateFolder { path: folder.to_owned(), source })
+    };
+    retries.run("state folder", create_folder).await?;
     let mut acquisition = Acquisition::new(folder, names);
     loop {
-        if let Some(lock) = OwnershipLock::try_acquire(folder)? {
+        if let Some(lock) = acquire_lock(folder).await? {
             return Ok(Ownership { lock, listener: acquisition.listener, inherited: None });
         }
         // Once the predecessor drains for this process, only its end is left to wait for.
@@ -96,7 +113,7 @@
 pub async fn reacquire_ownership(folder: &Path) -> Result<Option<Ownership>, OwnershipError> {
     let started = Instant::now();
     while started.elapsed() < REACQUIRE_TIMEOUT {
-        if let Some(lock) = OwnershipLock::try_acquire(folder)? {
+        if let Some(lock) = acquire_lock(folder).await? {
             return Ok(Some(Ownership { lock, listener: None, inherited: None }));
         }
         sleep(RETRY_INTERVAL).await;
@@ -135,7 +152,7 @@
             return Ok(None);
         };
         // The lock was released before the commit was sent; another process may have taken it first.
-        let Some(lock) = OwnershipLock::try_acquire(self.folder)? else {
+        let Some(lock) = acquire_lock(self.folder).await? else {
             return Ok(None);
         };
         Ok(Some(Ownership { lock, listener: Some(granted.listener), inherited: Some(inherited) }))
--- a/crates/message-sender/src/journal/error.rs
+++ b/crates/message-sender/src/journal/error.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use crate::transient::{is_transient, MayBeTransient};
+
 /// Why the journal could not be opened, or a record not be written.
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
@@ -29,6 +31,12 @@
     Encoding(postcard::Error),
 }
 
+impl MayBeTransient for JournalError {
+    fn is_transient(&self) -> bool {
+        matches!(self, Self::Io { cause, .. } if is_transient(cause))
+    }
+}
+
 impl JournalError {
     /// Names the file or folder that an operation failed on.
     pub(super) fn io(path: &Path, cause: io::Error) -> Self {
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -4,9 +4,12 @@
 //! All of its settings come from the environment; see [`config::Config::from_environment`].
 #![forbid(unsafe_code)]
 
+use std::io;
+use std::panic;
 use std::process::ExitCode;
 
 use anyhow::Context;
+use rustix::io::Errno;
 use tokio::runtime;
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
@@ -36,11 +39,14 @@
 mod signals;
 mod submission;
 mod time;
+mod transient;
 
-use config::Config;
+use transient::{is_transient, RETRY_PAUSE};
 
 /// What is logged unless `RUST_LOG` says otherwise.
 const DEFAULT_LOG_FILTER: &str = "info";
+/// How often the runtime is built, some 50 ms apart.
+const RUNTIME_ATTEMPTS: u32 = 100;
 
 fn main() -> ExitCode {
     start_log();
@@ -61,9 +67,28 @@
 
 /// Runs the process on one thread, as its parts share their state without locks.
 fn run() -> anyhow::Result<()> {
-    let runtime =
-        runtime::Builder::new_current_thread().enable_all().build().context("the runtime cannot be built")?;
-    let config = Config::from_environment()?;
-    LocalSet::new().block_on(&runtime, process::run(config))?;
+    let runtime = build_runtime().context("the runtime cannot be built")?;
+    LocalSet::new().block_on(&runtime, process::run())?;
     Ok(())
 }
+
+/// Builds the runtime, again if the system denies it something for a moment.
+fn build_runtime() -> io::Result<runtime::Runtime> {
+    for _ in 1..RUNTIME_ATTEMPTS {
+        match try_build_runtime() {
+            Err(error) if is_transient(&error) => std::thread::sleep(RETRY_PAUSE),
+            built => return built,
+        }
+    }
+    try_build_runtime()
+}
+
+/// Builds the runtime. It panics where it is denied the socket pair for signals, which is an error like the
+/// others here.
+fn try_build_runtime() -> io::Result<runtime::Runtime> {
+    let hook = panic::take_hook();
+    panic::set_hook(Box::new(|_| {}));
+    let built = panic::catch_unwind(|| runtime::Builder::new_current_thread().enable_all().build());
+    panic::set_hook(hook);
+    built.unwrap_or_else(|_| Err(Errno::MFILE.into()))
+}
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -5,14 +5,17 @@
 mod startup;
 
 use std::cell::Cell;
+use std::io;
 use std::net::{self, SocketAddr};
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
 use delivery_control::{Controller, Invariant};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 pub use self::error::ProcessError;
 use crate::client_api::ClientApi;
@@ -31,14 +34,19 @@
 use crate::operator_api::OperatorRequest;
 use crate::serving_state::{ServingState, ServingStateControl};
 use crate::signals::Signals;
+use crate::transient::StartRetries;
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
+/// Pause before the handover socket is bound again.
+const HANDOVER_BIND_PAUSE: Duration = Duration::from_millis(100);
 
 /// Runs a sender process until it is asked to end, or a successor has taken everything over.
-pub async fn run(config: Config) -> Result<(), ProcessError> {
+pub async fn run() -> Result<(), ProcessError> {
+    let retries = StartRetries::begin();
     // Before anything else: until then a signal ends the process.
-    let signals = Signals::install().map_err(ProcessError::Signals)?;
-    let mut process = SenderProcess::start(config, signals).await?;
+    let signals = retries.run("signal handlers", Signals::install).await.map_err(ProcessError::Signals)?;
+    let config = retries.run("configuration", Config::from_environment).await?;
+    let mut process = SenderProcess::start(config, signals, retries).await?;
     if let Some(ownership) = process.acquire_ownership().await? {
         process.serve_while_owner(ownership).await?;
         process.finish().await;
@@ -83,7 +91,8 @@
         let mut ownership = ownership;
         let mut missed_events = Vec::new();
         loop {
-            let listener = self.bind_client_listener(ownership.listener.take()).await?;
+            let retries = StartRetries::begin();
+            let listener = self.bind_client_listener(ownership.listener.take(), retries).await?;
             let served = self.serve(ownership, &listener, std::mem::take(&mut missed_events)).await?;
             let Some(predecessor) = served else { return Ok(()) };
             match predecessor.run(&mut self.events, &self.limiter).await {
@@ -93,7 +102,8 @@
             let reacquired = handover::reacquire_ownership(&self.config.state).await;
             let Some(reacquired) = reacquired.map_err(ProcessError::StateDirectory)? else { return Ok(()) };
             tracing::warn!("successor died, taking the work back");
-            let listener = listener.try_clone().map_err(ProcessError::Socket)?;
+            let share = || listener.try_clone();
+            let listener = retries.run("listener for clients", share).await.map_err(ProcessError::Socket)?;
             ownership = Ownership { listener: Some(listener), ..reacquired };
             self.delivery.resume();
             self.serving_state.resume();
@@ -105,12 +115,16 @@
     async fn bind_client_listener(
         &self,
         inherited: Option<net::TcpListener>,
+        retries: StartRetries,
     ) -> Result<Rc<net::TcpListener>, ProcessError> {
         if let Some(listener) = inherited {
             return Ok(Rc::new(listener));
         }
-        let listener = TcpListener::bind(self.config.listen).await.map_err(ProcessError::ListeningAddress)?;
-        Ok(Rc::new(listener.into_std().map_err(ProcessError::Socket)?))
+        let bind = || net::TcpListener::bind(self.config.listen);
+        let listener = retries.run("listener for clients", bind).await;
+        let listener = listener.map_err(ProcessError::ListeningAddress)?;
+        listener.set_nonblocking(true).map_err(ProcessError::Socket)?;
+        Ok(Rc::new(listener))
     }
 
     /// Serves as the sender. Returns this process's side of the relay once a successor has taken over, or
@@ -122,7 +136,8 @@
         missed_events: Vec<SenderEvent>,
     ) -> Result<Option<Predecessor>, ProcessError> {
         let notices = Rc::new(NoticeQueue::default());
-        let mut event_loop = self.new_event_loop(ownership.lock, notices.clone())?;
+        let retries = StartRetries::begin();
+        let mut event_loop = self.new_event_loop(ownership.lock, notices.clone(), retries).await?;
         // Before the first connection is accepted: to answer at all means to be ready.
         match ownership.inherited {
             Some(inherited) => self.continue_predecessor(&mut event_loop, inherited)?,
@@ -130,7 +145,8 @@
         }
         event_loop.replay_missed_events(missed_events);
 
-        let accepting = listener.try_clone().and_then(TcpListener::from_std).map_err(ProcessError::Socket)?;
+        let share = || listener.try_clone().and_then(TcpListener::from_std);
+        let accepting = retries.run("accepting socket", share).await.map_err(ProcessError::Socket)?;
         let listen = accepting.local_addr().map_err(ProcessError::Socket)?;
         let mut owner_tasks = self.spawn_owner_tasks(listener, accepting, notices);
         self.ready.set(true);
@@ -162,15 +178,16 @@
         Ok(())
     }
 
-    fn new_event_loop(
+    async fn new_event_loop(
         &self,
         lock: OwnershipLock,
         notices: Rc<NoticeQueue>,
+        retries: StartRetries,
     ) -> Result<EventLoop, ProcessError> {
         let config = &self.config;
         let controller = Controller::new(config.settings.clone(), config.seed)?;
         let disk_bytes = (config.limits.disk_mb * BYTES_PER_MEGABYTE) as u64;
-        let journal = Journal::open(&config.state, disk_bytes)?;
+        let journal = retries.run("journal", || Journal::open(&config.state, disk_bytes)).await?;
         Ok(EventLoop::new(EventLoopConfig {
             controller,
             settings: config.settings.clone(),
@@ -193,17 +210,14 @@
         notices: Rc<NoticeQueue>,
     ) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
-        match HandoverListener::bind(&self.config.state) {
-            Ok(handover_listener) => {
-                tasks.spawn_local(handover_listener.serve(
-                    listener.clone(),
-                    self.serving_state.clone(),
-                    self.successor_sender.clone(),
-                ));
-            }
-            // It serves all the same; an upgrade is a restart then.
-            Err(error) => tracing::error!(%error, "handover not available"),
-        }
+        // At once, if it can be: a successor may come as soon as this process is ready.
+        tasks.spawn_local(serve_handovers(
+            HandoverListener::bind(&self.config.state),
+            self.config.state.clone(),
+            listener.clone(),
+            self.serving_state.clone(),
+            self.successor_sender.clone(),
+        ));
         tasks.spawn_local(discovery::watch(
             self.discovery.clone(),
             self.event_sender.clone(),
@@ -229,3 +243,30 @@
         tracing::info!("ended");
     }
 }
+
+/// Listens for successors and passes them to the event loop. A socket that cannot be bound is tried again:
+/// without one, no successor would ever become the sender.
+async fn serve_handovers(
+    bound: io::Result<HandoverListener>,
+    state: PathBuf,
+    listener: Rc<net::TcpListener>,
+    serving_state: Rc<ServingStateControl>,
+    successors: mpsc::Sender<Successor>,
+) {
+    let mut bound = bound;
+    let mut is_logged = false;
+    loop {
+        match bound {
+            Ok(handover_listener) => {
+                return handover_listener.serve(listener, serving_state, successors).await;
+            }
+            Err(error) if !is_logged => {
+                tracing::error!(%error, "handover not available yet");
+                is_logged = true;
+            }
+            Err(_) => {}
+        }
+        sleep(HANDOVER_BIND_PAUSE).await;
+        bound = HandoverListener::bind(&state);
+    }
+}
--- a/crates/message-sender/src/process/startup.rs
+++ b/crates/message-sender/src/process/startup.rs
@@ -1,7 +1,7 @@
 //! What every process starts, whether it is the sender or not.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{self, SocketAddr};
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
@@ -18,6 +18,7 @@
 use crate::operator_api::{self, OperatorApi};
 use crate::serving_state::ServingStateControl;
 use crate::signals::Signals;
+use crate::transient::StartRetries;
 
 /// Events that wait for the event loop; whoever reports more waits too.
 const EVENT_QUEUE: usize = 1024;
@@ -27,7 +28,11 @@
 impl SenderProcess {
     /// Starts what every process runs: the operators' listener, the signal handlers, and the maintenance of
     /// connections.
-    pub(super) async fn start(config: Config, signals: Signals) -> Result<Self, ProcessError> {
+    pub(super) async fn start(
+        config: Config,
+        signals: Signals,
+        retries: StartRetries,
+    ) -> Result<Self, ProcessError> {
         let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
         let (command_sender, commands) = mpsc::channel(operator_api::REQUEST_QUEUE_CAPACITY);
         let (successor_sender, successors) = mpsc::channel(SUCCESSOR_QUEUE);
@@ -43,7 +48,7 @@
                 metrics: metrics.clone(),
                 requests: command_sender,
             };
-            serve_operators(address, operator_api).await?;
+            serve_operators(address, operator_api, retries).await?;
         }
         signals.spawn_handlers(discovery_sender, serving_state.clone(), event_sender.clone());
         let shares = config.limits.shares(config.settings.limits.max_in_flight);
@@ -78,8 +83,18 @@
 }
 
 /// Serves operators on a listener of their own, for as long as the process lives.
-async fn serve_operators(address: SocketAddr, operator_api: OperatorApi) -> Result<(), ProcessError> {
-    let listener = TcpListener::bind(address).await.map_err(ProcessError::ManagementAddress)?;
+async fn serve_operators(
+    address: SocketAddr,
+    operator_api: OperatorApi,
+    retries: StartRetries,
+) -> Result<(), ProcessError> {
+    let bind = || {
+        let listener = net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    let listener = retries.run("listener for operators", bind).await;
+    let listener = listener.map_err(ProcessError::ManagementAddress)?;
     let management = listener.local_addr().map_err(ProcessError::Socket)?;
     tracing::info!(%management, "listening for operators");
     let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
