Go on after interrupted calls on sockets, of clients, endpoints, discovery and handovers

Cause: an interrupted recv or send reached the HTTP library and the frame reader as an error, and ended the connection: requests were closed without an answer, handovers failed, and a relay that ended made the predecessor answer 503 for messages that the successor had accepted. The runtime's own reads also take a short read for the end of what has arrived. Change: both kinds of streams repeat what was interrupted; the handover's reads through try_read, so that a short read is no more than that.

--- a/crates/message-sender/src/event_loop/handover.rs
+++ b/crates/message-sender/src/event_loop/handover.rs
@@ -1,17 +1,15 @@
 //! Handing the sender's work over to a successor process, between two turns.
 
-use tokio::net::UnixStream;
-
 use super::journal_sync::UnrecordedStep;
 use super::{EventLoop, LoopEnd};
 use crate::handover::relay::Predecessor;
-use crate::handover::{self, HandoverState, Successor};
+use crate::handover::{self, HandoverState, HandoverStream, Successor};
 
 impl EventLoop {
     /// Offers everything to a successor. Returns the connection to it once it is ready to take over; until
     /// then nothing changes for this process. A successor that can only read the journal gets this process's
     /// end: it shuts down.
-    pub(super) async fn offer(&mut self, successor: Successor) -> Option<UnixStream> {
+    pub(super) async fn offer(&mut self, successor: Successor) -> Option<HandoverStream> {
         let synchronized = self.journal.borrow_mut().synchronize();
         if let Err(error) = synchronized {
             // The successor reads the journal: it would take up again what has ended.
@@ -51,7 +49,7 @@
     }
 
     /// Makes the successor the sender. The journal is closed before it can be opened there.
-    pub(super) async fn hand_over(self, mut stream: UnixStream) -> LoopEnd {
+    pub(super) async fn hand_over(self, mut stream: HandoverStream) -> LoopEnd {
         let Self { lock, journal, delivery, in_flight, shutdown, .. } = self;
         drop(journal);
         // Attempts that have not begun to be sent never will be.
--- a/crates/message-sender/src/handover/descriptor.rs
+++ b/crates/message-sender/src/handover/descriptor.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::os::fd::{AsFd, OwnedFd};
 
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -37,7 +38,8 @@
     let mut ancillary = SendAncillaryBuffer::new(&mut space);
     let descriptors = [listener.as_fd()];
     ancillary.push(SendAncillaryMessage::ScmRights(&descriptors));
-    sendmsg(stream, &[IoSlice::new(&[LISTENER_MARK])], &mut ancillary, SendFlags::NOSIGNAL)?;
+    let mark = [IoSlice::new(&[LISTENER_MARK])];
+    retry_on_intr(|| sendmsg(stream, &mark, &mut ancillary, SendFlags::NOSIGNAL))?;
     Ok(())
 }
 
@@ -45,7 +47,8 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut ancillary = RecvAncillaryBuffer::new(&mut space);
     let mut mark = [0];
-    recvmsg(stream, &mut [IoSliceMut::new(&mut mark)], &mut ancillary, RecvFlags::CMSG_CLOEXEC)?;
+    let mut mark = [IoSliceMut::new(&mut mark)];
+    retry_on_intr(|| recvmsg(stream, &mut mark, &mut ancillary, RecvFlags::CMSG_CLOEXEC))?;
     for message in ancillary.drain() {
         if let RecvAncillaryMessage::ScmRights(mut descriptors) = message {
             if let Some(descriptor) = descriptors.next() {
--- a/crates/message-sender/src/handover/listener.rs
+++ b/crates/message-sender/src/handover/listener.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{UnixListener, UnixStream};
+use tokio::net::UnixListener;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -18,6 +18,7 @@
 };
 use super::socket_path::SocketPath;
 use super::state::HandoverState;
+use super::stream::HandoverStream;
 use crate::serving_state::ServingStateControl;
 
 /// How long the predecessor stops deciding for a successor that does not go on.
@@ -27,7 +28,7 @@
 
 /// A process that requests to become the sender.
 pub struct Successor {
-    stream: UnixStream,
+    stream: HandoverStream,
     reads_state: bool,
     listener: Rc<TcpListener>,
     serving_state: Rc<ServingStateControl>,
@@ -42,15 +43,15 @@
     /// Offers it the state and the listening socket. It has read both when this returns, and nothing has
     /// changed before the commit. Without a state it waits for this process to end, and clients are sent
     /// away.
-    pub async fn offer(self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
+    pub async fn offer(self, state: Option<HandoverState>) -> Result<HandoverStream, HandoverError> {
         match timeout(SUCCESSOR_TIMEOUT, self.send_offer(state)).await {
             Ok(offered) => offered,
             Err(_) => Err(HandoverError::Timeout { awaited: "successor to read the offer" }),
         }
     }
 
-    async fn send_offer(mut self, state: Option<HandoverState>) -> Result<UnixStream, HandoverError> {
-        send_listener(&self.stream, &self.listener).await?;
+    async fn send_offer(mut self, state: Option<HandoverState>) -> Result<HandoverStream, HandoverError> {
+        send_listener(self.stream.socket(), &self.listener).await?;
         let has_state = state.is_some();
         write_frame(&mut self.stream, &Offer { state }).await?;
         if has_state {
@@ -64,7 +65,7 @@
 
 /// Gives up being the sender. If the commit cannot be written, the successor has died, and the relay will
 /// notice.
-pub async fn commit(stream: &mut UnixStream, lock: OwnershipLock) {
+pub async fn commit(stream: &mut HandoverStream, lock: OwnershipLock) {
     // The successor takes it as soon as it reads the commit.
     drop(lock);
     if let Err(error) = write_frame(stream, &Commit).await {
@@ -116,8 +117,9 @@
         }
     }
 
-    async fn accept(&self) -> Result<(UnixStream, Hello), HandoverError> {
-        let (mut stream, _) = self.socket.accept().await.map_err(HandoverError::Accept)?;
+    async fn accept(&self) -> Result<(HandoverStream, Hello), HandoverError> {
+        let (stream, _) = self.socket.accept().await.map_err(HandoverError::Accept)?;
+        let mut stream = HandoverStream::from(stream);
         let hello = read_frame_within(&mut stream, SUCCESSOR_TIMEOUT).await?;
         Ok((stream, hello))
     }
--- a/crates/message-sender/src/handover/mod.rs
+++ b/crates/message-sender/src/handover/mod.rs
@@ -31,6 +31,7 @@
 mod request;
 mod socket_path;
 mod state;
+mod stream;
 #[cfg(test)]
 mod tests;
 
@@ -38,3 +39,4 @@
 pub use self::ownership::{acquire_ownership, reacquire_ownership, Ownership, OwnershipError, OwnershipLock};
 pub use self::request::InheritedState;
 pub use self::state::HandoverState;
+pub use self::stream::HandoverStream;
--- a/crates/message-sender/src/handover/protocol.rs
+++ b/crates/message-sender/src/handover/protocol.rs
@@ -5,11 +5,11 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::UnixStream;
 use tokio::time::timeout;
 
 use super::error::HandoverError;
 use super::state::HandoverState;
+use super::stream::HandoverStream;
 
 /// Changes with the fields of the state and with the frames that two processes exchange after the commit.
 pub const PROTOCOL_VERSION: u32 = 3;
@@ -91,7 +91,7 @@
 
 /// Reads a frame that has to come within this time.
 pub async fn read_frame_within<T: Frame + DeserializeOwned>(
-    stream: &mut UnixStream,
+    stream: &mut HandoverStream,
     limit: Duration,
 ) -> Result<T, HandoverError> {
     match timeout(limit, read_frame(stream)).await {
--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -3,8 +3,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{interval, Instant};
 
@@ -15,6 +13,7 @@
 use crate::event::SenderEvent;
 use crate::handover::error::HandoverError;
 use crate::handover::protocol::{read_frame, write_frame};
+use crate::handover::stream::{HandoverStream, HandoverWriter};
 use crate::submission::{Submission, SubmissionReply};
 
 /// How often the predecessor checks whether its part is over, and counts its connections.
@@ -36,7 +35,7 @@
 
 /// A process that has handed over and still has attempts in flight, and clients.
 pub struct Predecessor {
-    writer: OwnedWriteHalf,
+    writer: HandoverWriter,
     /// Ends with the successor.
     frames: mpsc::Receiver<SuccessorFrame>,
     /// Attempts in flight; dropping one cancels it.
@@ -54,11 +53,11 @@
     /// Goes on over the connection of the handover. `in_flight` are the attempts, each with its
     /// cancellation handle.
     pub fn new(
-        stream: UnixStream,
+        stream: HandoverStream,
         in_flight: HashMap<AttemptId, oneshot::Sender<()>>,
         shutdown_requested_at: Option<Instant>,
     ) -> Self {
-        let (reader, writer) = stream.into_split();
+        let (reader, writer) = stream.split();
         let (sender, frames) = mpsc::channel(FRAME_QUEUE_CAPACITY);
         tokio::task::spawn_local(read_frames(reader, sender));
         Self {
@@ -120,7 +119,7 @@
             // seen.
             SenderEvent::EndpointListReceived(_) | SenderEvent::NoticesAcknowledged(_) => return Ok(()),
         };
-        write_frame(&mut self.writer, &frame).await
+        write_frame(self.writer.stream(), &frame).await
     }
 
     fn register(
@@ -139,7 +138,7 @@
             return Ok(());
         }
         self.reported_connections = Some(open);
-        write_frame(&mut self.writer, &PredecessorFrame::OpenConnections(open)).await
+        write_frame(self.writer.stream(), &PredecessorFrame::OpenConnections(open)).await
     }
 
     fn handle(&mut self, frame: SuccessorFrame) {
@@ -193,7 +192,7 @@
 }
 
 /// Ends, and closes the channel, when the successor has died or sent what cannot be read.
-async fn read_frames(mut reader: OwnedReadHalf, sender: mpsc::Sender<SuccessorFrame>) {
+async fn read_frames(mut reader: HandoverStream, sender: mpsc::Sender<SuccessorFrame>) {
     while let Ok(frame) = read_frame(&mut reader).await {
         if sender.send(frame).await.is_err() {
             return;
--- a/crates/message-sender/src/handover/relay/successor.rs
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 
 use delivery_control::AttemptOutcome;
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::UnixStream;
 use tokio::sync::{mpsc, oneshot};
 
 use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
@@ -13,6 +11,7 @@
 use crate::connection_limiter::ConnectionLimiter;
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::handover::protocol::{read_frame, write_frame};
+use crate::handover::stream::{HandoverStream, HandoverWriter};
 use crate::submission::{Submission, SubmissionReply};
 
 /// An attempt that the predecessor has in flight.
@@ -26,12 +25,12 @@
 /// Brings what the predecessor relays to the event loop, and the event loop's answers and cancellations to
 /// it.
 pub fn relay_predecessor(
-    stream: UnixStream,
+    stream: HandoverStream,
     remote_calls: Vec<RemoteCall>,
     inbox: mpsc::Sender<SenderEvent>,
     limiter: Rc<ConnectionLimiter>,
 ) {
-    let (reader, writer) = stream.into_split();
+    let (reader, writer) = stream.split();
     let (outgoing, queued) = mpsc::channel(FRAME_QUEUE_CAPACITY);
     let in_flight = remote_calls.iter().map(|call| call.attempt).collect();
     for call in remote_calls {
@@ -60,9 +59,9 @@
     }
 }
 
-async fn write_frames(mut writer: OwnedWriteHalf, mut queued: mpsc::Receiver<SuccessorFrame>) {
+async fn write_frames(mut writer: HandoverWriter, mut queued: mpsc::Receiver<SuccessorFrame>) {
     while let Some(frame) = queued.recv().await {
-        if write_frame(&mut writer, &frame).await.is_err() {
+        if write_frame(writer.stream(), &frame).await.is_err() {
             return;
         }
     }
@@ -70,7 +69,7 @@
 
 /// Receives what the predecessor relays, until its end.
 struct PredecessorReceiver {
-    reader: OwnedReadHalf,
+    reader: HandoverStream,
     /// The predecessor's attempts whose end has not come yet.
     in_flight: BTreeSet<AttemptId>,
     outgoing: mpsc::Sender<SuccessorFrame>,
--- a/crates/message-sender/src/handover/request.rs
+++ b/crates/message-sender/src/handover/request.rs
@@ -13,6 +13,7 @@
 use super::protocol::{read_frame_within, write_frame, Commit, Hello, Offer, Prepared, PROTOCOL_VERSION};
 use super::socket_path::SocketPath;
 use super::state::HandoverState;
+use super::stream::HandoverStream;
 
 /// How long the successor waits for each frame of the predecessor.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,7 +32,7 @@
     /// What it knew at the commit.
     pub state: Box<HandoverState>,
     /// The connection to it, for the relay.
-    pub stream: UnixStream,
+    pub stream: HandoverStream,
 }
 
 /// What a predecessor grants.
@@ -54,7 +55,7 @@
         RequestedTransfer::JournalOnly => None,
     };
     write_frame(&mut stream, &Hello { protocol_version }).await?;
-    let listener = receive_listener_within(&stream, RESPONSE_TIMEOUT).await?;
+    let listener = receive_listener_within(stream.socket(), RESPONSE_TIMEOUT).await?;
     let offer: Offer = read_frame_within(&mut stream, RESPONSE_TIMEOUT).await?;
     let Some(state) = offer.state.map(Box::new) else {
         return Ok(GrantedHandover { listener, inherited: None });
@@ -68,10 +69,10 @@
     Ok(GrantedHandover { listener, inherited: Some(InheritedState { state, stream }) })
 }
 
-async fn connect(folder: &Path) -> Result<UnixStream, HandoverError> {
+async fn connect(folder: &Path) -> Result<HandoverStream, HandoverError> {
     let connect_error = |source| HandoverError::Connect { path: folder.to_owned(), source };
     let socket = SocketPath::in_folder(folder).map_err(connect_error)?;
-    UnixStream::connect(socket.as_path()).await.map_err(connect_error)
+    UnixStream::connect(socket.as_path()).await.map(HandoverStream::from).map_err(connect_error)
 }
 
 async fn receive_listener_within(stream: &UnixStream, limit: Duration) -> Result<TcpListener, HandoverError> {
--- a/crates/message-sender/src/instrumented_stream.rs
+++ b/crates/message-sender/src/instrumented_stream.rs
@@ -11,6 +11,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Whether a call on a socket that does not block has done nothing and is to be made again: once the socket is
+/// ready, or at once where it was interrupted.
+pub fn is_to_be_repeated(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Observes the bytes of a stream as they pass.
 pub trait StreamObserver {
     /// These bytes were read from the kernel; none at the end of the stream.
@@ -42,7 +48,7 @@
         loop {
             ready!(self.stream.poll_write_ready(context))?;
             match write(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_to_be_repeated(&error) => {}
                 written => {
                     if let Ok(bytes) = written {
                         self.observer.written(bytes);
@@ -63,7 +69,7 @@
         loop {
             ready!(self.stream.poll_read_ready(context))?;
             match self.stream.try_read(buffer.initialize_unfilled()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_to_be_repeated(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok(bytes) => {
                     let before = buffer.filled().len();
