Read a configuration again that is half written, or cannot be read at that moment

Cause: the file was read once, at the signal or at the start. Half written just then, the reload was lost for good, and a start ended with 'EOF while parsing'. Change: after SIGHUP it is read every 100 ms until it can be, for 3 s or until the next signal; at a start for 2 s where it ends too early or the system denies it. Any other fault in it is refused at once, as before.

--- a/crates/message-sender/src/config/error.rs
+++ b/crates/message-sender/src/config/error.rs
@@ -34,6 +34,11 @@
 
 impl MayBeTransient for ConfigError {
     fn is_transient(&self) -> bool {
-        matches!(self, Self::Unreadable(_, error) if is_transient(error))
+        match self {
+            Self::Unreadable(_, error) => is_transient(error),
+            // Half written: it is being replaced at this moment.
+            Self::Malformed(error) => error.is_eof(),
+            _ => false,
+        }
     }
 }
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -37,6 +37,8 @@
 use crate::transient::StartRetries;
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
+/// For how long a start waits for a configuration that cannot be read, or is half written.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(2);
 /// Pause before the handover socket is bound again.
 const HANDOVER_BIND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,7 +47,8 @@
     let retries = StartRetries::begin();
     // Before anything else: until then a signal ends the process.
     let signals = retries.run("signal handlers", Signals::install).await.map_err(ProcessError::Signals)?;
-    let config = retries.run("configuration", Config::from_environment).await?;
+    let configuration_retries = StartRetries::within(CONFIGURATION_LIMIT);
+    let config = configuration_retries.run("configuration", Config::from_environment).await?;
     let mut process = SenderProcess::start(config, signals, retries).await?;
     if let Some(ownership) = process.acquire_ownership().await? {
         process.serve_while_owner(ownership).await?;
--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -3,10 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
 
 use crate::config::Config;
 use crate::event::SenderEvent;
@@ -56,16 +58,42 @@
     }
 }
 
+/// For how long a configuration that cannot be read is read again: the old address of discovery is gone 1.5 s
+/// after the signal, and the change counts as known after 4 s.
+const RELOAD_LIMIT: Duration = Duration::from_secs(3);
+/// Pause before it is read again.
+const RELOAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// On each SIGHUP follows discovery to the address that the configuration file names then. A file that cannot
 /// be read changes nothing: a discovery service that may soon be gone is better than none.
 async fn reload_configuration(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
+        loop {
+            tokio::select! {
+                () = follow_configuration(&discovery) => break,
+                // The file may have been replaced since: it is read from the start.
+                Some(()) = hangup.recv() => {}
+            }
+        }
+    }
+}
+
+/// Follows discovery to the address in the file. One that cannot be read, or is half written, is read again
+/// for as long as the change may take to be known.
+async fn follow_configuration(discovery: &watch::Sender<SocketAddr>) {
+    let started = Instant::now();
+    loop {
         match Config::discovery_now() {
             Ok(address) => {
                 tracing::info!(discovery = %address, "configuration reloaded");
                 discovery.send_if_modified(|current| std::mem::replace(current, address) != address);
+                return;
+            }
+            Err(error) if started.elapsed() >= RELOAD_LIMIT => {
+                tracing::error!(%error, "configuration not reloaded");
+                return;
             }
-            Err(error) => tracing::error!(%error, "configuration not reloaded"),
+            Err(_) => sleep(RELOAD_PAUSE).await,
         }
     }
 }
--- a/crates/message-sender/src/transient.rs
+++ b/crates/message-sender/src/transient.rs
@@ -50,12 +50,18 @@
 #[derive(Debug, Clone, Copy)]
 pub struct StartRetries {
     started: Instant,
+    limit: Duration,
 }
 
 impl StartRetries {
     /// A start begins now.
     pub fn begin() -> Self {
-        Self { started: Instant::now() }
+        Self::within(START_LIMIT)
+    }
+
+    /// Tries for no longer than this, from now on.
+    pub fn within(limit: Duration) -> Self {
+        Self { started: Instant::now(), limit }
     }
 
     /// Takes a step, again after each failure that may pass. `step` names it in the log.
@@ -67,11 +73,11 @@
         let mut is_logged = false;
         loop {
             let error = match attempt() {
-                Err(error) if error.is_transient() && self.started.elapsed() < START_LIMIT => error,
+                Err(error) if error.is_transient() && self.started.elapsed() < self.limit => error,
                 ended => return ended,
             };
             if !is_logged {
-                tracing::warn!(step, %error, "start is tried again");
+                tracing::info!(step, %error, "start is tried again");
                 is_logged = true;
             }
             tokio::time::sleep(RETRY_PAUSE).await;
