Do not send a message again whose id comes again after its end

Not across a restart or a handover, which is left open. The check for suspensions covers the wait between turns, too.

--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -12,6 +12,7 @@
 mod inputs;
 mod journal_sync;
 mod open_messages;
+mod recently_ended;
 mod recovery;
 mod shutdown;
 mod submissions;
@@ -38,6 +39,7 @@
 pub use self::inputs::EventLoopInputs;
 use self::journal_sync::{JournalFailureLog, JournalSync};
 use self::open_messages::OpenMessages;
+use self::recently_ended::RecentlyEnded;
 use self::shutdown::Shutdown;
 use self::submissions::PendingReply;
 use self::summary::LogSummary;
@@ -112,6 +114,7 @@
     timers: Timers,
     next_message_id: MessageId,
     open_messages: OpenMessages,
+    recently_ended: RecentlyEnded,
     /// Clients that wait for the reply to their submission.
     pending_replies: Vec<PendingReply>,
     in_flight: InFlightAttempts,
@@ -153,6 +156,7 @@
             events,
             timers: Timers::default(),
             open_messages: OpenMessages::default(),
+            recently_ended: RecentlyEnded::default(),
             pending_replies: Vec::new(),
             in_flight: InFlightAttempts::default(),
             guard: Rc::default(),
@@ -172,12 +176,14 @@
         let mut successor = None;
         self.update_gauges();
         while !self.is_finished(&inputs) {
+            let mut wake_up = Instant::now();
             if self.events.is_empty() && self.pending_replies.is_empty() && successor.is_none() {
-                let wake_up = self.next_wake_up();
+                wake_up = self.next_wake_up();
                 successor = self.wait_for_input(&mut inputs).await;
-                self.audits.record_wake_up(wake_up);
             }
-            self.wait_for_turn_interval().await;
+            wake_up = wake_up.max(self.next_turn_at());
+            sleep_until(self.next_turn_at()).await;
+            self.audits.record_wake_up(wake_up);
             self.take_in_commands(&mut inputs);
             self.take_in_events(&mut inputs);
             // Connections that have ended meanwhile get to withdraw their messages before those are sent.
@@ -203,11 +209,9 @@
         LoopEnd::Finished
     }
 
-    /// Waits until the last turn is long enough ago.
-    async fn wait_for_turn_interval(&self) {
-        if let Some(last_turn_at) = self.last_turn_at {
-            sleep_until(last_turn_at + duration(self.settings.turn_interval)).await;
-        }
+    /// When the last turn is long enough ago for the next one.
+    fn next_turn_at(&self) -> Instant {
+        self.last_turn_at.map_or_else(Instant::now, |at| at + duration(self.settings.turn_interval))
     }
 
     /// When the next turn is due without any input.
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -50,6 +50,12 @@
             self.pending_replies.push(PendingReply { message_id, kind: SubmissionKind::Duplicate, reply });
             return;
         }
+        if self.recently_ended.contains(&submission.call_id) {
+            tracing::debug!(call_id = submission.call_id, "submitted again after its end");
+            // A client that is gone needs no reply.
+            let _ = reply.send(SubmissionReply::Accepted);
+            return;
+        }
         let now = self.clock.now();
         match self.admit(now, &submission) {
             Ok(message_id) => {
