Remember messages that have ended across restarts and handovers

Withdrawn and rejected messages are not among them. The two tests that compare compacted bytes with the earlier version's now ask for its bytes with just that record behind.

--- a/crates/fault-soak/tests/clients.rs
+++ b/crates/fault-soak/tests/clients.rs
@@ -48,3 +48,18 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(scene.calls("m1"), 1);
 }
+
+/// The same after a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn message_submitted_again_after_a_restart_is_not_sent_again() {
+    let scene = Scene::start(2).await;
+    scene.accept("m1", Class::Once, 1, 8_000).await;
+    scene.await_delivery("m1", LIMIT).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    scene.sender.kill_and_start().await;
+    scene.accept("m1", Class::Once, 1, 8_000).await;
+    scene.accept("m2", Class::Once, 1, 8_000).await;
+    scene.await_delivery("m2", LIMIT).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(scene.calls("m1"), 1);
+}
--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -90,9 +90,6 @@
         let message = self.open_messages.remove(id)?;
         if let Some(outcome) = outcome {
             self.metrics.count_outcome(message.class, outcome);
-            if outcome != MessageOutcome::Rejected {
-                self.recently_ended.insert(message.call_id.clone());
-            }
         }
         Some(message)
     }
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -12,7 +12,6 @@
 mod inputs;
 mod journal_sync;
 mod open_messages;
-mod recently_ended;
 mod recovery;
 mod shutdown;
 mod submissions;
@@ -39,7 +38,6 @@
 pub use self::inputs::EventLoopInputs;
 use self::journal_sync::{JournalFailureLog, JournalSync};
 use self::open_messages::OpenMessages;
-use self::recently_ended::RecentlyEnded;
 use self::shutdown::Shutdown;
 use self::submissions::PendingReply;
 use self::summary::LogSummary;
@@ -114,7 +112,6 @@
     timers: Timers,
     next_message_id: MessageId,
     open_messages: OpenMessages,
-    recently_ended: RecentlyEnded,
     /// Clients that wait for the reply to their submission.
     pending_replies: Vec<PendingReply>,
     in_flight: InFlightAttempts,
@@ -156,7 +153,6 @@
             events,
             timers: Timers::default(),
             open_messages: OpenMessages::default(),
-            recently_ended: RecentlyEnded::default(),
             pending_replies: Vec::new(),
             in_flight: InFlightAttempts::default(),
             guard: Rc::default(),
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -50,7 +50,7 @@
             self.pending_replies.push(PendingReply { message_id, kind: SubmissionKind::Duplicate, reply });
             return;
         }
-        if self.recently_ended.contains(&submission.call_id) {
+        if self.journal.borrow().has_recently_ended(&submission.call_id) {
             tracing::debug!(call_id = submission.call_id, "submitted again after its end");
             // A client that is gone needs no reply.
             let _ = reply.send(SubmissionReply::Accepted);
--- a/crates/message-sender/src/journal/capacity.rs
+++ b/crates/message-sender/src/journal/capacity.rs
@@ -11,6 +11,10 @@
 /// what was accepted can be brought to its end while nothing new is accepted. The rest of the disk takes the
 /// new file of a compaction while the old one still exists.
 const HARD_LIMIT_FRACTION: f64 = 0.54;
+/// Share of the disk for the ids of messages that ended lately, in a compacted file.
+const RECENTLY_ENDED_FRACTION: f64 = 0.02;
+/// A record is no longer than 128 KiB.
+const MAX_RECENTLY_ENDED_BYTES: u64 = 96 * 1024;
 /// The unit in which a file system allots space.
 const BLOCK_BYTES: u64 = 512;
 /// Space reserved for a message beside its own record: for its attempts and its end.
@@ -43,6 +47,11 @@
         self.fraction(HARD_LIMIT_FRACTION)
     }
 
+    /// Space for the ids of messages that ended lately; one record takes them.
+    pub(super) fn recently_ended(self) -> u64 {
+        self.fraction(RECENTLY_ENDED_FRACTION).min(MAX_RECENTLY_ENDED_BYTES)
+    }
+
     /// Whether files of these lengths may exist side by side.
     pub(super) fn fits_both(self, old_length: u64, new_length: u64) -> bool {
         allotted(old_length) + allotted(new_length) <= self.disk_bytes
--- a/crates/message-sender/src/journal/compaction.rs
+++ b/crates/message-sender/src/journal/compaction.rs
@@ -8,7 +8,11 @@
 use super::state::{JournalEntry, JournalState};
 
 /// Encodes the records that add up to this state.
-pub(super) fn encode_snapshot(state: &JournalState) -> Result<Vec<u8>, JournalError> {
+/// Of the messages that ended lately, as many are kept as take this many bytes.
+pub(super) fn encode_snapshot(
+    state: &JournalState,
+    recently_ended_bytes: u64,
+) -> Result<Vec<u8>, JournalError> {
     let mut bytes = encode(&Record::HighestUsedId(state.highest_used_id()))?;
     if let Some(reading) = state.clock_reading() {
         bytes.extend(encode(&Record::ClockReading(reading.clone()))?);
@@ -19,6 +23,10 @@
     for (id, entry) in state.entries() {
         encode_entry(id, entry, &mut bytes)?;
     }
+    let recently_ended = state.recently_ended().last(recently_ended_bytes);
+    if !recently_ended.is_empty() {
+        bytes.extend(encode(&Record::RecentlyEnded(recently_ended))?);
+    }
     Ok(bytes)
 }
 
--- a/crates/message-sender/src/journal/compatibility_tests.rs
+++ b/crates/message-sender/src/journal/compatibility_tests.rs
@@ -7,7 +7,7 @@
 use delivery_control::{MessageId, Micros};
 
 use super::file::FILE_NAME;
-use super::frame::FrameReader;
+use super::frame::{encode, FrameReader};
 use super::record::{AcceptedMessageV1, Record};
 use super::*;
 use crate::notice::{Notice, NoticeResult};
@@ -187,7 +187,7 @@
     record_the_rest(&mut journal);
     assert_eq!(fs::read(&path).unwrap(), APPENDED);
     journal.compact().unwrap();
-    assert_eq!(fs::read(&path).unwrap(), COMPACTED);
+    assert_eq!(fs::read(&path).unwrap(), compacted_by_this_version());
 }
 
 #[test]
@@ -196,7 +196,14 @@
     let path = folder.path().join(FILE_NAME);
     fs::write(&path, APPENDED).unwrap();
     Journal::open(folder.path(), DISK_BYTES).unwrap().compact().unwrap();
-    assert_eq!(fs::read(&path).unwrap(), COMPACTED);
+    assert_eq!(fs::read(&path).unwrap(), compacted_by_this_version());
+}
+
+/// What the earlier version wrote, and behind it one record that it skips: the messages that were delivered
+/// or failed.
+fn compacted_by_this_version() -> Vec<u8> {
+    let ended = ["m8", "m10", "m12", "m17"].map(str::to_owned).to_vec();
+    [COMPACTED, &encode(&Record::RecentlyEnded(ended)).unwrap()].concat()
 }
 
 /// Position of a record's variant in the stored form. Without a wildcard, so that a new variant asks for a
@@ -216,17 +223,18 @@
         Record::PendingNoticeOrderKey(..) => 10,
         Record::AttemptUnsent(..) => 11,
         Record::ClockReading(..) => 12,
+        Record::RecentlyEnded(..) => 13,
     }
 }
 
 /// The two journals leave no kind of record untested that the earlier version knew.
 #[test]
 fn the_journals_of_the_earlier_version_hold_every_kind_of_record() {
-    let mut found = [false; 13];
+    let mut found = [false; 14];
     for frame in FrameReader::new(APPENDED).chain(FrameReader::new(COMPACTED)) {
         let record = frame.record.unwrap();
         found[position(&record)] = true;
     }
     assert_eq!(found[..12], [true; 12]);
-    assert!(!found[12], "the earlier version wrote no readings of the clocks");
+    assert_eq!(found[12..], [false; 2], "the earlier version did not know these");
 }
--- a/crates/message-sender/src/journal/mod.rs
+++ b/crates/message-sender/src/journal/mod.rs
@@ -14,6 +14,7 @@
 mod error;
 mod file;
 mod frame;
+mod recently_ended;
 mod record;
 mod state;
 mod writer;
--- a/crates/message-sender/src/journal/record.rs
+++ b/crates/message-sender/src/journal/record.rs
@@ -42,6 +42,9 @@
     AttemptUnsent(MessageId),
     /// What the clocks showed when a process began. Earlier versions skip it.
     ClockReading(ClockReading),
+    /// Ids of messages that ended lately. Written by compactions, which drop the messages. Earlier versions
+    /// skip it.
+    RecentlyEnded(Vec<String>),
 }
 
 /// A reading of the clock in which the journal's times are told, together with the machine's own clock, by
--- a/crates/message-sender/src/journal/state.rs
+++ b/crates/message-sender/src/journal/state.rs
@@ -6,8 +6,9 @@
 
 use super::capacity::reserved_bytes;
 use super::frame::FrameReader;
+use super::recently_ended::RecentlyEnded;
 use super::record::{AcceptedMessage, AttemptHistory, ClockReading, Record};
-use crate::notice::Notice;
+use crate::notice::{Notice, NoticeResult};
 
 /// What the journal holds of a message.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,6 +33,7 @@
     drained_endpoints: BTreeSet<String>,
     /// The last reading of the clocks.
     clock_reading: Option<ClockReading>,
+    recently_ended: RecentlyEnded,
 }
 
 /// A journal file as read.
@@ -96,6 +98,11 @@
         &self.drained_endpoints
     }
 
+    /// The messages that ended lately.
+    pub(super) fn recently_ended(&self) -> &RecentlyEnded {
+        &self.recently_ended
+    }
+
     /// The last reading of the clocks.
     pub(super) fn clock_reading(&self) -> Option<&ClockReading> {
         self.clock_reading.as_ref()
@@ -127,6 +134,11 @@
             Record::NoticeAcknowledged(id) => {
                 self.remove(id);
             }
+            Record::RecentlyEnded(call_ids) => {
+                for call_id in call_ids {
+                    self.recently_ended.insert(call_id);
+                }
+            }
             Record::ClockReading(reading) => self.clock_reading = Some(reading),
             Record::EndpointDrained(name) => {
                 self.drained_endpoints.insert(name);
@@ -155,12 +167,28 @@
 
     fn end(&mut self, id: MessageId, notice: Option<Notice>) {
         self.mark_used(id);
+        let is_rejected =
+            notice.as_ref().is_some_and(|notice| matches!(notice.result, NoticeResult::Rejected { .. }));
+        // Without an attempt it was withdrawn, or rejected at once: its client may submit it again.
+        if !is_rejected && self.is_attempted(id) {
+            self.remember(id);
+        }
         let order_key = self.remove(id).and_then(|message| message.order_key);
         if let Some(notice) = notice {
             self.entries.insert(id, JournalEntry::PendingNotice(notice, order_key));
         }
     }
 
+    fn is_attempted(&self, id: MessageId) -> bool {
+        matches!(self.entries.get(&id), Some(JournalEntry::Open(_, history)) if history.attempts > 0)
+    }
+
+    fn remember(&mut self, id: MessageId) {
+        if let Some(JournalEntry::Open(message, _)) = self.entries.get(&id) {
+            self.recently_ended.insert(message.call_id.clone());
+        }
+    }
+
     fn set_order_key(&mut self, id: MessageId, order_key: String) {
         if let Some(JournalEntry::PendingNotice(_, stored)) = self.entries.get_mut(&id) {
             *stored = Some(order_key);
--- a/crates/message-sender/src/journal/tests.rs
+++ b/crates/message-sender/src/journal/tests.rs
@@ -286,6 +286,35 @@
     assert_eq!(history(&open(folder.path())), (1, Some(attempt(6))));
 }
 
+/// Guards against a message that is sent again, also by the next process and after a compaction, because its
+/// id comes again; and against one that was withdrawn or rejected and is taken for delivered.
+#[test]
+fn messages_that_were_delivered_or_failed_are_remembered_by_their_ids() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut journal = open(folder.path());
+    let notice = |result| Some(Notice { call_id: "m".to_owned(), result });
+    for (id, call_id, is_attempted, end) in [
+        (1, "delivered", true, None),
+        (2, "failed", true, notice(NoticeResult::Failed)),
+        (3, "rejected", true, notice(NoticeResult::Rejected { retry_after: 0 })),
+        (4, "withdrawn", false, None),
+    ] {
+        journal.record_accepted(id, accepted(call_id, 10)).unwrap();
+        if is_attempted {
+            journal.record_attempt(id, attempt(5)).unwrap();
+        }
+        journal.record_end(id, end).unwrap();
+    }
+    let remembered = |journal: &Journal| {
+        ["delivered", "failed", "rejected", "withdrawn"].map(|call_id| journal.has_recently_ended(call_id))
+    };
+    let expected = [true, true, false, false];
+    assert_eq!(remembered(&journal), expected);
+    assert_eq!(remembered(&open(folder.path())), expected);
+    journal.compact().unwrap();
+    assert_eq!(remembered(&open(folder.path())), expected);
+}
+
 /// A journal of two records: the messages `m1` and `m2`, accepted under the ids 1 and 2.
 struct TwoRecords {
     /// Where the first record ends.
--- a/crates/message-sender/src/journal/writer.rs
+++ b/crates/message-sender/src/journal/writer.rs
@@ -75,6 +75,11 @@
         self.state.open_messages()
     }
 
+    /// Whether a message of this id was delivered, or failed after attempts, a while ago.
+    pub fn has_recently_ended(&self, call_id: &str) -> bool {
+        self.state.recently_ended().contains(call_id)
+    }
+
     /// Names of the endpoints that operators have drained.
     pub fn drained_endpoints(&self) -> &BTreeSet<String> {
         self.state.drained_endpoints()
@@ -248,7 +253,7 @@
 
     /// Replaces the file by one that holds the present state alone.
     pub(super) fn compact(&mut self) -> Result<(), JournalError> {
-        let contents = encode_snapshot(&self.state)?;
+        let contents = encode_snapshot(&self.state, self.budget.recently_ended())?;
         if !self.budget.fits_both(self.file.length(), contents.len() as u64) {
             return Err(JournalError::Full);
         }
