Do not take a socket that this machine denies for a failure of the endpoint

Cause: a connect that failed for want of descriptors, memory or ports here counted as a failed connection of the endpoint, ejected it, and counted as an attempt. Change: such an attempt was not sent; the reason is counted in the log.

--- a/crates/fault-soak/tests/startup.rs
+++ b/crates/fault-soak/tests/startup.rs
@@ -67,3 +67,16 @@
     scene.accept("m2", Class::Pure, 2, 8_000).await;
     scene.await_delivery("m2", LIMIT).await;
 }
+
+/// Guards against endpoints that are taken for failing, and spared for seconds, because this machine denied
+/// the sender its sockets.
+#[tokio::test(flavor = "multi_thread")]
+async fn sockets_that_are_denied_in_service_eject_no_endpoint() {
+    let scene = Scene::start(3).await;
+    scene.fail(Call::Socket, Mode::Fails, EMFILE);
+    scene.accept("m1", Class::Once, 2, 8_000).await;
+    tokio::time::sleep(TROUBLE).await;
+    assert_eq!((scene.calls("m1"), scene.notice("m1")), (0, None));
+    scene.mend();
+    scene.await_delivery("m1", Duration::from_millis(700)).await;
+}
--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -20,6 +20,7 @@
 use super::send_restrictions::{SendRestriction, SendRestrictions};
 use crate::http_connection::{Connection, ResponseRemainder, SendError};
 use crate::time::duration;
+use crate::transient::is_local_shortage;
 
 /// The body of a response means nothing, but must be read before its connection can carry another request.
 const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
@@ -246,6 +247,11 @@
     async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptOutcome> {
         match timeout(self.connect_timeout, Connection::open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
+            // It says nothing about the endpoint, which must not be ejected for it.
+            Ok(Err(error)) if is_local_shortage(&error) => {
+                self.failure_log.record(error.to_string(), false);
+                Err(AttemptOutcome::NotSent)
+            }
             Ok(Err(_)) | Err(_) => Err(AttemptOutcome::ConnectFailed),
         }
     }
--- a/crates/message-sender/src/transient.rs
+++ b/crates/message-sender/src/transient.rs
@@ -34,6 +34,14 @@
     errno.is_some_and(|errno| TRANSIENT.contains(&errno))
 }
 
+/// Whether this process, and not the other end of a connection, lacks what the call needs.
+pub fn is_local_shortage(error: &io::Error) -> bool {
+    let shortages =
+        [Errno::ADDRNOTAVAIL, Errno::INTR, Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    let errno = error.raw_os_error().map(Errno::from_raw_os_error);
+    errno.is_some_and(|errno| shortages.contains(&errno))
+}
+
 /// An error of which the cause may be gone a moment later.
 pub trait MayBeTransient: std::error::Error {
     /// Whether the same step may succeed then.
