Return to standby where the successor of a process on standby dies

Cause: a process that took its work back served clients again, whatever an operator had set. Change: it returns to the state before the handover.

--- a/crates/message-sender/src/serving_state.rs
+++ b/crates/message-sender/src/serving_state.rs
@@ -1,5 +1,7 @@
 //! Whether this process serves clients, and the transitions between the states.
 
+use std::cell::Cell;
+
 use tokio::sync::watch;
 
 #[cfg(test)]
@@ -44,6 +46,8 @@
 /// Owns the process's serving state. All who follow the state see each transition at once.
 pub struct ServingStateControl {
     state: watch::Sender<ServingState>,
+    /// The state to which the process returns if its successor dies.
+    before_handover: Cell<ServingState>,
 }
 
 /// The process is shutting down: its serving state changes no more.
@@ -54,7 +58,10 @@
 impl ServingStateControl {
     /// Starts as [`ServingState::Serving`].
     pub fn new() -> Self {
-        Self { state: watch::Sender::new(ServingState::Serving) }
+        Self {
+            state: watch::Sender::new(ServingState::Serving),
+            before_handover: Cell::new(ServingState::Serving),
+        }
     }
 
     /// Follows the state.
@@ -77,12 +84,13 @@
 
     /// A successor process serves the clients from now on.
     pub fn hand_over(&self) {
+        self.before_handover.set(self.state());
         self.transition(ServingState::HandedOver, "handover");
     }
 
-    /// The successor process has died: this one serves again.
+    /// The successor process has died: this one serves again, or is on standby again.
     pub fn resume(&self) {
-        self.transition(ServingState::Serving, "successor died");
+        self.transition(self.before_handover.get(), "successor died");
     }
 
     /// The process is to end. One that has handed over stays so: to its clients the sender is up.
--- a/crates/message-sender/src/serving_state/tests.rs
+++ b/crates/message-sender/src/serving_state/tests.rs
@@ -31,3 +31,13 @@
     let waited = ServingState::wait_until_not_serving(&mut late);
     assert!(tokio::time::timeout(std::time::Duration::from_millis(20), waited).await.is_err());
 }
+
+/// Guards against a sender on standby that takes clients again because its successor died.
+#[test]
+fn a_process_that_takes_its_work_back_is_on_standby_if_it_was() {
+    let control = ServingStateControl::new();
+    control.set_by_operator(ServingState::Standby).unwrap();
+    control.hand_over();
+    control.resume();
+    assert_eq!(control.state(), ServingState::Standby);
+}
