Answer 500, not 503, where a dead successor may have journalled a message

Cause: read in the code, not seen in a run: a predecessor that was told to end, or whose place a third process took, answered 503 to submissions that it had relayed; 503 says that submitting again is harmless, but the next process delivers what the dead one had journalled. Change: these clients get 500, which they do not submit again.

--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -92,6 +92,7 @@
                 },
                 _ = poll.tick() => {
                     if self.is_over(limiter) {
+                        self.leave_undetermined();
                         return RelayEnd::Over;
                     }
                     self.report_connections(limiter.open_connections()).await
@@ -168,10 +169,20 @@
         self.in_flight.is_empty() && self.pending.is_empty() && limiter.open_connections() == 0
     }
 
+    /// Answers the clients whose messages the successor may have journalled: the next process delivers those,
+    /// so they must not be submitted again.
+    fn leave_undetermined(&mut self) {
+        for (_, pending) in self.pending.drain() {
+            // A client that is gone needs no reply.
+            let _ = pending.reply.send(SubmissionReply::Undetermined);
+        }
+    }
+
     /// Ends the attempts in flight first: otherwise a message could have two at once when the journal is read
     /// again.
-    async fn into_orphaned(self, inbox: &mut mpsc::Receiver<SenderEvent>) -> RelayEnd {
+    async fn into_orphaned(mut self, inbox: &mut mpsc::Receiver<SenderEvent>) -> RelayEnd {
         if self.shutdown_requested_at.is_some() {
+            self.leave_undetermined();
             return RelayEnd::Over;
         }
         let mut events = Vec::new();
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -34,6 +34,7 @@
 use crate::operator_api::OperatorRequest;
 use crate::serving_state::{ServingState, ServingStateControl};
 use crate::signals::Signals;
+use crate::submission::SubmissionReply;
 use crate::transient::StartRetries;
 
 const BYTES_PER_MEGABYTE: f64 = 1e6;
@@ -103,7 +104,10 @@
                 RelayEnd::Orphaned(events) => missed_events = events,
             }
             let reacquired = handover::reacquire_ownership(&self.config.state).await;
-            let Some(reacquired) = reacquired.map_err(ProcessError::StateDirectory)? else { return Ok(()) };
+            let Some(reacquired) = reacquired.map_err(ProcessError::StateDirectory)? else {
+                leave_undetermined(missed_events);
+                return Ok(());
+            };
             tracing::warn!("successor died, taking the work back");
             let share = || listener.try_clone();
             let listener = retries.run("listener for clients", share).await.map_err(ProcessError::Socket)?;
@@ -247,6 +251,17 @@
     }
 }
 
+/// Answers clients whose messages a successor that has died may have journalled, now that a third process is
+/// the sender: they must not be submitted again.
+fn leave_undetermined(missed_events: Vec<SenderEvent>) {
+    for event in missed_events {
+        if let SenderEvent::Submitted(_, reply) = event {
+            // A client that is gone needs no reply.
+            let _ = reply.send(SubmissionReply::Undetermined);
+        }
+    }
+}
+
 /// Listens for successors and passes them to the event loop. A socket that cannot be bound is tried again:
 /// without one, no successor would ever become the sender.
 async fn serve_handovers(
