Limit the log lines on failed accepts and unacknowledged notices to one a second

Cause: a line for each failed accept (up to 50 a second) and each failed notice (up to 20 a second). Change: one limiter, with counts, for these and for failed polls, whose own one it replaces.

--- a/crates/message-sender/src/connection_limiter/accept.rs
+++ b/crates/message-sender/src/connection_limiter/accept.rs
@@ -8,7 +8,10 @@
 use tokio::time::sleep;
 
 use super::{ConnectionLimiter, ConnectionSlot};
+use crate::log_limit::LogLimit;
 
+/// Least time between log lines on failed accepts.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed accept: its cause, such as a lack of descriptors, will not be gone at once.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -22,12 +25,15 @@
     ) where
         F: Future<Output = ()> + 'static,
     {
+        let failure_log = LogLimit::new(FAILURE_LOG_INTERVAL);
         loop {
             self.wait_for_slot().await;
             match listener.accept().await {
                 Ok((stream, _)) => self.spawn_handler(stream, &handle),
                 Err(error) => {
-                    tracing::warn!(%error, "connection was not accepted");
+                    if let Some(failures) = failure_log.count() {
+                        tracing::warn!(%error, failures, "connection was not accepted");
+                    }
                     sleep(ACCEPT_RETRY_PAUSE).await;
                 }
             }
--- a/crates/message-sender/src/discovery/notices.rs
+++ b/crates/message-sender/src/discovery/notices.rs
@@ -14,6 +14,7 @@
 
 use super::client::{DiscoveryAddress, DiscoveryClient};
 use super::error::{DiscoveryError, FailureKind};
+use super::failure_log::FailureLog;
 use crate::event::SenderEvent;
 use crate::notice::{Notice, NoticeResult};
 
@@ -107,11 +108,12 @@
 struct NoticeSender {
     client: DiscoveryClient,
     response_timeout: Duration,
+    failure_log: FailureLog,
 }
 
 impl NoticeSender {
     fn new(client: DiscoveryClient) -> Self {
-        Self { client, response_timeout: INITIAL_RESPONSE_TIMEOUT }
+        Self { client, response_timeout: INITIAL_RESPONSE_TIMEOUT, failure_log: FailureLog::default() }
     }
 
     /// Sends a batch; `Ok` means that all of it is acknowledged.
@@ -126,13 +128,12 @@
     /// after a delay.
     async fn recover(&mut self, error: &DiscoveryError, notices: usize) {
         self.client.disconnect();
+        self.failure_log.record_notices(error, notices);
         match error.kind() {
             FailureKind::Timeout => {
-                tracing::warn!(%error, notices, "notices timed out");
                 self.response_timeout = (2 * self.response_timeout).min(MAX_RESPONSE_TIMEOUT);
             }
             FailureKind::Error => {
-                tracing::warn!(%error, notices, "notices failed");
                 sleep(RETRY_DELAY.mul_f64(1.0 + RETRY_JITTER * fastrand::f64())).await;
             }
         }
--- a/crates/message-sender/src/discovery/watch.rs
+++ b/crates/message-sender/src/discovery/watch.rs
@@ -79,7 +79,7 @@
                     }
                 }
                 Err(error) => {
-                    self.failure_log.record(&error);
+                    self.failure_log.record_poll(&error);
                     sleep(self.backoff.next_delay(error.kind(), started.elapsed())).await;
                     poll.restart_watch();
                 }
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -30,6 +30,7 @@
 mod instrumented_stream;
 mod invariants;
 mod journal;
+mod log_limit;
 mod machine_clock;
 mod metrics;
 mod notice;
