--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -5,11 +5,9 @@
 #![forbid(unsafe_code)]
 
 use std::io;
-use std::panic;
 use std::process::ExitCode;
 
 use anyhow::Context;
-use rustix::io::Errno;
 use tokio::runtime;
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
@@ -76,20 +74,10 @@
 /// Builds the runtime, again if the system denies it something for a moment.
 fn build_runtime() -> io::Result<runtime::Runtime> {
     for _ in 1..RUNTIME_ATTEMPTS {
-        match try_build_runtime() {
+        match runtime::Builder::new_current_thread().enable_all().build() {
             Err(error) if is_transient(&error) => std::thread::sleep(RETRY_PAUSE),
             built => return built,
         }
     }
-    try_build_runtime()
-}
-
-/// Builds the runtime. It panics where it is denied the socket pair for signals, which is an error like the
-/// others here.
-fn try_build_runtime() -> io::Result<runtime::Runtime> {
-    let hook = panic::take_hook();
-    panic::set_hook(Box::new(|_| {}));
-    let built = panic::catch_unwind(|| runtime::Builder::new_current_thread().enable_all().build());
-    panic::set_hook(hook);
-    built.unwrap_or_else(|_| Err(Errno::MFILE.into()))
+    runtime::Builder::new_current_thread().enable_all().build()
 }
