Soak: start senders without the runtime's processes, which bring its signal driver along

The soak's tokio was built with processes, and in a build of the whole workspace, as the deploy file makes it, the sender's has the same parts. Change: the soak starts processes with the standard library and waits for them in threads.

--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex as StdMutex, PoisonError};
 use std::time::Duration;
@@ -13,7 +13,6 @@
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
 use tokio::sync::{watch, Mutex};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -167,10 +166,9 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
-            .kill_on_drop(true)
             .spawn()
             .context("the sender cannot be started")?;
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32)).context("no process id")?;
+        let pid = Pid::from_raw(child.id() as i32).context("no process id")?;
         let (ended_sender, ended) = watch::channel(false);
         let may_end = Arc::new(AtomicBool::new(false));
         tokio::spawn(watch_end(child, ended_sender, may_end.clone(), self.history.clone(), self.index));
@@ -413,13 +411,21 @@
     history: Arc<History>,
     sender: usize,
 ) {
-    let status = child.wait().await;
+    let status = tokio::task::spawn_blocking(move || child.wait()).await;
     if !may_end.load(Ordering::Relaxed) {
         history.incident(sender, format!("ended by itself: {status:?}"));
     }
     ended.send_replace(true);
 }
 
+impl Drop for Sender {
+    fn drop(&mut self) {
+        for process in self.processes.get_mut().drain(..) {
+            process.kill();
+        }
+    }
+}
+
 /// Fetches a page on a new connection: its status and body.
 async fn fetch(address: SocketAddr, path: &str) -> Option<(u16, String)> {
     let exchange = async {
