--- a/crates/message-sender/src/signals.rs
+++ b/crates/message-sender/src/signals.rs
@@ -1,6 +1,6 @@
 //! The signals that the process handles: SIGHUP, SIGTERM and SIGINT.
 //!
-//! Handlers only set a flag, which is looked at many times a second. The runtime's own way to hear of signals
+//! Handlers only set a flag, which is looked at some tens of times a second. The runtime's own way to hear of signals
 //! is a socket pair, whose reads and writes may be interrupted: the one ends the process, the other loses the
 //! signal.
 
@@ -21,8 +21,11 @@
 use crate::event::SenderEvent;
 use crate::serving_state::ServingStateControl;
 
-/// How often the flags are looked at: a shutdown has 0.2 s to spare before it would be killed.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often the flags are looked at. A process that hears late that it is to end goes on accepting for that
+/// time what others had better accept.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause before a configuration that cannot be read is read again.
+const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 /// For how long a configuration that cannot be read is read again: the old address of discovery is gone 1.5 s
 /// after the signal, and the change counts as known after 4 s.
 const RELOAD_LIMIT: Duration = Duration::from_secs(3);
@@ -104,7 +107,7 @@
                 tracing::error!(%error, "configuration not reloaded");
                 return;
             }
-            Err(_) => sleep(CHECK_INTERVAL).await,
+            Err(_) => sleep(RELOAD_PAUSE).await,
         }
         if hangup.take() {
             signalled_at = Instant::now();
