--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod oracle;
 pub mod plan;
+pub mod planted;
 pub mod sender;
 pub mod settings;
 pub mod shim;
--- a/crates/fault-soak/src/main.rs
+++ b/crates/fault-soak/src/main.rs
@@ -5,9 +5,10 @@
 
 use anyhow::{Context, Result};
 use clap::{Parser, ValueEnum};
-use fault_soak::plan::{FaultKind, Plan};
+use fault_soak::plan::{FaultKind, Plan, USUAL_MAX_KINDS};
+use fault_soak::planted::Plant;
 use fault_soak::sender::find_executable;
-use fault_soak::soak::{play, Options, Plant, Report};
+use fault_soak::soak::{play, Options, Report};
 
 /// Violations of a seed that are printed in full.
 const MAX_PRINTED: usize = 12;
@@ -33,12 +34,15 @@
     /// Never draw these kinds.
     #[arg(long, value_delimiter = ',')]
     except: Vec<FaultKind>,
+    /// Most kinds of faults in a seed.
+    #[arg(long, default_value_t = USUAL_MAX_KINDS)]
+    max_kinds: usize,
     /// Play a red seed again without one kind after the other, and say which of them it needs.
     #[arg(long)]
     shrink: bool,
-    /// Plant a mistake: the seed has to be red.
+    /// Plant a mistake: the seed has to be red. May be given more than once.
     #[arg(long)]
-    plant: Option<Plant>,
+    plant: Vec<Plant>,
     /// The senders' `RUST_LOG`.
     #[arg(long, default_value = "info")]
     log: String,
@@ -73,10 +77,11 @@
         executable,
         log_filter: arguments.log.clone(),
         logs: arguments.logs.clone(),
-        plant: arguments.plant,
+        plants: arguments.plant.clone(),
     };
     let kinds = arguments.kinds();
-    let plans = (arguments.seed..arguments.seed + arguments.seeds).map(|seed| Plan::draw(seed, &kinds));
+    let plans = (arguments.seed..arguments.seed + arguments.seeds)
+        .map(|seed| Plan::draw(seed, &kinds, arguments.max_kinds));
     let plans: Vec<Plan> = plans.collect();
     let mut red = 0;
     for batch in plans.chunks(arguments.parallel.max(1)) {
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -106,8 +106,10 @@
 const LAST_START: f64 = 9.0;
 /// All faults are over by this time.
 pub const FAULTS_END: Duration = Duration::from_millis(12_500);
-/// Kinds that one seed plays, beside what they need to show.
-const KINDS: std::ops::RangeInclusive<usize> = 2..=5;
+/// Fewest kinds that one seed plays, beside what they need to show.
+const MIN_KINDS: usize = 2;
+/// Most kinds that one seed usually plays.
+pub const USUAL_MAX_KINDS: usize = 5;
 /// The chance that a seed has a process fault whatever else it draws.
 const RESTART_CHANCE: f64 = 0.75;
 const RATES: [u32; 5] = [200, 500, 1_000, 2_000, 4_000];
@@ -147,13 +149,13 @@
 }
 
 impl Plan {
-    /// Draws the plan of a seed out of these kinds.
+    /// Draws the plan of a seed out of these kinds, of which it plays so many at most.
     #[must_use]
-    pub fn draw(seed: u64, kinds: &[FaultKind]) -> Self {
+    pub fn draw(seed: u64, kinds: &[FaultKind], max_kinds: usize) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
         let mut drawn = kinds.to_vec();
         random.shuffle(&mut drawn);
-        drawn.truncate(random.usize(KINDS));
+        drawn.truncate(random.usize(MIN_KINDS..=max_kinds.max(MIN_KINDS)));
         let restarts = [FaultKind::Kill, FaultKind::Terminate, FaultKind::Upgrade, FaultKind::KillTwice];
         let possible: Vec<FaultKind> = restarts.into_iter().filter(|kind| kinds.contains(kind)).collect();
         let has_process_fault = drawn.iter().any(|kind| restarts.contains(kind));
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -15,6 +15,7 @@
 use crate::history::{Answer, History, Message, Records};
 use crate::oracle::{Oracle, Violation};
 use crate::plan::{Plan, FAULTS_END};
+use crate::planted::Plant;
 use crate::sender::{Sender, SenderSetup};
 use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION};
 use crate::shim::{Call, Mode, Rule};
@@ -33,26 +34,9 @@
 const IDLE_DESCRIPTORS: usize = 60;
 /// Lines that a sender logs a second at most, in the mean over the run.
 const MAX_LOG_RATE: u64 = 40;
-/// Into the load, the planted drain is told.
-const PLANTED_DRAIN: Duration = Duration::from_millis(500);
 /// How often a descriptor count is taken before it counts as a leak.
 const DESCRIPTOR_CHECKS: usize = 40;
 
-/// A mistake that is planted on purpose: the soak must go red.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum Plant {
-    /// Writes to the folder are reported as done and are not.
-    LyingDisk,
-    /// Notices are acknowledged and forgotten.
-    SwallowedNotices,
-    /// Each call is recorded twice, as if it had been sent twice.
-    RepeatedCalls,
-    /// The list tells nothing of drains, and is taken for told.
-    UntoldDrains,
-    /// Connections of clients break after their request.
-    BrokenClients,
-}
-
 /// What to play.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -64,8 +48,8 @@
     pub log_filter: String,
     /// Where their logs are kept if rules are broken.
     pub logs: Option<PathBuf>,
-    /// A planted mistake.
-    pub plant: Option<Plant>,
+    /// Planted mistakes.
+    pub plants: Vec<Plant>,
 }
 
 /// How a seed ended.
@@ -103,7 +87,7 @@
 struct Stage {
     history: Arc<History>,
     targets: Arc<Targets>,
-    plant: Option<Plant>,
+    plants: Vec<Plant>,
     seed: u64,
 }
 
@@ -111,7 +95,7 @@
     async fn set_up(plan: &Plan, options: &Options, run: u8, folder: &Path) -> Result<Self> {
         let history = Arc::new(History::default());
         let endpoints = start_endpoints(&history).await?;
-        let swallows_notices = options.plant == Some(Plant::SwallowedNotices);
+        let swallows_notices = options.plants.contains(&Plant::SwallowedNotices);
         let discovery = Discovery::new(endpoints.clone(), history.clone(), swallows_notices);
         let mut senders = Vec::new();
         for index in 0..options.senders {
@@ -132,7 +116,7 @@
         }
         let habits = Arc::new(Habits::default());
         let targets = Arc::new(Targets { senders, endpoints, discovery, habits });
-        Ok(Self { history, targets, plant: options.plant, seed: plan.seed })
+        Ok(Self { history, targets, plants: options.plants.clone(), seed: plan.seed })
     }
 
     async fn play(&self, plan: &Plan, start: Instant) -> Report {
@@ -166,7 +150,7 @@
     }
 
     fn plant(&self) {
-        if self.plant == Some(Plant::LyingDisk) {
+        if self.plants.contains(&Plant::LyingDisk) {
             let lies = Rule { rate: 3_000, modes: vec![Mode::Lies], errnos: Vec::new() };
             for sender in &self.targets.senders {
                 if let Err(error) = sender.control.set(Call::WriteFile, &lies) {
@@ -237,7 +221,9 @@
 
     fn judge(&self, start: Instant, recovered: Instant, load_end: Instant, invariants: u64) -> Report {
         let mut records = self.history.records();
-        plant_records(self.plant, &mut records);
+        for plant in &self.plants {
+            plant.falsify(&mut records);
+        }
         let mut violations = Oracle::new(&records, start).judge();
         violations.extend(check_recovery(&records, recovered, load_end));
         let is_accepted =
@@ -297,30 +283,3 @@
     }
     violations
 }
-
-/// Mistakes that are planted in what was seen, as a sender that makes them would have caused it.
-fn plant_records(plant: Option<Plant>, records: &mut Records) {
-    match plant {
-        Some(Plant::RepeatedCalls) => {
-            let twice: Vec<_> = records.calls.iter().step_by(10).cloned().collect();
-            records.calls.extend(twice.into_iter().map(|mut call| {
-                call.arrived_at += Duration::from_millis(20);
-                call
-            }));
-        }
-        Some(Plant::UntoldDrains) => {
-            let Some(first) = records.calls.first() else { return };
-            let (endpoint, at) = (first.endpoint, first.first_byte_at + PLANTED_DRAIN);
-            let sender = 0;
-            records.told.retain(|told| told.endpoint != endpoint || told.sender != sender);
-            records.told.push(crate::history::Told { sender, endpoint, is_up: false, at });
-        }
-        Some(Plant::BrokenClients) => {
-            for message in records.messages.values_mut().step_by(50) {
-                let at = message.answer.map_or(message.submitted_at, |(_, at)| at);
-                message.answer = Some((Answer::Closed { is_fresh: true }, at));
-            }
-        }
-        _ => {}
-    }
-}
