--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -77,6 +77,8 @@
     /// Held while processes are ended and started, so that faults of one sender do not tread on each other.
     lifecycle: Mutex<()>,
     next_management: AtomicU16,
+    /// Pauses that have begun, and those that have ended.
+    pauses: [AtomicU16; 2],
     history: Arc<History>,
     /// The log of all its processes.
     pub log: PathBuf,
@@ -106,6 +108,7 @@
             processes: Mutex::default(),
             lifecycle: Mutex::default(),
             next_management: AtomicU16::new(MANAGEMENT_PORT),
+            pauses: Default::default(),
             history,
             seed,
             log_filter,
@@ -239,13 +242,22 @@
         self.history.process(self.index, ProcessEvent::Ending);
         for process in self.take_processes().await {
             process.may_end.store(true, Ordering::Relaxed);
-            process.signal(Signal::TERM);
-            if !process.wait_for_end(END_LIMIT).await {
-                self.history.incident(self.index, "not ended 3.7 s after SIGTERM");
-                process.kill();
-                process.wait_for_end(END_LIMIT).await;
-            }
+            self.end_gracefully(&process, "not ended 3.7 s after SIGTERM").await;
+        }
+    }
+
+    /// SIGTERM, and SIGKILL if the process has not ended in time. One that is paused meanwhile cannot.
+    async fn end_gracefully(&self, process: &Process, incident: &str) {
+        let pauses_before = self.pauses[1].load(Ordering::Relaxed);
+        process.signal(Signal::TERM);
+        if process.wait_for_end(END_LIMIT).await {
+            return;
+        }
+        if self.pauses[0].load(Ordering::Relaxed) == pauses_before {
+            self.history.incident(self.index, incident);
         }
+        process.kill();
+        process.wait_for_end(END_LIMIT).await;
     }
 
     /// SIGTERM, and a start after the end.
@@ -266,11 +278,7 @@
         }
         self.start().await;
         for process in predecessors {
-            process.signal(Signal::TERM);
-            if !process.wait_for_end(END_LIMIT).await {
-                self.history.incident(self.index, "predecessor not ended 3.7 s after SIGTERM");
-                process.kill();
-            }
+            self.end_gracefully(&process, "predecessor not ended 3.7 s after SIGTERM").await;
         }
     }
 
@@ -299,10 +307,7 @@
         }
         if is_predecessor_told_to_end {
             for process in predecessors {
-                if !process.wait_for_end(END_LIMIT).await {
-                    self.history.incident(self.index, "predecessor not ended 3.7 s after SIGTERM");
-                    process.kill();
-                }
+                self.end_gracefully(&process, "predecessor not ended 3.7 s after SIGTERM").await;
             }
             sleep(RESTART_PAUSE).await;
             return self.start().await;
@@ -328,12 +333,14 @@
 
     /// Suspends all processes for some time.
     pub async fn pause(&self, lasts: Duration) {
+        self.pauses[0].fetch_add(1, Ordering::Relaxed);
         self.history.process(self.index, ProcessEvent::Paused);
         let pids: Vec<Pid> = self.processes.lock().await.iter().map(|process| process.pid).collect();
         signal_processes(&pids, Signal::STOP);
         sleep(lasts).await;
         signal_processes(&pids, Signal::CONT);
         self.history.process(self.index, ProcessEvent::Resumed);
+        self.pauses[1].fetch_add(1, Ordering::Relaxed);
     }
 
     async fn signal_all(&self, signal: Signal) {
