--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod disturbance;
 pub mod endpoint;
 pub mod faults;
 pub mod history;
@@ -14,7 +15,9 @@
 pub mod oracle;
 pub mod plan;
 pub mod planted;
+mod process;
 pub mod sender;
 pub mod settings;
 pub mod shim;
 pub mod soak;
+pub mod violation;
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -4,14 +4,15 @@
 //! were killed, paused or ready.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::client::PEER_LIMIT;
+use crate::disturbance::disturbances;
 use crate::history::{Answer, EndpointCall, Message, ProcessEvent, Records, Reply, Told};
 use crate::settings::{Class, DRAIN_GRACE_MS, IDEMPOTENCY_WINDOW_MS};
+use crate::violation::Violation;
 
 /// A message is lost so long after its time.
 const END_GRACE: Duration = Duration::from_millis(300);
@@ -32,21 +33,6 @@
 /// Longest that a client can have waited for its answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
 
-/// A broken rule.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Violation {
-    /// The rule, in a word.
-    pub rule: &'static str,
-    /// What broke it.
-    pub details: String,
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.rule, self.details)
-    }
-}
-
 /// Judges one history.
 pub struct Oracle<'a> {
     records: &'a Records,
@@ -158,30 +144,10 @@
         }
     }
 
-    /// The spans in which processes of a sender were ending, starting or paused.
-    fn disturbances(&self, sender: usize) -> Vec<(Instant, Option<Instant>)> {
-        let mut spans = Vec::new();
-        let (mut restart, mut pause): (Option<Instant>, Option<Instant>) = (None, None);
-        for (_, event, at) in self.records.processes.iter().filter(|(index, ..)| *index == sender) {
-            match event {
-                ProcessEvent::Ending | ProcessEvent::Upgrading => {
-                    restart.get_or_insert(*at);
-                }
-                ProcessEvent::Paused => {
-                    pause.get_or_insert(*at);
-                }
-                ProcessEvent::Ready => spans.push((restart.take().unwrap_or(self.start), Some(*at))),
-                ProcessEvent::Resumed => spans.push((pause.take().unwrap_or(self.start), Some(*at))),
-            }
-        }
-        spans.extend(restart.into_iter().chain(pause).map(|began| (began, None)));
-        spans
-    }
-
     /// When something is due at the latest that a restart or a pause of the sender may delay.
     fn extended(&self, sender: usize, due: Instant) -> Instant {
         let mut due = due;
-        for (began, ended) in self.disturbances(sender) {
+        for (began, ended) in disturbances(self.records, sender, self.start) {
             if let Some(ended) = ended.filter(|_| began <= due) {
                 due = due.max(ended + RESTART_GRACE);
             }
@@ -191,7 +157,7 @@
 
     /// Whether a process of the sender was ending, starting or paused around this span.
     fn is_disturbed(&self, sender: usize, from: Instant, to: Instant) -> bool {
-        let spans = self.disturbances(sender);
+        let spans = disturbances(self.records, sender, self.start);
         spans
             .into_iter()
             .any(|(began, ended)| began <= to + SLACK && ended.is_none_or(|ended| from <= ended + SLACK))
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -3,21 +3,19 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex as StdMutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{Pid, Signal};
 use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
 use tokio::sync::{watch, Mutex};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 use crate::history::{History, ProcessEvent};
-use crate::http::read_message;
+use crate::process::{fetch, signal_processes, watch_end, Process};
 use crate::settings::MAX_DESCRIPTORS;
 use crate::shim::{ControlFile, LIBRARY};
 
@@ -28,41 +26,9 @@
 /// Between the end of a process and the start of the next.
 const RESTART_PAUSE: Duration = Duration::from_millis(600);
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
-const PROBE_LIMIT: Duration = Duration::from_millis(400);
 const CLIENT_PORT: u16 = 3_000;
 const MANAGEMENT_PORT: u16 = 3_100;
 
-/// A process of a sender.
-struct Process {
-    pid: Pid,
-    /// Set before a signal that ends it.
-    may_end: Arc<AtomicBool>,
-    /// Whether it has ended.
-    ended: watch::Receiver<bool>,
-    management: SocketAddr,
-}
-
-impl Process {
-    fn signal(&self, signal: Signal) {
-        if !*self.ended.borrow() {
-            // It may have ended since.
-            let _ = kill_process(self.pid, signal);
-        }
-    }
-
-    fn kill(&self) {
-        self.may_end.store(true, Ordering::Relaxed);
-        self.signal(Signal::KILL);
-    }
-
-    async fn wait_for_end(&self, limit: Duration) -> bool {
-        let mut ended = self.ended.clone();
-        let has_ended =
-            timeout(limit, ended.wait_for(|ended| *ended)).await.is_ok_and(|waited| waited.is_ok());
-        has_ended
-    }
-}
-
 /// A sender and its processes; there are two during an upgrade.
 pub struct Sender {
     /// Its number.
@@ -383,13 +349,6 @@
     }
 }
 
-fn signal_processes(pids: &[Pid], signal: Signal) {
-    for pid in pids {
-        // It may have ended meanwhile.
-        let _ = kill_process(*pid, signal);
-    }
-}
-
 /// What a sender is made of.
 pub struct SenderSetup {
     /// Its number.
@@ -410,21 +369,6 @@
     pub configuration: Value,
 }
 
-/// Waits for a process's end; one that nobody asked for is a crash.
-async fn watch_end(
-    mut child: Child,
-    ended: watch::Sender<bool>,
-    may_end: Arc<AtomicBool>,
-    history: Arc<History>,
-    sender: usize,
-) {
-    let status = tokio::task::spawn_blocking(move || child.wait()).await;
-    if !may_end.load(Ordering::Relaxed) {
-        history.incident(sender, format!("ended by itself: {status:?}"));
-    }
-    ended.send_replace(true);
-}
-
 impl Drop for Sender {
     fn drop(&mut self) {
         for process in self.processes.get_mut().drain(..) {
@@ -433,20 +377,6 @@
     }
 }
 
-/// Fetches a page on a new connection: its status and body.
-async fn fetch(address: SocketAddr, path: &str) -> Option<(u16, String)> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).await.ok()?;
-        let mut reader = BufReader::new(stream);
-        let answer = read_message(&mut reader).await.ok()??;
-        let mut rest = String::new();
-        let _ = reader.read_to_string(&mut rest).await;
-        Some((answer.status(), String::from_utf8_lossy(&answer.body).into_owned() + &rest))
-    };
-    timeout(PROBE_LIMIT, exchange).await.ok()?
-}
-
 /// The program, beside the running one in the build's folder.
 ///
 /// # Errors
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -13,12 +13,13 @@
 use crate::endpoint::{Behaviour, Endpoint};
 use crate::faults::Targets;
 use crate::history::{Answer, History, Message, Records};
-use crate::oracle::{Oracle, Violation};
+use crate::oracle::Oracle;
 use crate::plan::{Plan, FAULTS_END};
 use crate::planted::Plant;
 use crate::sender::{Sender, SenderSetup};
 use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION};
 use crate::shim::{Call, Mode, Rule};
+use crate::violation::Violation;
 
 /// Clients of each sender.
 const CLIENTS: usize = 3;
