--- a/crates/fault-soak/src/planted.rs
+++ b/crates/fault-soak/src/planted.rs
@@ -3,6 +3,7 @@
 //! Some are made by the surroundings while a seed plays; the others falsify what was seen, as a sender that
 //! makes them would have caused it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use clap::ValueEnum;
@@ -69,10 +70,19 @@
     }));
 }
 
+/// The endpoint that the first sender calls most is told to drain early in the load.
 fn tell_drain(records: &mut Records) {
-    let Some(first) = records.calls.first() else { return };
-    let (endpoint, at) = (first.endpoint, first.first_byte_at + PLANTED_DRAIN);
     let sender = 0;
+    let is_own = |call: &&EndpointCall| {
+        records.messages.get(&call.call_id).is_some_and(|message| message.sender == sender)
+    };
+    let mut calls: BTreeMap<usize, usize> = BTreeMap::new();
+    for call in records.calls.iter().filter(is_own) {
+        *calls.entry(call.endpoint).or_default() += 1;
+    }
+    let busiest = calls.into_iter().max_by_key(|(_, count)| *count);
+    let (Some((endpoint, _)), Some(first)) = (busiest, records.calls.first()) else { return };
+    let at = first.first_byte_at + PLANTED_DRAIN;
     records.told.retain(|told| told.endpoint != endpoint || told.sender != sender);
     records.told.push(Told { sender, endpoint, is_up: false, at });
 }
