--- a/crates/message-sender/src/discovery/backoff.rs
+++ b/crates/message-sender/src/discovery/backoff.rs
@@ -45,6 +45,11 @@
         self.policy.initial_delay.mul_f64(self.random.f64())
     }
 
+    /// The delay before a snapshot is requested at a new address.
+    pub fn snapshot_delay(&mut self) -> Duration {
+        self.policy.snapshot_spread.mul_f64(self.random.f64())
+    }
+
     /// How long a poll that continues a watch waits for a change.
     pub fn long_poll_wait(&mut self) -> Duration {
         MAX_LONG_POLL_WAIT.mul_f64(1.0 - LONG_POLL_JITTER * self.random.f64())
--- a/crates/message-sender/src/discovery/poll.rs
+++ b/crates/message-sender/src/discovery/poll.rs
@@ -51,9 +51,9 @@
         *self = Self::new_watch(self.after);
     }
 
-    /// Requests a snapshot next.
+    /// Requests a snapshot next, which may take as long as a new watch.
     pub fn request_snapshot(&mut self) {
-        self.after = None;
+        *self = Self::new_watch(None);
     }
 
     /// Whether a response shows that discovery has started to count versions anew, so that what changed since
--- a/crates/message-sender/src/discovery/poll_policy.rs
+++ b/crates/message-sender/src/discovery/poll_policy.rs
@@ -20,6 +20,11 @@
 /// discovery agent has it.
 pub const MAX_PUSH_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Each sender's share of the time over which the senders ask a new address for a snapshot: some five a second
+/// do. A snapshot costs discovery many times what a change does, and a fleet that asks for one at once keeps
+/// it from telling changes for ten seconds.
+const SNAPSHOT_SPREAD_PER_SENDER: Duration = Duration::from_millis(200);
+
 /// The longest delays between polls.
 #[derive(Debug, Clone, Copy)]
 pub struct PollPolicy {
@@ -31,6 +36,8 @@
     pub(super) max_backoff: Duration,
     /// Longest delay before a watch that timed out is made anew.
     pub(super) reconnect_delay: Duration,
+    /// Longest delay before a snapshot is requested at a new address, where the watch goes on meanwhile.
+    pub(super) snapshot_spread: Duration,
 }
 
 impl PollPolicy {
@@ -49,6 +56,7 @@
             initial_backoff: BACKOFF_PER_SENDER,
             max_backoff: MAX_PUSH_BACKOFF,
             reconnect_delay: MIN_RECONNECT_DELAY,
+            snapshot_spread: Duration::ZERO,
         }
     }
 
@@ -64,6 +72,7 @@
             initial_backoff: backoff_of_all.min(max_backoff),
             max_backoff,
             reconnect_delay: reconnect_delay_of_all.max(MIN_RECONNECT_DELAY),
+            snapshot_spread: SNAPSHOT_SPREAD_PER_SENDER * settings.sender_count,
         }
     }
 }
--- a/crates/message-sender/src/discovery/tests/watch.rs
+++ b/crates/message-sender/src/discovery/tests/watch.rs
@@ -236,3 +236,69 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Answers polls with version 9, new watches and snapshots at once, and reports the request lines; holds the
+/// polls that continue a watch.
+async fn serve_version_nine(listener: TcpListener, request_lines: mpsc::UnboundedSender<String>) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let request_lines = request_lines.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let mut request = [0; 4096];
+                let length = stream.read(&mut request).await.unwrap_or(0);
+                let Some(line) =
+                    String::from_utf8_lossy(&request[..length]).lines().next().map(str::to_owned)
+                else {
+                    return;
+                };
+                let is_snapshot = !line.contains("after=");
+                let is_held = !is_snapshot && !line.contains("wait_ms=50 ");
+                let _ = request_lines.send(line);
+                if is_held {
+                    return std::future::pending().await;
+                }
+                let body = format!(r#"{{"index":9,"snapshot":{is_snapshot},"endpoints":[]}}"#);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let _ = stream.write_all((head + &body).as_bytes()).await;
+            }
+        });
+    }
+}
+
+/// Guards against a fleet that is moved to another address and asks it for snapshots all at once: they cost
+/// discovery so much that nobody hears of drains in time.
+#[tokio::test]
+async fn a_fleet_that_moves_to_a_new_address_asks_for_few_snapshots_at_once() {
+    const WATCHES: usize = 60;
+    const SENDERS: u32 = 300;
+    let test = async {
+        let mut listeners = Vec::new();
+        let mut lines = Vec::new();
+        for _ in 0..2 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            listeners.push(listener.local_addr().unwrap());
+            let (line_sender, request_lines) = mpsc::unbounded_channel();
+            tokio::task::spawn_local(serve_version_nine(listener, line_sender));
+            lines.push(request_lines);
+        }
+        let (address_sender, addresses) = tokio::sync::watch::channel(listeners[0]);
+        let (event_sender, mut events) = mpsc::channel(4 * WATCHES);
+        for _ in 0..WATCHES {
+            let policy = subscribe_policy(SENDERS);
+            tokio::task::spawn_local(watch(addresses.clone(), event_sender.clone(), policy, None));
+        }
+        for _ in 0..WATCHES {
+            events.recv().await.unwrap();
+        }
+        address_sender.send(listeners[1]).unwrap();
+        let mut first_lines = Vec::new();
+        while first_lines.len() < WATCHES {
+            first_lines.push(lines[1].recv().await.unwrap());
+        }
+        let snapshots = first_lines.iter().filter(|line| !line.contains("after=9")).count();
+        // A minute's worth of snapshots; all of them came at once before.
+        assert!(snapshots <= WATCHES / 10, "{snapshots} of {WATCHES}");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/message-sender/src/discovery/watch.rs
+++ b/crates/message-sender/src/discovery/watch.rs
@@ -22,9 +22,9 @@
     mut addresses: DiscoveryAddress,
     events: mpsc::Sender<SenderEvent>,
     policy: PollPolicy,
-    mut known_version: Option<u64>,
+    known_version: Option<u64>,
 ) {
-    let mut watcher = ListWatcher::new(events, policy);
+    let mut watcher = ListWatcher::new(events, policy, known_version);
     // A sender that knows a list can serve on it meanwhile. A new address is polled at once: its list may be
     // newer.
     if known_version.is_some() {
@@ -34,9 +34,8 @@
         let address = *addresses.borrow_and_update();
         tokio::select! {
             biased;
-            // What failed at the old address says nothing about the new one.
-            Ok(()) = addresses.changed() => watcher.backoff.reset(),
-            () = watcher.watch_address(address, known_version.take()) => return,
+            Ok(()) = addresses.changed() => watcher.move_to_new_address(),
+            () = watcher.watch_address(address) => return,
         }
     }
 }
@@ -46,24 +45,39 @@
     events: mpsc::Sender<SenderEvent>,
     backoff: Backoff,
     failure_log: FailureLog,
+    /// The version of the last list.
+    known_version: Option<u64>,
+    /// When a snapshot is to be requested: a new address may count versions of its own, beyond the known one.
+    snapshot_due: Option<Instant>,
 }
 
 impl ListWatcher {
-    fn new(events: mpsc::Sender<SenderEvent>, policy: PollPolicy) -> Self {
+    fn new(events: mpsc::Sender<SenderEvent>, policy: PollPolicy, known_version: Option<u64>) -> Self {
         let backoff = Backoff::new(policy, fastrand::Rng::new());
-        Self { events, backoff, failure_log: FailureLog::default() }
+        Self { events, backoff, failure_log: FailureLog::default(), known_version, snapshot_due: None }
     }
 
-    /// Watches the list at one address, from the version on that is known of it, or else from a snapshot:
-    /// versions at another address mean nothing here. Returns when the event loop has ended.
+    /// Prepares the watch at a new address. What failed at the old one says nothing about it. Most often the
+    /// same service has moved: its changes are cheap, and a snapshot is requested some time later, when the
+    /// other senders do not all ask for one.
+    fn move_to_new_address(&mut self) {
+        self.backoff.reset();
+        self.snapshot_due = Some(Instant::now() + self.backoff.snapshot_delay());
+    }
+
+    /// Watches the list at one address, from the version on that is known, or else from a snapshot. Returns
+    /// when the event loop has ended.
     ///
     /// The next poll goes out at once after each response: a later one would begin a new watch, and changes
     /// in between would count as known to this sender though they were not. New watches are what is expensive
     /// for discovery; a first poll for a snapshot would be one more.
-    async fn watch_address(&mut self, address: SocketAddr, known_version: Option<u64>) {
+    async fn watch_address(&mut self, address: SocketAddr) {
         let mut client = DiscoveryClient::new(address);
-        let mut poll = Poll::new_watch(known_version);
+        let mut poll = Poll::new_watch(self.known_version);
         loop {
+            if self.snapshot_due.is_some_and(|due| due <= Instant::now()) {
+                poll.request_snapshot();
+            }
             let started = Instant::now();
             match poll.send(&mut client).await {
                 Ok(list) if poll.is_version_reset(&list) => {
@@ -88,6 +102,10 @@
     }
 
     fn record_response(&mut self, list: &EndpointList) {
+        self.known_version = Some(list.version);
+        if list.is_snapshot {
+            self.snapshot_due = None;
+        }
         tracing::info!(
             version = list.version,
             snapshot = list.is_snapshot,
