--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -157,7 +157,11 @@
                 AttemptPhase::NotStarted => journal.record_unsent(id),
             };
             if let Err(error) = &written {
-                failures.count(UnrecordedStep::AttemptStart, error);
+                let step = match phase {
+                    AttemptPhase::Starting => UnrecordedStep::AttemptStart,
+                    AttemptPhase::NotStarted => UnrecordedStep::Outcome,
+                };
+                failures.count(step, error);
             }
             written.is_ok()
         })
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -107,8 +107,9 @@
     fn limit_deadlines(&self) {
         let now = self.clock.now();
         let latest: Vec<_> = self
-            .journal_entries()
-            .into_iter()
+            .journal
+            .borrow()
+            .entries()
             .filter_map(|(id, entry)| match entry {
                 JournalEntry::Open(message, _) => Some((id, self.names.class(&message.class)?)),
                 JournalEntry::PendingNotice(..) => None,
