Plant the drain on an endpoint whose calls the oracle judges

Cause: the planted drain fell on the endpoint that sender 0 called most over the whole run. The oracle ignores calls around and after a kill, since a status that an earlier process was sent does not count. When that endpoint got no call between the drain and the first kill, the run had nothing to report.

Change: the planted drain falls on the sender and the endpoint with the most calls that the oracle judges: after the drain's grace and before the first event of the sender's processes. The check itself and its grace are the same; the grace is now one constant that both use.

--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -19,9 +19,12 @@
 /// A message that is due during or soon after a disruption may end up to this long after the disruption.
 const RESTART_GRACE: Duration = Duration::from_millis(1_500);
 /// Added to each limit: the tolerance of the protocol, and delays of the test machine.
-const TOLERANCE: Duration = Duration::from_millis(150);
+pub const TOLERANCE: Duration = Duration::from_millis(150);
 /// Longest time that a sender may be delayed between reading its clock and writing a request.
 const SCHEDULING_DELAY: Duration = Duration::from_millis(150);
+/// Longest time from a listed drain to the first byte of a call that is not reported.
+pub const DRAIN_LIMIT: Duration =
+    Duration::from_millis(DRAIN_GRACE_MS).saturating_add(SCHEDULING_DELAY).saturating_add(TOLERANCE);
 /// Calls that arrive this soon after a rejection with a retry delay are not reported.
 const RETRY_AFTER_GRACE: Duration = Duration::from_millis(100);
 /// With fewer recovered messages than this, the share that was given up early is not meaningful.
@@ -276,7 +279,6 @@
     /// Checks that no call goes to an endpoint that was listed to the sender as draining or removed, once the
     /// drain grace is over. A status that was sent to an earlier process does not count.
     fn check_drains(&mut self) {
-        let grace = Duration::from_millis(DRAIN_GRACE_MS) + SCHEDULING_DELAY + TOLERANCE;
         let mut details = Vec::new();
         for call in &self.records.calls {
             let Some(sender) = self.sender_of(call) else { continue };
@@ -284,7 +286,7 @@
             let is_own =
                 |it: &&StatusUpdate| it.sender == sender && it.endpoint == call.endpoint && it.at <= at;
             let Some(last) = self.records.status_updates.iter().rfind(is_own) else { continue };
-            if !last.is_up && at > last.at + grace && !self.is_disrupted(sender, last.at, at) {
+            if !last.is_up && at > last.at + DRAIN_LIMIT && !self.is_disrupted(sender, last.at, at) {
                 details.push(format!("{} sent at {:.3} s", call.call_id, self.seconds(at)));
             }
         }
--- a/crates/fault-soak/src/planted.rs
+++ b/crates/fault-soak/src/planted.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use clap::ValueEnum;
+use tokio::time::Instant;
 
 use crate::history::{EndpointCall, Records, Reply, StatusUpdate, SubmitResult};
+use crate::oracle::{DRAIN_LIMIT, TOLERANCE};
 use crate::settings::{Class, IDEMPOTENCY_WINDOW_MS};
 
 /// Time from the first call to the planted drain.
@@ -70,23 +72,35 @@
     }));
 }
 
-/// Records that the first sender was asked, early in the load, to drain the endpoint that it calls most.
+/// Records that one sender was asked, early in the load, to drain the endpoint that it then called most while
+/// its processes were left alone, because the oracle ignores calls around a restart.
 fn drain_busiest_endpoint(records: &mut Records) {
-    let sender = 0;
-    let is_own = |call: &&EndpointCall| {
-        records.messages.get(&call.call_id).is_some_and(|message| message.sender == sender)
-    };
-    let mut calls: BTreeMap<usize, usize> = BTreeMap::new();
-    for call in records.calls.iter().filter(is_own) {
-        *calls.entry(call.endpoint).or_default() += 1;
+    let Some(first) = records.calls.first() else { return };
+    let at = first.first_byte_at + DRAIN_DELAY;
+    let mut calls: BTreeMap<(usize, usize), usize> = BTreeMap::new();
+    for call in &records.calls {
+        let Some(message) = records.messages.get(&call.call_id) else { continue };
+        let sender = message.sender;
+        let is_judged = call.first_byte_at > at + DRAIN_LIMIT
+            && first_disruption_after(records, sender, at)
+                .is_none_or(|disrupted_at| call.first_byte_at + TOLERANCE < disrupted_at);
+        if is_judged {
+            *calls.entry((sender, call.endpoint)).or_default() += 1;
+        }
     }
     let busiest = calls.into_iter().max_by_key(|(_, count)| *count);
-    let (Some((endpoint, _)), Some(first)) = (busiest, records.calls.first()) else { return };
-    let at = first.first_byte_at + DRAIN_DELAY;
+    let Some(((sender, endpoint), _)) = busiest else { return };
     records.status_updates.retain(|update| update.endpoint != endpoint || update.sender != sender);
     records.status_updates.push(StatusUpdate { sender, endpoint, is_up: false, at });
 }
 
+/// Returns the time of the first event of the sender's processes after `at`.
+fn first_disruption_after(records: &Records, sender: usize, at: Instant) -> Option<Instant> {
+    let events =
+        records.process_events.iter().filter(|(index, _, event_at)| *index == sender && *event_at > at);
+    events.map(|(_, _, event_at)| *event_at).min()
+}
+
 fn set_results(records: &mut Records, result: SubmitResult) {
     for message in records.messages.values_mut().step_by(SAMPLE_INTERVAL) {
         let at = message.result.map_or(message.submitted_at, |(_, at)| at);
