--- a/crates/fault-soak/shim/fault_shim.c
+++ b/crates/fault-soak/shim/fault_shim.c
@@ -36,7 +36,7 @@
     uint32_t modes; /* bits of `enum failure` */
     uint32_t errnos[MAX_ERRNOS]; /* error numbers, up to the first 0; EIO is used if there are none */
     uint32_t injected; /* number of failures so far */
-    uint32_t reserved;
+    uint32_t passes; /* number of calls that are done before the first one fails */
 };
 
 struct control {
@@ -76,7 +76,12 @@
     if (!control) return 0;
     struct failure_rule *rule = &control->rules[call];
     uint32_t modes = rule->modes;
-    if (!rule->rate || !modes || draw_below(RATE_SCALE) >= rule->rate) return 0;
+    if (!rule->rate || !modes) return 0;
+    if (rule->passes) {
+        rule->passes--;
+        return 0;
+    }
+    if (draw_below(RATE_SCALE) >= rule->rate) return 0;
     rule->injected++;
     uint32_t mode;
     do mode = 1u << draw_below(4); while (!(modes & mode));
--- a/crates/fault-soak/src/shim.rs
+++ b/crates/fault-soak/src/shim.rs
@@ -15,6 +15,8 @@
 const OFFSET_BYTES: u64 = 8;
 /// Size of a rule in the control file, in bytes.
 const RULE_BYTES: u64 = 32;
+/// Offset in a rule of the number of calls that pass, in bytes.
+const PASSES_OFFSET: u64 = 28;
 /// Maximum number of error numbers in a rule.
 const MAX_ERRNOS: usize = 4;
 
@@ -140,6 +142,17 @@
         self.file.write_all_at(&bytes, OFFSET_BYTES + RULE_BYTES * call as u64)
     }
 
+    /// Sets the rule of a kind of system call, which applies after `passes` further calls of this kind.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn set_after(&self, call: Syscall, rule: &FailureRule, passes: u32) -> io::Result<()> {
+        let offset = OFFSET_BYTES + RULE_BYTES * call as u64 + PASSES_OFFSET;
+        self.file.write_all_at(&passes.to_le_bytes(), offset)?;
+        self.set(call, rule)
+    }
+
     /// Ends the failures of a kind of system call.
     ///
     /// # Errors
--- a/crates/fault-soak/tests/support/mod.rs
+++ b/crates/fault-soak/tests/support/mod.rs
@@ -80,6 +80,12 @@
         self.sender.control.set(call, &FailureRule { rate, modes: vec![mode], errnos: vec![errno] }).unwrap();
     }
 
+    /// Makes every system call of this kind fail after `passes` further ones.
+    pub fn fail_after(&self, passes: u32, call: Syscall, mode: Failure, errno: i32) {
+        let rule = FailureRule { rate: fault_soak::shim::ALWAYS, modes: vec![mode], errnos: vec![errno] };
+        self.sender.control.set_after(call, &rule, passes).unwrap();
+    }
+
     /// Ends the failures of all system calls.
     pub fn clear_faults(&self) {
         self.sender.control.clear_all().unwrap();
--- a/crates/message-sender/src/delivery/client/tests.rs
+++ b/crates/message-sender/src/delivery/client/tests.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -309,3 +310,54 @@
     };
     run_local(test).await;
 }
+
+/// Size of a body that does not fit into the buffers of a connection, in bytes.
+const UNBUFFERED_BODY_BYTES: usize = 32 << 20;
+
+/// Guards against retrying a message that a status line with 200 has confirmed early, before its request was
+/// written in full, because the rest of that response is malformed.
+#[tokio::test]
+async fn a_malformed_response_with_200_before_the_end_of_the_request_is_a_delivery() {
+    let test = async {
+        let (listener, address) = bind().await;
+        let endpoint = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(receive(&mut stream).await);
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\0 no header\r\n\r\n").await.unwrap();
+            stream
+        };
+        let call = Call { body: vec![0; UNBUFFERED_BODY_BYTES].into(), ..call_to(address) };
+        let client = client();
+        let (outcome, _stream) = tokio::join!(outcome_of(&client, call), endpoint);
+        assert_eq!(outcome, AttemptOutcome::Delivered);
+        assert_eq!(client.attempts_written.get(), 0);
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Guards against retrying a message whose response arrived before the timeout but is read after it, because
+/// the process was suspended in between.
+#[tokio::test]
+async fn a_response_that_arrives_before_the_timeout_counts_although_it_is_read_later() {
+    let test = async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let endpoint = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+            std::thread::sleep(Duration::from_millis(50));
+            stream.write_all(OK_RESPONSE.as_bytes()).unwrap();
+            stream
+        });
+        let call = Call { timeout: Duration::from_millis(100), ..call_to(address) };
+        let client = client();
+        let suspension = async {
+            sleep(Duration::from_millis(20)).await;
+            std::thread::sleep(Duration::from_millis(150));
+        };
+        let (outcome, ()) = tokio::join!(outcome_of(&client, call), suspension);
+        assert_eq!(outcome, AttemptOutcome::Delivered);
+        endpoint.join().unwrap();
+    };
+    run_local_before_idle_timeout(test).await;
+}
