Log why client connections close, and how submissions and messages end

New: the phase, the bytes received and the age of a connection that the limiter closes; the call id and the status of each response, with the reason of an error; the reply to each submission; each end with whether it is recorded, and each acknowledged notice, by message id (all at `debug`); at the end of the event loop, the time since the request to shut down, what is still open, and the connections in each phase (at `info`, once a process).

--- a/crates/message-sender/src/client_api/request.rs
+++ b/crates/message-sender/src/client_api/request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use delivery_control::{Idempotency, Micros, Settings};
 use deployment_config::Names;
-use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::Uri;
 
 use super::error::RequestError;
@@ -89,6 +89,11 @@
     })
 }
 
+/// The id that the client gave the message, for the log.
+pub fn call_id(headers: &HeaderMap) -> Option<HeaderValue> {
+    headers.get(CALL_ID_HEADER).cloned()
+}
+
 /// The class that a path names: its first segment.
 pub fn class_name(path: &str) -> &str {
     path.trim_start_matches('/').split('/').next().unwrap_or_default()
--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -19,7 +19,7 @@
 
 use super::error::RequestError;
 use super::linger::linger;
-use super::request::{body_length, class_name, decode, MAX_BODY_BYTES};
+use super::request::{body_length, call_id, class_name, decode, MAX_BODY_BYTES};
 use super::response::{empty, Reply};
 use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
 use crate::event::SenderEvent;
@@ -121,14 +121,19 @@
     /// connection is closed and no further request is read from it.
     async fn answer(&self, request: Request<Incoming>, slot: &ConnectionSlot) -> Response<Empty<Bytes>> {
         let body_length = body_length(request.headers());
+        let call_id = call_id(request.headers());
         let routed = match body_length {
             Ok(body_length) => self.route(request, body_length, slot).await,
             Err(error) => Err(error),
         };
         let mut response = match routed {
             Ok(reply) => reply.into_response(),
-            Err(error) => empty(error.status()),
+            Err(error) => {
+                tracing::debug!(?call_id, %error, "request not accepted");
+                empty(error.status())
+            }
         };
+        tracing::debug!(?call_id, status = response.status().as_u16(), "request answered");
         let is_one_request = body_length.is_ok_and(|length| slot.holds_one_request(length));
         let is_conforming = is_one_request && !response.status().is_client_error();
         if !is_conforming || !self.state().is_serving() {
--- a/crates/message-sender/src/connection_limiter/accept.rs
+++ b/crates/message-sender/src/connection_limiter/accept.rs
@@ -56,7 +56,7 @@
             tokio::select! {
                 () = handler => {}
                 () = slot.wait_until_closed() => {
-                    tracing::debug!(reason = ?slot.close_reason(), "connection closed by the limiter");
+                    slot.log_close();
                 }
             }
         });
--- a/crates/message-sender/src/connection_limiter/limiter.rs
+++ b/crates/message-sender/src/connection_limiter/limiter.rs
@@ -76,6 +76,19 @@
         self.slots.borrow().values().any(|slot| slot.has_pending_request() || slot.awaits_first_answer())
     }
 
+    /// Logs the number of open connections in each phase.
+    pub fn log_open_connections(&self) {
+        let slots = self.slots.borrow();
+        let in_phase = |phase| slots.values().filter(|slot| slot.phase() == phase).count();
+        tracing::info!(
+            idle = in_phase(Phase::Idle),
+            receiving = in_phase(Phase::Receiving),
+            processing = in_phase(Phase::Processing),
+            awaiting_first_answer = slots.values().filter(|slot| slot.awaits_first_answer()).count(),
+            "client connections at the end of the event loop"
+        );
+    }
+
     /// Waits until no request is pending.
     pub async fn wait_until_no_pending_request(&self) {
         while self.has_pending_request() {
--- a/crates/message-sender/src/connection_limiter/slot.rs
+++ b/crates/message-sender/src/connection_limiter/slot.rs
@@ -141,9 +141,16 @@
         self.close.notify_one();
     }
 
-    /// Why the limiter has asked for the connection to be closed, if it has.
-    pub(super) fn close_reason(&self) -> Option<CloseReason> {
-        self.close_reason.get()
+    /// Logs why the limiter closes the connection, and how much of a request has been received on it.
+    pub(super) fn log_close(&self) {
+        tracing::debug!(
+            reason = ?self.close_reason.get(),
+            phase = ?self.phase.get(),
+            phase_ms = self.phase_started.get().elapsed().as_millis(),
+            received_bytes = self.received.get(),
+            has_answered = self.has_answered.get(),
+            "connection closed by the limiter"
+        );
     }
 
     /// Waits until the limiter asks for the connection to be closed.
--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -18,6 +18,7 @@
         if self.close_message(id, outcome).is_some() {
             self.check_end(id, false);
             let recorded = self.journal.borrow_mut().record_end(id, None);
+            tracing::debug!(message_id = id, ?outcome, is_recorded = recorded.is_ok(), "message ended");
             self.count_unrecorded_outcome(recorded);
         }
     }
@@ -73,6 +74,12 @@
         let recorded = self.journal.borrow_mut().record_end(id, Some(notice.clone()));
         let is_recorded = recorded.is_ok();
         self.count_unrecorded_outcome(recorded);
+        tracing::debug!(
+            message_id = id,
+            call_id = notice.call_id,
+            is_recorded,
+            "message ended with a notice"
+        );
         let is_rejection = matches!(notice.result, NoticeResult::Rejected { .. });
         if is_recorded || is_repeatable || !is_rejection {
             self.notices.push(id, notice);
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -85,6 +85,7 @@
     }
 
     fn handle_notice_acknowledged(&mut self, id: MessageId) {
+        tracing::debug!(message_id = id, "notice acknowledged");
         self.guard.borrow_mut().acknowledge_notice(id);
         let recorded = self.journal.borrow_mut().record_notice_acknowledged(id);
         self.count_unrecorded_outcome(recorded);
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -204,6 +204,14 @@
             }
         }
         self.summary.log_undelivered();
+        tracing::info!(
+            elapsed_ms = self.shutdown.elapsed_or_zero().as_millis(),
+            open_messages = self.open_messages.len(),
+            in_flight = self.in_flight.len(),
+            notices = self.notices.len(),
+            is_journal_synchronized = self.is_journal_synchronized(),
+            "shutdown: event loop ended"
+        );
         LoopEnd::Finished
     }
 
--- a/crates/message-sender/src/event_loop/shutdown.rs
+++ b/crates/message-sender/src/event_loop/shutdown.rs
@@ -18,6 +18,11 @@
         self.requested_at.get_or_insert_with(Instant::now);
     }
 
+    /// Time since the request to shut down, for the log; zero if there was none.
+    pub fn elapsed_or_zero(&self) -> Duration {
+        self.elapsed().unwrap_or_default()
+    }
+
     /// When the shutdown was requested, if it was.
     pub fn requested_at(&self) -> Option<Instant> {
         self.requested_at
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -203,7 +203,9 @@
                 Some(retry_after) => SubmissionReply::Rejected(*retry_after),
                 None => SubmissionReply::Accepted,
             };
-            match reply.send(answer) {
+            let is_sent = reply.send(answer);
+            tracing::debug!(message_id, ?kind, ?answer, client_left = is_sent.is_err(), "submission decided");
+            match is_sent {
                 Ok(()) => {
                     replied.insert(message_id);
                 }
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -244,6 +244,7 @@
     async fn finish(self) {
         // Closes the queue: clients whose submissions will not be decided on get an error as their reply.
         drop(self.events);
+        self.limiter.log_open_connections();
         if timeout(FINAL_REPLY_TIMEOUT, self.limiter.wait_until_no_pending_request()).await.is_err() {
             self.invariants.report_connection(Invariant::RequestIsAnswered);
             tracing::warn!(
