Answer a request that is partly read before its connection is closed

Seen: clients that had begun a request, and may have written its last byte, saw their connection end without a response: after 2.2 s, when a new connection needed the slot (60 of 60 in the test), and at the end of the process.

Cause: ConnectionLimiter::serve ran a connection's task in a select with the limiter's request to close it, and the end of the process only waited 0.2 s. Whatever had been read was dropped with the task. The order of the select was random, so a request that arrived together with the request to close could also be read, submitted and dropped.

Change: the limiter only asks for a close. The task first polls the connection, so that what has arrived is read; an idle connection is then closed, a request that is being processed gets its answer, and one that was received in part gets 408 (too late) or 503 (evicted, shutdown: the message was not accepted), after which the connection lingers so that the rest does not reset it. An evicted connection lingers for 20 ms only, as a new one waits for its slot. At the end of the process all connections are closed this way, still within 0.2 s.

--- a/crates/message-sender/src/client_api/linger.rs
+++ b/crates/message-sender/src/client_api/linger.rs
@@ -15,19 +15,19 @@
 use crate::instrumented_stream::should_retry_io;
 
 /// How long the client has to read the answer and close the connection.
-const LINGER_TIME: Duration = Duration::from_millis(500);
+pub const LINGER_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are read and discarded. A client that sends more does not wait for an answer.
 const MAX_LINGER_BYTES: usize = 512 * 1024;
 /// Size of the buffer that bytes are read into before they are discarded.
 const BUFFER_BYTES: usize = 16 * 1024;
 
-/// Reads and discards what the client still sends until it closes the connection, up to a limit of time and
-/// of bytes.
-pub async fn linger(stream: &TcpStream) {
+/// Reads and discards what the client still sends until it closes the connection, for at most `limit` and up to
+/// a number of bytes.
+pub async fn linger(stream: &TcpStream, limit: Duration) {
     // Fails only if the connection has already ended.
     let _ = SockRef::from(stream).shutdown(Shutdown::Write);
     // The connection is closed afterwards, even if the client has not closed it.
-    let _ = timeout(LINGER_TIME, read_to_end(stream)).await;
+    let _ = timeout(limit, read_to_end(stream)).await;
 }
 
 async fn read_to_end(stream: &TcpStream) -> io::Result<()> {
--- a/crates/message-sender/src/client_api/mod.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that clients submit messages to.
 
 mod error;
+mod incomplete_request;
 mod linger;
 mod request;
 mod response;
--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -1,8 +1,9 @@
 //! Serves client connections and routes their requests.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use delivery_control::Settings;
@@ -16,12 +17,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 
 use super::error::RequestError;
-use super::linger::linger;
+use super::incomplete_request::answer_incomplete_request;
+use super::linger::{linger, LINGER_TIME};
 use super::request::{body_length, call_id, class_name, decode, MAX_BODY_BYTES};
 use super::response::{empty, Reply};
-use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
+use crate::connection_limiter::{CloseReason, ConnectionLimiter, ConnectionSlot, Phase};
 use crate::event::SenderEvent;
 use crate::instrumented_stream::InstrumentedStream;
 use crate::serving_state::ServingState;
@@ -33,9 +36,59 @@
 /// Path at which load balancers check whether the sender serves.
 const HEALTH_PATH: &str = "/healthz";
 
+/// Maximum time to close a connection on which no request is being received. It bounds the wait for a client
+/// that does not read its last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A client connection that reports the bytes received to its slot.
 type ClientStream = TokioIo<InstrumentedStream<ConnectionSlot>>;
 
+/// How the HTTP library's part of a connection ended.
+enum ConnectionEnd {
+    /// All requests were answered, and the connection was closed.
+    Closed,
+    /// The connection broke, or the client violated HTTP.
+    Failed(hyper::Error),
+    /// The limiter asked for a close for this reason while a request was being received.
+    IncompleteRequest(CloseReason),
+}
+
+impl From<hyper::Result<()>> for ConnectionEnd {
+    fn from(served: hyper::Result<()>) -> Self {
+        match served {
+            Ok(()) => Self::Closed,
+            Err(error) => Self::Failed(error),
+        }
+    }
+}
+
+/// Lingers on a connection whose last answer has been written, until a new connection needs its slot.
+async fn linger_unless_evicted(stream: &TcpStream, slot: &ConnectionSlot) {
+    tokio::select! {
+        () = linger(stream, LINGER_TIME) => {}
+        () = slot.wait_for_eviction() => {}
+    }
+}
+
+/// Closes a connection for which the limiter has asked for that. A request that is being processed gets its
+/// answer first.
+async fn close_connection<S>(
+    mut connection: Pin<&mut http1::Connection<ClientStream, S>>,
+    phase: Phase,
+    reason: CloseReason,
+) -> ConnectionEnd
+where
+    S: Service<Request<Incoming>, Response = Response<Empty<Bytes>>, Error = Infallible>,
+{
+    match phase {
+        Phase::Receiving => return ConnectionEnd::IncompleteRequest(reason),
+        Phase::Idle => connection.as_mut().graceful_shutdown(),
+        // The answer closes the connection.
+        Phase::Processing => {}
+    }
+    timeout(CLOSE_TIMEOUT, connection).await.map_or(ConnectionEnd::Closed, ConnectionEnd::from)
+}
+
 /// The client API, shared by the handlers of all connections.
 pub struct ClientApi {
     /// The settings that messages are validated against.
@@ -78,24 +131,30 @@
         // The slot has a single timeout for head and body together.
         server.header_read_timeout(None).max_buf_size(MAX_BUFFER_BYTES);
         let connection = server.serve_connection(io, service);
-        let driven = self.drive_connection(connection, &slot).await;
-        if let Err(error) = &driven {
+        let ended = self.drive_connection(connection, &slot).await;
+        if let ConnectionEnd::Failed(error) = &ended {
             tracing::debug!(%error, "client connection failed");
         }
-        // Nothing more is read from a connection that was closed between two requests: a client whose next
-        // request crosses the close sends that request again.
-        if driven.is_err() || slot.has_unread_request() {
-            linger(&stream).await;
+        match ended {
+            ConnectionEnd::IncompleteRequest(reason) => {
+                answer_incomplete_request(&stream, reason).await;
+                self.limiter.mark_answered(&slot);
+            }
+            ConnectionEnd::Failed(_) => linger_unless_evicted(&stream, &slot).await,
+            ConnectionEnd::Closed if slot.has_unread_request() => linger_unless_evicted(&stream, &slot).await,
+            // Nothing more is read from a connection that was closed between two requests: a client whose next
+            // request crosses the close sends that request again.
+            ConnectionEnd::Closed => {}
         }
     }
 
-    /// Drives a connection until it ends. When the process stops serving, the connection is shut down
-    /// gracefully.
+    /// Drives a connection until it ends. When the process stops serving, or the limiter asks for a close, the
+    /// connection is shut down gracefully.
     async fn drive_connection<S>(
         &self,
         connection: http1::Connection<ClientStream, S>,
         slot: &ConnectionSlot,
-    ) -> hyper::Result<()>
+    ) -> ConnectionEnd
     where
         S: Service<Request<Incoming>, Response = Response<Empty<Bytes>>, Error = Infallible>,
     {
@@ -103,7 +162,12 @@
         let mut serving_state = self.serving_state.clone();
         loop {
             tokio::select! {
-                served = &mut connection => return served,
+                // In this order, a request that has arrived is read before its connection is closed.
+                biased;
+                served = &mut connection => return served.into(),
+                reason = slot.wait_for_close_request() => {
+                    return close_connection(connection, slot.phase(), reason).await;
+                }
                 () = ServingState::wait_until_not_serving(&mut serving_state) => {
                     // A connection that is accepted while draining is not shut down here: its first request
                     // is read, and the answer closes it. The same holds for a connection on which part of a
@@ -136,7 +200,7 @@
         tracing::debug!(?call_id, status = response.status().as_u16(), "request answered");
         let is_one_request = body_length.is_ok_and(|length| slot.holds_one_request(length));
         let is_conforming = is_one_request && !response.status().is_client_error();
-        if !is_conforming || !self.state().is_serving() {
+        if !is_conforming || slot.is_closing() || !self.state().is_serving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.limiter.mark_answered(slot);
--- a/crates/message-sender/src/connection_limiter/accept.rs
+++ b/crates/message-sender/src/connection_limiter/accept.rs
@@ -17,7 +17,7 @@
 
 impl ConnectionLimiter {
     /// Accepts connections until the future is dropped. Each connection gets its own task, which runs
-    /// `handle` until it ends or the limiter closes the connection.
+    /// `handle`. That has to end the connection when its slot asks for it.
     pub async fn serve<F>(
         self: Rc<Self>,
         listener: TcpListener,
@@ -52,13 +52,8 @@
         let occupied = self.occupy();
         let handler = handle(stream, occupied.slot());
         tokio::task::spawn_local(async move {
-            let slot = occupied.slot();
-            tokio::select! {
-                () = handler => {}
-                () = slot.wait_until_closed() => {
-                    slot.log_close();
-                }
-            }
+            handler.await;
+            drop(occupied);
         });
     }
 }
--- a/crates/message-sender/src/connection_limiter/limiter.rs
+++ b/crates/message-sender/src/connection_limiter/limiter.rs
@@ -8,13 +8,12 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::slot::Phase;
-use super::ConnectionSlot;
+use super::{CloseReason, ConnectionSlot, Phase};
 
 /// Interval between checks for timed-out connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between the checks of [`ConnectionLimiter::wait_until_no_pending_request`] for pending requests.
-const PENDING_REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval between the checks of [`ConnectionLimiter::close_all`] for open connections.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Limits how many connections are open at the same time.
 pub struct ConnectionLimiter {
@@ -73,7 +72,8 @@
     /// Whether a request is pending on any connection. A connection on which no request has been answered yet
     /// counts as well, because its client opened it to send one.
     pub fn has_pending_request(&self) -> bool {
-        self.slots.borrow().values().any(|slot| slot.has_pending_request() || slot.awaits_first_answer())
+        self.has_request_without_answer()
+            || self.slots.borrow().values().any(|slot| slot.awaits_first_answer())
     }
 
     /// Logs the number of open connections in each phase.
@@ -89,10 +89,18 @@
         );
     }
 
-    /// Waits until no request is pending.
-    pub async fn wait_until_no_pending_request(&self) {
-        while self.has_pending_request() {
-            sleep(PENDING_REQUEST_CHECK_INTERVAL).await;
+    /// Whether a request has been received on any connection, at least in part, and is not answered yet.
+    pub fn has_request_without_answer(&self) -> bool {
+        self.slots.borrow().values().any(|slot| slot.has_pending_request())
+    }
+
+    /// Asks for all connections to be closed, because the process is about to end, and waits until they are.
+    pub async fn close_all(&self) {
+        for slot in self.slots.borrow().values() {
+            slot.close(CloseReason::ShuttingDown);
+        }
+        while self.open_connections() > 0 {
+            sleep(CLOSE_CHECK_INTERVAL).await;
         }
     }
 
@@ -148,16 +156,16 @@
 
     /// The connection to evict if a new one needs a slot. Idle connections come before those on which a
     /// request is being received; among each, the one whose phase began first. Connections on which a request
-    /// is being processed are not evicted.
+    /// is being processed are not evicted, and none that is about to close anyway.
     pub(super) fn eviction_candidate(&self) -> Option<Rc<ConnectionSlot>> {
         let slots = self.slots.borrow();
-        let evictable = slots.values().filter(|slot| slot.phase() != Phase::Processing);
+        let evictable = slots.values().filter(|slot| slot.phase() != Phase::Processing && !slot.is_closing());
         evictable.min_by_key(|slot| (slot.phase() == Phase::Receiving, slot.phase_started())).cloned()
     }
 
     fn evict_one(&self) {
         if let Some(slot) = self.eviction_candidate() {
-            slot.evict();
+            slot.close(CloseReason::Evicted);
             self.evictions_pending.set(self.evictions_pending.get() + 1);
         }
     }
--- a/crates/message-sender/src/connection_limiter/mod.rs
+++ b/crates/message-sender/src/connection_limiter/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Each connection has a [`ConnectionSlot`] that records whether a request is being received or processed on
 //! it. Clients that send nothing, or never finish a request, must not keep other clients from connecting:
-//! their connections are closed after a timeout, or earlier if a new connection needs the slot.
+//! their connections are closed after a timeout, or earlier if a new connection needs the slot. The limiter only
+//! asks for a close; the task of the connection closes it, and first answers a request that was received in part.
 
 mod accept;
 mod limiter;
@@ -11,4 +12,4 @@
 mod tests;
 
 pub use limiter::ConnectionLimiter;
-pub use slot::ConnectionSlot;
+pub use slot::{CloseReason, ConnectionSlot, Phase};
--- a/crates/message-sender/src/connection_limiter/slot.rs
+++ b/crates/message-sender/src/connection_limiter/slot.rs
@@ -19,7 +19,7 @@
 
 /// How far the current request of a connection has got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Phase {
+pub enum Phase {
     /// No byte of the next request has been received yet.
     Idle,
     /// Part of a request has been received.
@@ -30,13 +30,15 @@
 
 /// Why the limiter closes a connection that neither its client nor an answer has closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CloseReason {
+pub enum CloseReason {
     /// A new connection needs the slot.
     Evicted,
     /// The request was not complete in time, or none arrived on a new connection.
     RequestTimeout,
     /// No further request arrived in time.
     IdleTimeout,
+    /// The process is about to end.
+    ShuttingDown,
 }
 
 /// The slot that an open connection occupies, with the state of the connection.
@@ -51,8 +53,8 @@
     close_reason: Cell<Option<CloseReason>>,
     /// Whether a request was answered while more bytes, of the request or after it, may still arrive.
     has_unread_request: Cell<bool>,
-    /// Notifies the connection's task that it has to close the connection.
-    close: Notify,
+    /// Notifies the connection's task that `close_reason` is set.
+    close_requested: Notify,
     /// Number of bytes received since the last answer.
     received: Cell<u64>,
     /// Finds where the head of the current request ends.
@@ -86,7 +88,7 @@
             has_answered: Cell::new(false),
             close_reason: Cell::new(None),
             has_unread_request: Cell::new(false),
-            close: Notify::new(),
+            close_requested: Notify::new(),
             received: Cell::new(0),
             head_end: HeadEndFinder::default(),
         }
@@ -128,21 +130,23 @@
         self.head_end.reset();
     }
 
-    /// Closes the connection to free its slot. The phase is set to [`Phase::Processing`], so that the
-    /// connection is not chosen for eviction again while it closes.
-    pub(super) fn evict(&self) {
-        self.phase.set(Phase::Processing);
-        self.close(CloseReason::Evicted);
+    /// Asks the connection's task to close the connection, unless that was done before. The task first sees to
+    /// it that a request on the connection gets an answer.
+    pub(super) fn close(&self, reason: CloseReason) {
+        if self.close_reason.get().is_none() {
+            self.close_reason.set(Some(reason));
+            self.close_requested.notify_one();
+            self.log_close();
+        }
     }
 
-    /// Asks the connection's task to close the connection.
-    pub(super) fn close(&self, reason: CloseReason) {
-        self.close_reason.set(Some(reason));
-        self.close.notify_one();
+    /// Whether the limiter has asked for the connection to be closed.
+    pub fn is_closing(&self) -> bool {
+        self.close_reason.get().is_some()
     }
 
     /// Logs why the limiter closes the connection, and how much of a request has been received on it.
-    pub(super) fn log_close(&self) {
+    fn log_close(&self) {
         tracing::debug!(
             reason = ?self.close_reason.get(),
             phase = ?self.phase.get(),
@@ -153,9 +157,21 @@
         );
     }
 
-    /// Waits until the limiter asks for the connection to be closed.
-    pub(super) async fn wait_until_closed(&self) {
-        self.close.notified().await;
+    /// Waits until the limiter asks for the connection to be closed, and returns the reason.
+    pub async fn wait_for_close_request(&self) -> CloseReason {
+        loop {
+            if let Some(reason) = self.close_reason.get() {
+                return reason;
+            }
+            self.close_requested.notified().await;
+        }
+    }
+
+    /// Waits until the limiter asks for the connection to be closed because a new one needs its slot.
+    pub async fn wait_for_eviction(&self) {
+        while !self.is_evicted() {
+            self.close_requested.notified().await;
+        }
     }
 
     pub(super) fn is_evicted(&self) -> bool {
@@ -167,7 +183,8 @@
         !self.has_answered.get()
     }
 
-    pub(super) fn phase(&self) -> Phase {
+    /// How far the current request has got.
+    pub fn phase(&self) -> Phase {
         self.phase.get()
     }
 
--- a/crates/message-sender/src/operator_api/server.rs
+++ b/crates/message-sender/src/operator_api/server.rs
@@ -65,10 +65,11 @@
         slot: Rc<ConnectionSlot>,
     ) {
         let io = TokioIo::new(InstrumentedStream::new(Rc::new(stream), slot.clone()));
+        let request_slot = slot.clone();
         let service = service_fn(move |request| {
             let api = self.clone();
             let limiter = limiter.clone();
-            let slot = slot.clone();
+            let slot = request_slot.clone();
             async move {
                 let response = response(api.answer(request, &slot).await);
                 limiter.mark_answered(&slot);
@@ -78,8 +79,13 @@
         let mut server = http1::Builder::new();
         // The slot has a single timeout for head and body together.
         server.header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES).keep_alive(false);
-        if let Err(error) = server.serve_connection(io, service).await {
-            tracing::debug!(%error, "operator connection failed");
+        tokio::select! {
+            result = server.serve_connection(io, service) => {
+                if let Err(error) = result {
+                    tracing::debug!(%error, "operator connection failed");
+                }
+            }
+            _ = slot.wait_for_close_request() => {}
         }
     }
 
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -240,12 +240,13 @@
         tasks
     }
 
-    /// Waits until the last replies have reached their clients, for at most [`FINAL_REPLY_TIMEOUT`].
+    /// Answers the requests that are left and closes all connections, in at most [`FINAL_REPLY_TIMEOUT`].
     async fn finish(self) {
         // Closes the queue: clients whose submissions will not be decided on get an error as their reply.
         drop(self.events);
         self.limiter.log_open_connections();
-        if timeout(FINAL_REPLY_TIMEOUT, self.limiter.wait_until_no_pending_request()).await.is_err() {
+        let closed = timeout(FINAL_REPLY_TIMEOUT, self.limiter.close_all()).await;
+        if closed.is_err() && self.limiter.has_request_without_answer() {
             self.invariants.report_connection(Invariant::RequestIsAnswered);
             tracing::warn!(
                 connections = self.limiter.open_connections(),
