Answer a client that ends its sending side after its request

Seen: a client that wrote its request, shut down its sending side and waited for the answer got none.

Cause: the HTTP library took the end of the client's stream while a request was processed for the end of the connection, and dropped the request with its answer.

Change: the library is told that clients may half-close. The client API itself now notices the end of the stream while it waits for the decision, and withdraws the message as before, since the client may have left; but it answers 500. That is no refusal, as a kill may come before the withdrawal is recorded. A submission that may have been passed to a successor cannot be withdrawn, so its decision is waited for; a withdrawn one is not passed on any more.

--- a/crates/message-sender/src/client_api/mod.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP server that clients submit messages to.
 
+mod decision;
 mod error;
 mod incomplete_request;
 mod linger;
--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+use super::decision::wait_for_decision;
 use super::error::RequestError;
 use super::incomplete_request::answer_incomplete_request;
 use super::linger::{linger, LINGER_TIME};
@@ -43,6 +44,12 @@
 /// A client connection that reports the bytes received to its slot.
 type ClientStream = TokioIo<InstrumentedStream<ConnectionSlot>>;
 
+/// The socket of a client connection and the slot that it occupies.
+struct ClientConnection {
+    stream: Rc<TcpStream>,
+    slot: Rc<ConnectionSlot>,
+}
+
 /// How the HTTP library's part of a connection ended.
 enum ConnectionEnd {
     /// All requests were answered, and the connection was closed.
@@ -121,15 +128,16 @@
         let stream = Rc::new(stream);
         let io = TokioIo::new(InstrumentedStream::new(stream.clone(), slot.clone()));
         let api = self.clone();
-        let request_slot = slot.clone();
+        let client = Rc::new(ClientConnection { stream: stream.clone(), slot: slot.clone() });
         let service = service_fn(move |request| {
             let api = api.clone();
-            let slot = request_slot.clone();
-            async move { Ok::<_, Infallible>(api.answer(request, &slot).await) }
+            let client = client.clone();
+            async move { Ok::<_, Infallible>(api.answer(request, &client).await) }
         });
         let mut server = http1::Builder::new();
-        // The slot has a single timeout for head and body together.
-        server.header_read_timeout(None).max_buf_size(MAX_BUFFER_BYTES);
+        // The slot has a single timeout for head and body together. A client that has ended its sending side
+        // gets its answer all the same.
+        server.header_read_timeout(None).max_buf_size(MAX_BUFFER_BYTES).half_close(true);
         let connection = server.serve_connection(io, service);
         let ended = self.drive_connection(connection, &slot).await;
         if let ConnectionEnd::Failed(error) = &ended {
@@ -183,11 +191,12 @@
 
     /// Answers one request. If the request breaks the protocol or its answer is a client error (4xx), the
     /// connection is closed and no further request is read from it.
-    async fn answer(&self, request: Request<Incoming>, slot: &ConnectionSlot) -> Response<Empty<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, client: &ClientConnection) -> Response<Empty<Bytes>> {
+        let slot = &client.slot;
         let body_length = body_length(request.headers());
         let call_id = call_id(request.headers());
         let routed = match body_length {
-            Ok(body_length) => self.route(request, body_length, slot).await,
+            Ok(body_length) => self.route(request, body_length, client).await,
             Err(error) => Err(error),
         };
         let mut response = match routed {
@@ -218,12 +227,12 @@
         &self,
         request: Request<Incoming>,
         body_length: u64,
-        slot: &ConnectionSlot,
+        client: &ClientConnection,
     ) -> Result<Reply, RequestError> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, HEALTH_PATH) => Ok(Reply::Health(self.health())),
             (_, HEALTH_PATH) => Err(RequestError::MethodNotAllowed),
-            (&Method::POST, _) => self.receive_message(request, body_length, slot).await,
+            (&Method::POST, _) => self.receive_message(request, body_length, client).await,
             (_, path) => match self.names.class(class_name(path)) {
                 Some(_) => Err(RequestError::MethodNotAllowed),
                 None => Err(RequestError::UnknownClass),
@@ -243,7 +252,7 @@
         &self,
         request: Request<Incoming>,
         body_length: u64,
-        slot: &ConnectionSlot,
+        client: &ClientConnection,
     ) -> Result<Reply, RequestError> {
         let (head, body) = request.into_parts();
         let mut submission = decode(&self.settings, &self.names, &head.uri, &head.headers)?;
@@ -251,19 +260,25 @@
         let body = body.map_err(|_| RequestError::IncompleteBody)?.to_bytes();
         // Copied, because the received bytes are a slice of a much larger buffer and would keep it allocated.
         submission.body = Bytes::copy_from_slice(&body);
-        if !slot.holds_one_request(body_length) {
+        if !client.slot.holds_one_request(body_length) {
             return Err(RequestError::TrailingBytes);
         }
-        slot.mark_request_received();
-        self.submit(submission).await.map(Reply::Submission)
+        client.slot.mark_request_received();
+        self.submit(submission, &client.stream).await.map(Reply::Submission)
     }
 
-    async fn submit(&self, submission: Submission) -> Result<SubmissionReply, RequestError> {
-        // If the client disconnects, this future and with it `answer` are dropped, and the event loop finds
+    async fn submit(
+        &self,
+        submission: Submission,
+        stream: &TcpStream,
+    ) -> Result<SubmissionReply, RequestError> {
+        let mut state = self.serving_state.clone();
+        state.mark_unchanged();
+        // If the client disconnects, this future and with it `decision` are dropped, and the event loop finds
         // `reply` closed.
-        let (reply, answer) = oneshot::channel();
+        let (reply, decision) = oneshot::channel();
         let event = SenderEvent::Submitted(Box::new(submission), reply);
         self.event_sender.send(event).await.map_err(|_| RequestError::Unavailable)?;
-        answer.await.map_err(|_| RequestError::Unavailable)
+        wait_for_decision(decision, stream, &mut state).await
     }
 }
--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -111,6 +111,8 @@
 
     async fn relay(&mut self, event: SenderEvent) -> Result<(), HandoverError> {
         let frame = match event {
+            // The client has left or was told that its message is not accepted.
+            SenderEvent::Submitted(_, reply) if reply.is_closed() => return Ok(()),
             SenderEvent::Submitted(submission, reply) => self.register(submission, reply),
             SenderEvent::AttemptEnded(finished) => {
                 self.in_flight.remove(&finished.attempt_id);
