Refuse a message that is submitted again only if it is new

Seen: a message was accepted with 202 and sent to an endpoint, and its client, which submitted it again under the same id, got 503. That status says that the message was not and will not be sent.

Cause: when the controller gave the message up, send_replies answered every waiting submission of it with the rejection, also one of a message that an earlier turn or an earlier process had accepted; and it ended the message without the notice that an accepted one is owed.

Change: only a message that was submitted for the first time in this turn is rejected by the reply. A repeated submission of an accepted message gets 202, and the message ends with its notice.

--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -195,14 +195,12 @@
     /// Replies to all waiting clients. A message that the controller rejects in the message's first turn was
     /// never accepted. A new message whose clients have all disconnected is withdrawn.
     pub(super) fn send_replies(&mut self, rejections: &BTreeMap<MessageId, Micros>) {
+        let pending_replies = std::mem::take(&mut self.pending_replies);
+        let answers = self.reject_new_messages(&pending_replies, rejections);
         let mut abandoned = BTreeSet::new();
         let mut replied = BTreeSet::new();
-        for PendingReply { message_id, kind, reply } in std::mem::take(&mut self.pending_replies) {
-            let rejection = rejections.get(&message_id);
-            let answer = match rejection {
-                Some(retry_after) => SubmissionReply::Rejected(*retry_after),
-                None => SubmissionReply::Accepted,
-            };
+        for PendingReply { message_id, kind, reply } in pending_replies {
+            let answer = answers.get(&message_id).copied().unwrap_or(SubmissionReply::Accepted);
             let is_sent = reply.send(answer);
             tracing::debug!(message_id, ?kind, ?answer, client_left = is_sent.is_err(), "submission decided");
             match is_sent {
@@ -214,14 +212,33 @@
                 }
                 Err(_) => {}
             }
-            if rejection.is_some() {
-                self.count_undelivered(message_id, MessageOutcome::Rejected);
-                self.end_without_notice(message_id, Some(MessageOutcome::Rejected));
-            }
         }
         for id in abandoned.difference(&replied) {
             self.end_without_notice(*id, None);
             self.events.push(Event::MessageWithdrawn { id: *id });
         }
     }
+
+    /// Ends the new messages that the controller rejects, and returns the answers to their clients. A message
+    /// that was submitted in an earlier turn was accepted then, so it ends with a notice.
+    fn reject_new_messages(
+        &mut self,
+        pending_replies: &[PendingReply],
+        rejections: &BTreeMap<MessageId, Micros>,
+    ) -> BTreeMap<MessageId, SubmissionReply> {
+        let mut answers = BTreeMap::new();
+        for pending in pending_replies.iter().filter(|pending| pending.kind == SubmissionKind::New) {
+            if let Some(retry_after) = rejections.get(&pending.message_id) {
+                let answer = self.reject_new_message(pending.message_id, *retry_after);
+                answers.insert(pending.message_id, answer);
+            }
+        }
+        answers
+    }
+
+    fn reject_new_message(&mut self, id: MessageId, retry_after: Micros) -> SubmissionReply {
+        self.count_undelivered(id, MessageOutcome::Rejected);
+        self.end_without_notice(id, Some(MessageOutcome::Rejected));
+        SubmissionReply::Rejected(retry_after)
+    }
 }
