Let no refusal or notice leave before the end of its message is recorded

Cause: send_replies handed the rejection out before the end was recorded and only counted the failure; queue_notice held back notices of rejections only, and not those of messages that are safe to repeat.

Change: a new message is rejected by the reply only once that is recorded; if it cannot be, the message counts as accepted and ends with a notice. If the record may or may not be in the file, the answer is 500.

Cost: while the folder takes no writes, the notice of a message that is given up early waits for the folder or the deadline.

--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -1,6 +1,6 @@
 //! Ends messages: counts their outcome, records it in the journal and queues the notice of it.
 
-use delivery_control::{AttemptOutcome, Event, Idempotency, MessageId, Micros};
+use delivery_control::{AttemptOutcome, Event, MessageId, Micros};
 
 use super::journal_sync::{HeldNotice, UnrecordedStep};
 use super::open_messages::{MessageOrigin, OpenMessage};
@@ -23,6 +23,14 @@
         }
     }
 
+    /// Ends a message whose rejection at its submission is recorded already.
+    pub(super) fn end_rejected(&mut self, id: MessageId) {
+        if self.close_message(id, Some(MessageOutcome::Rejected)).is_some() {
+            self.check_end(id, false);
+            tracing::debug!(message_id = id, "message rejected at its submission");
+        }
+    }
+
     /// Ends a message with a notice to the platform. If the message is not open any more, its client got the
     /// rejection as the reply to its submission: the controller gets the event of an acknowledged notice.
     pub(super) fn end_with_notice(&mut self, id: MessageId, result: NoticeResult) {
@@ -35,8 +43,7 @@
             Some(message) => {
                 self.check_end(id, true);
                 let notice = Notice { call_id: message.call_id, result };
-                let is_repeatable = self.settings.classes[message.class].idempotency == Idempotency::Always;
-                self.queue_notice(id, notice, is_repeatable, message.deadline);
+                self.queue_notice(id, notice, message.deadline);
             }
             None => self.events.push(Event::NoticeAcknowledged { id }),
         }
@@ -61,16 +68,9 @@
         self.summary.count_undelivered(cause, message.destination);
     }
 
-    /// Records a message's end in the journal and queues its notice. A rejection makes the client submit the
-    /// message again, so its notice is held back until no later process can send this message as well. A
-    /// message that is safe to repeat needs no such delay.
-    pub(super) fn queue_notice(
-        &mut self,
-        id: MessageId,
-        notice: Notice,
-        is_repeatable: bool,
-        deadline: Micros,
-    ) {
+    /// Records a message's end in the journal and queues its notice. The notice is held back until no later
+    /// process can send the message: nothing may be sent after its end.
+    pub(super) fn queue_notice(&mut self, id: MessageId, notice: Notice, deadline: Micros) {
         let recorded = self.journal.borrow_mut().record_end(id, Some(notice.clone()));
         let is_recorded = recorded.is_ok();
         self.count_unrecorded_outcome(recorded);
@@ -80,8 +80,7 @@
             is_recorded,
             "message ended with a notice"
         );
-        let is_rejection = matches!(notice.result, NoticeResult::Rejected { .. });
-        if is_recorded || is_repeatable || !is_rejection {
+        if is_recorded {
             self.notices.push(id, notice);
         } else {
             self.journal_sync.hold(HeldNotice { id, deadline, notice });
--- a/crates/message-sender/src/event_loop/journal_sync.rs
+++ b/crates/message-sender/src/event_loop/journal_sync.rs
@@ -62,8 +62,8 @@
 }
 
 /// A notice that must not be sent before its message's end is in the journal's file: if it were sent and the
-/// process then died, the next process would send the message while its client submits it again. The notice
-/// is held until the message's deadline at most, after which no process sends the message.
+/// process then died, the next process would send the message after its end. The notice is held until the
+/// message's deadline at most, after which no process sends the message.
 pub struct HeldNotice {
     /// The message that the notice is about.
     pub id: MessageId,
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -141,7 +141,7 @@
         let Some(class) = self.names.class(&accepted.class) else {
             // The class is no longer configured, so it is unknown whether another attempt would be harmless.
             let notice = Notice { call_id: accepted.call_id, result: NoticeResult::Failed };
-            self.queue_notice(id, notice, false, accepted.deadline);
+            self.queue_notice(id, notice, accepted.deadline);
             return;
         };
         self.events.push(Event::MessageSubmitted(MessageSubmission {
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -236,9 +236,25 @@
         answers
     }
 
+    /// Ends a new message, if the end can be recorded now. If not, the message counts as accepted and ends with
+    /// a notice: the next process would send it if this one were killed after a rejection.
     fn reject_new_message(&mut self, id: MessageId, retry_after: Micros) -> SubmissionReply {
-        self.count_undelivered(id, MessageOutcome::Rejected);
-        self.end_without_notice(id, Some(MessageOutcome::Rejected));
-        SubmissionReply::Rejected(retry_after)
+        let recorded = self.journal.borrow_mut().record_rejected(id);
+        match recorded {
+            Ok(()) => {
+                self.count_undelivered(id, MessageOutcome::Rejected);
+                self.end_rejected(id);
+                SubmissionReply::Rejected(retry_after)
+            }
+            Err(JournalError::Uncertain) => {
+                self.count_undelivered(id, MessageOutcome::Rejected);
+                self.end_without_notice(id, Some(MessageOutcome::Rejected));
+                SubmissionReply::Undetermined
+            }
+            Err(error) => {
+                self.journal_failures.count(UnrecordedStep::Outcome, &error);
+                SubmissionReply::Accepted
+            }
+        }
     }
 }
--- a/crates/message-sender/src/journal/writer.rs
+++ b/crates/message-sender/src/journal/writer.rs
@@ -170,6 +170,12 @@
         self.append_outcome(Record::Ended(id, notice))
     }
 
+    /// Records that a message was rejected at its submission. Its client must not get that reply before this
+    /// returns. If it fails, the message is still open.
+    pub fn record_rejected(&mut self, id: MessageId) -> Result<(), JournalError> {
+        self.append_within_hard_limit(Record::Ended(id, None))
+    }
+
     /// Records that the platform acknowledged the message's notice.
     pub fn record_notice_acknowledged(&mut self, id: MessageId) -> Result<(), JournalError> {
         self.append_outcome(Record::NoticeAcknowledged(id))
