Take an early status line with 200 for a delivery although the rest is malformed

Seen: an endpoint answered with 200 before it had received the whole request, and the rest of its response was malformed. The attempt ended as ConnectFailed, so the message was sent again after it had been delivered.

Cause: is_delivered counted the status line only once the request had been written in full.

Change: any byte written is enough. Without one, the status line belongs to the previous request on the connection.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -69,11 +69,11 @@
         self.connection.as_ref().is_some_and(|connection| connection.bytes_written() >= request_length)
     }
 
-    /// Whether the request was written in full and the status line of its response says that the message was
-    /// delivered.
+    /// Whether the status line of the response says that the message was delivered. An endpoint may send it
+    /// before the request has been written in full.
     fn is_delivered(&self) -> bool {
-        let status = self.connection.as_ref().and_then(Connection::response_status);
-        self.is_request_written() && status.is_some_and(is_delivered)
+        let Some(connection) = &self.connection else { return false };
+        connection.bytes_written() > 0 && connection.response_status().is_some_and(is_delivered)
     }
 
     /// Corrects the outcome of an attempt without a usable response by what was written and received.
