Read what has arrived of a response before a call is given up

Seen: a response with 200 arrived before a call's timeout and was read after it, because the thread was held up in between. The attempt ended as Timeout, so the message was sent again after it had been delivered.

Cause: abort looked only at the bytes that the HTTP library's task had read by then. Whether that task runs before the call or before the turn that cancels it depends on the order of wake-ups.

Change: the HTTP library's task is stopped first, and the status line is read from the socket as far as it has arrived; only then is the outcome determined.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -184,13 +184,16 @@
     /// Closes the connection of an attempt that ended without a usable response, and determines the outcome
     /// from what was written and received.
     async fn abort(&self, progress: &mut AttemptProgress, outcome: AttemptOutcome) -> AttemptOutcome {
+        if let Some(connection) = &mut progress.connection {
+            connection.stop().await;
+        }
         let is_request_written = progress.is_request_written();
         let outcome = progress.corrected_outcome(outcome);
+        // Dropping the connection closes the socket.
         if let Some(connection) = progress.connection.take() {
             if is_request_written && !connection.has_response() {
                 self.failure_log.record(NO_RESPONSE.to_owned(), connection.is_reused());
             }
-            connection.close().await;
         }
         outcome
     }
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -1,7 +1,7 @@
 //! An HTTP/1.1 client connection on an instrumented stream.
 
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,11 +19,15 @@
 use tokio::time::{sleep, timeout};
 
 use super::byte_counter::ByteCounter;
-use crate::instrumented_stream::InstrumentedStream;
+use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
 
 /// Maximum size of the connection's buffers in bytes. It limits the head of a response, which could
 /// otherwise be endless.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the buffer that the rest of a status line is read into when an exchange is stopped, in bytes.
+const STATUS_READ_BYTES: usize = 1024;
+/// Maximum number of reads of that rest; interim responses may precede it.
+const MAX_STATUS_READS: usize = 16;
 /// Maximum time from the first byte of a response to the end of its head.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time from the end of a response's head to the end of its body.
@@ -172,14 +176,38 @@
         self.byte_counter.response_status()
     }
 
-    /// Closes the socket before returning, so that anything that is sent afterwards follows the
-    /// connection's close.
-    pub async fn close(mut self) {
+    /// Ends the exchange on this connection and reads what has arrived of its response, so that the status is
+    /// known even if the process was suspended or busy when it arrived. The socket stays open.
+    pub async fn stop(&mut self) {
         if !self.task.is_finished() {
             self.task.abort();
             // The only possible error is that the task was aborted.
             let _ = (&mut self.task).await;
         }
+        self.read_arrived_status();
+    }
+
+    /// Reads up to the end of the status line, as far as it has arrived.
+    fn read_arrived_status(&self) {
+        let socket = SockRef::from(&*self.stream);
+        let mut buffer = [0; STATUS_READ_BYTES];
+        for _ in 0..MAX_STATUS_READS {
+            match (&*socket).read(&mut buffer) {
+                Ok(bytes) if bytes > 0 => self.byte_counter.read(&buffer[..bytes]),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Nothing has arrived, or the connection has ended.
+                Ok(_) | Err(_) => return,
+            }
+            if self.response_status().is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Closes the socket before returning, so that anything that is sent afterwards follows the
+    /// connection's close.
+    pub async fn close(mut self) {
+        self.stop().await;
     }
 }
 
