Add a failing test of a delivery that a dying successor has not recorded

The predecessor relays the end of a call to its successor and forgets it. A successor that is killed before it reads it leaves the message open, and the predecessor, which takes the work back, sends it again after its 200.

--- a/crates/message-sender/tests/upgrade.rs
+++ b/crates/message-sender/tests/upgrade.rs
@@ -263,3 +263,27 @@
     assert_eq!(successor.address, predecessor.address);
     assert_eq!(environment.endpoint.next_call().message_id(), "m1");
 }
+
+/// Guards against repeating a message that an endpoint has confirmed: the predecessor relays the delivery to its
+/// successor, which dies before it has recorded it.
+#[test]
+fn delivery_that_a_dying_successor_has_not_recorded_is_not_repeated() {
+    let environment = Environment::new(vec![Reply::Delayed(Duration::from_millis(800)), OK]);
+    let predecessor = environment.start_sender();
+    assert_eq!(predecessor.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    // A request that is still being received keeps the predecessor alive.
+    let mut client = predecessor.connect();
+    client.write_all(b"POST /notice HTTP/1.1\r\n").unwrap();
+    thread::sleep(Duration::from_millis(100));
+    let successor = environment.start_sender();
+    // It does not read the end of the call, which the predecessor relays 0.8 s after the call.
+    successor.suspend();
+    thread::sleep(Duration::from_millis(1_200));
+    successor.kill();
+    predecessor.await_log(&["taking the work back"]);
+    assert_eq!(predecessor.submit("m2", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m2");
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(environment.endpoint.has_no_call(), "m1 was sent again");
+}
