Remember relayed deliveries until the successor is known to live on

Seen: an endpoint confirmed a message with 200; the predecessor relayed that to its successor, which was killed before it read it; the predecessor took the work back and sent the message again.

Cause: Predecessor::relay forgot the end of an attempt once its frame was written, or could not be written. The events that a dead successor may have missed held only submissions and the ends of attempts that were still in flight.

Change: the predecessor keeps the ends that were final for as long as it relays, and hands them to the event loop if the successor dies. To end a message twice has no effect. Their number is limited by the attempts that were in flight at the handover.

--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -11,7 +11,7 @@
 use crate::attempt_id::AttemptId;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::drain::DRAIN_DEADLINE;
-use crate::event::SenderEvent;
+use crate::event::{FinishedAttempt, SenderEvent};
 use crate::handover::error::HandoverError;
 use crate::handover::protocol::{read_frame, write_frame};
 use crate::handover::stream::{HandoverStream, HandoverWriter};
@@ -45,6 +45,8 @@
     pending: HashMap<u64, PendingSubmission>,
     /// The number of the last submission; 0 before the first.
     last_submission_number: u64,
+    /// The attempts that ended their messages. The successor may die before it has recorded these ends.
+    final_ends: Vec<FinishedAttempt>,
     /// When the shutdown of this process was requested, if it was.
     shutdown_requested_at: Option<Instant>,
     /// Whether the attempts in flight have been cancelled because [`DRAIN_DEADLINE`] has passed.
@@ -70,6 +72,7 @@
             in_flight,
             pending: HashMap::new(),
             last_submission_number: 0,
+            final_ends: Vec::new(),
             shutdown_requested_at,
             attempts_cancelled: false,
             reported_connections: None,
@@ -116,6 +119,9 @@
             SenderEvent::Submitted(submission, reply) => self.register(submission, reply),
             SenderEvent::AttemptEnded(finished) => {
                 self.in_flight.remove(&finished.attempt_id);
+                if finished.result.is_final {
+                    self.final_ends.push(finished);
+                }
                 PredecessorFrame::AttemptEnded(finished)
             }
             SenderEvent::ShutdownRequested => {
@@ -194,7 +200,8 @@
             self.reply_undetermined();
             return RelayEnd::Finished;
         }
-        let mut missed_events = Vec::new();
+        let final_ends = self.final_ends.into_iter().map(SenderEvent::AttemptEnded);
+        let mut missed_events: Vec<_> = final_ends.collect();
         for pending in self.pending.into_values() {
             missed_events.push(SenderEvent::Submitted(pending.submission, pending.reply));
         }
