--- a/crates/message-sender/tests/shutdown.rs
+++ b/crates/message-sender/tests/shutdown.rs
@@ -79,7 +79,7 @@
     environment.endpoint.next_call();
     sender.signal(Signal::Terminate);
     sender.await_log(&["draining"]);
-    // After SIGTERM the process starts attempts for 2.4 s and exits after 3.3 s.
+    // After SIGTERM the process starts attempts for 2.4 s and exits after 3.1 s.
     sleep(Duration::from_millis(2_750));
     let late = sender.request(&submission("m2", 20_000, "x")).expect("the sender did not answer");
     assert!(late.start_line.contains("503") && late.headers.contains_key("retry-after"), "{late:?}");
--- a/crates/message-sender/tests/unanswered_requests.rs
+++ b/crates/message-sender/tests/unanswered_requests.rs
@@ -169,3 +169,30 @@
     assert!(terminated_at.elapsed() < LONGEST_SHUTDOWN, "{:?}", terminated_at.elapsed());
     assert!(unanswered.is_empty(), "{unanswered:?}");
 }
+
+/// Guards against a process that still has to answer a request when SIGKILL comes, because it is suspended at the
+/// beginning of its shutdown and once more at the end.
+#[test]
+fn process_that_is_suspended_in_its_shutdown_ends_before_sigkill() {
+    let environment = Environment::new(vec![Reply::NoAnswer]);
+    let mut sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    let terminated_at = Instant::now();
+    let sleep_until = |millis| {
+        sleep(Duration::from_millis(millis).saturating_sub(terminated_at.elapsed()));
+    };
+    sender.suspend();
+    sender.signal(Signal::Terminate);
+    sleep_until(150);
+    sender.resume();
+    sleep_until(3_000);
+    let mut stream = connect_and_write_part(&sender, "m2");
+    sleep_until(3_440);
+    sender.suspend();
+    sleep_until(3_590);
+    sender.resume();
+    assert_eq!(read_status(&mut stream).as_deref(), Some("503"));
+    assert!(sender.wait().success());
+    assert!(terminated_at.elapsed() < LONGEST_SHUTDOWN, "{:?}", terminated_at.elapsed());
+}
