Extend the soak by lost requests: three observations, ten kinds of faults

The oracle now judges, for each connection that ends without a complete response, whether the sender must have read part of its request, in a shutdown too; and it reports a call after the notice, the delivery or the deadline of its message. Refusals of messages that are sent were judged before.

New kinds: clients whose connections rest before the first request, requests in pieces, half-closed clients; crowds that hold or churn connections; series of SIGTERM, SIGHUP and SIGINT with suspensions of up to 0.15 s and SIGKILL 3.7 s after the first; shutdowns while no endpoint responds; a kill while the folder takes no writes; 410, 504, first lines in pieces or cut; notices that are acknowledged late.

--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -10,12 +10,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::history::{History, Message, SubmitResult};
-use crate::http::read_message;
+use crate::exchange::{exchange, Exchange, SendStyle, RESPONSE_TIMEOUT};
+use crate::history::{ConnectionUse, History, Message, SubmitResult};
 use crate::settings::{Class, DESTINATIONS};
 
-/// Time limit of a client for a connection, and for a response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest pause within a request that is sent in pieces, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 900;
 /// Time within which a sender must answer an incomplete or invalid request or close its connection.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay with which a close may be noticed by the peer.
@@ -33,6 +33,16 @@
     pub abandon: AtomicBool,
     /// Some accepted messages of class `Once` are submitted again under the same id.
     pub replay: AtomicBool,
+    /// Some clients send their requests in two pieces.
+    pub pieces: AtomicBool,
+    /// Some clients end their sending side after the request.
+    pub half_close: AtomicBool,
+    /// Further clients open connections that rest before their only request.
+    pub rest: AtomicBool,
+    /// Peers hold more idle connections than a sender may have descriptors.
+    pub hold: AtomicBool,
+    /// Peers open and close connections without pause.
+    pub churn: AtomicBool,
     /// Peers send incomplete requests.
     pub stall: AtomicBool,
     /// Peers send invalid requests.
@@ -42,7 +52,9 @@
 }
 
 impl LoadControl {
-    fn is_stopped(&self) -> bool {
+    /// Whether all clients and peers are to stop.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
     }
 }
@@ -111,7 +123,8 @@
         });
         let destination = if class == Class::Ordered { 1 } else { self.random.u64(1..=DESTINATIONS) };
         let budget = Duration::from_millis(self.random.u64(3_000..8_000));
-        let text = self.request_text(&id, class, destination, order.as_ref(), budget);
+        let body_bytes = self.random.usize(20..1_500);
+        let text = request_text(&id, class, destination, order.as_ref(), budget, body_bytes);
         let message = Message {
             sender: self.sender,
             class,
@@ -123,7 +136,7 @@
             is_replayed: false,
         };
         self.history.records().messages.insert(id.clone(), message);
-        let result = self.submit(&text).await;
+        let result = self.submit(&id, &text).await;
         if let Some(message) = self.history.records().messages.get_mut(&id) {
             message.result = Some((result, Instant::now()));
         }
@@ -132,40 +145,20 @@
         }
     }
 
-    fn request_text(
-        &mut self,
-        id: &str,
-        class: Class,
-        destination: u64,
-        order: Option<&(String, u64)>,
-        budget: Duration,
-    ) -> String {
-        let query = order.map(|(key, _)| format!("?subject={key}")).unwrap_or_default();
-        let body = "x".repeat(self.random.usize(20..1_500));
-        format!(
-            "POST /{0}{query} HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {id}\r\nX-Call-Class: {0}\r\n\
-             X-Budget-Ms: {1}\r\nIdempotency-Key: key-of-{id}\r\nX-Consignee: dest={destination}\r\n\
-             Content-Length: {2}\r\n\r\n{body}",
-            class.name(),
-            budget.as_millis(),
-            body.len()
-        )
-    }
-
     /// Submits on the kept connection or on a new one. If the kept connection ends without a response, the
     /// request is sent once more on a new one.
-    async fn submit(&mut self, text: &str) -> SubmitResult {
-        let abandons = self.load_control.abandon.load(Ordering::Relaxed) && self.random.f64() < 0.15;
+    async fn submit(&mut self, id: &str, text: &str) -> SubmitResult {
+        let style = self.draw_style();
         if let Some(connection) = self.connection.take() {
-            match self.exchange(connection, text, abandons, false).await {
-                SubmitResult::Closed { .. } => {}
+            match self.exchange(id, connection, text, ConnectionUse::Accepted, style).await {
+                SubmitResult::Closed => {}
                 result => return result,
             }
         }
         match timeout(RESPONSE_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                self.exchange(BufReader::new(stream), text, abandons, true).await
+                self.exchange(id, BufReader::new(stream), text, ConnectionUse::Fresh, style).await
             }
             _ => SubmitResult::NotConnected,
         }
@@ -173,31 +166,46 @@
 
     async fn exchange(
         &mut self,
-        mut connection: BufReader<TcpStream>,
+        id: &str,
+        connection: BufReader<TcpStream>,
         text: &str,
-        abandons: bool,
-        is_fresh: bool,
+        connection_use: ConnectionUse,
+        style: SendStyle,
     ) -> SubmitResult {
-        if connection.get_mut().write_all(text.as_bytes()).await.is_err() {
-            return SubmitResult::Closed { is_fresh };
-        }
-        if abandons {
-            sleep(Duration::from_millis(self.random.u64(0..4))).await;
-            return SubmitResult::Abandoned;
+        self.record_submission_time(id, style);
+        match exchange(self.sender, connection, text, connection_use, style).await {
+            Exchange::Response(response, connection) => {
+                self.connection = connection;
+                SubmitResult::of(response.status())
+            }
+            Exchange::Abandoned => SubmitResult::Abandoned,
+            Exchange::Ended(ended) => {
+                self.history.records().ended_requests.push((id.to_owned(), ended));
+                SubmitResult::Closed
+            }
         }
-        match timeout(RESPONSE_TIMEOUT, read_message(&mut connection)).await {
-            Err(_) => SubmitResult::Abandoned,
-            Ok(Ok(Some(response))) => {
-                if response.header("connection") != "close" {
-                    self.connection = Some(connection);
-                }
-                match response.status() {
-                    200 | 202 => SubmitResult::Accepted,
-                    429 | 503 => SubmitResult::Refused,
-                    status => SubmitResult::Failed(status),
-                }
+    }
+
+    /// Records the time at which the last byte of a request is written, from which the time left counts.
+    fn record_submission_time(&self, id: &str, style: SendStyle) {
+        if let Some(message) = self.history.records().messages.get_mut(id) {
+            if !message.is_replayed {
+                message.submitted_at = Instant::now() + style.pause.unwrap_or_default();
             }
-            Ok(_) => SubmitResult::Closed { is_fresh },
+        }
+    }
+
+    /// Draws how the next request is sent, from what is switched on.
+    fn draw_style(&mut self) -> SendStyle {
+        let control = self.load_control.clone();
+        let mut draw = |flag: &AtomicBool, chance: f64, longest_ms: u64| {
+            let is_drawn = flag.load(Ordering::Relaxed) && self.random.f64() < chance;
+            is_drawn.then(|| Duration::from_millis(self.random.u64(0..longest_ms)))
+        };
+        SendStyle {
+            abandons_after: draw(&control.abandon, 0.15, 4),
+            pause: draw(&control.pieces, 0.5, LONGEST_PAUSE_MS),
+            half_closes: draw(&control.half_close, 0.3, 1).is_some(),
         }
     }
 
@@ -213,10 +221,32 @@
         if let Some(message) = self.history.records().messages.get_mut(&id) {
             message.is_replayed = true;
         }
-        self.submit(&text).await;
+        self.submit(&id, &text).await;
     }
 }
 
+/// Returns the request that submits a message.
+#[must_use]
+pub fn request_text(
+    id: &str,
+    class: Class,
+    destination: u64,
+    order: Option<&(String, u64)>,
+    budget: Duration,
+    body_bytes: usize,
+) -> String {
+    let query = order.map(|(key, _)| format!("?subject={key}")).unwrap_or_default();
+    let body = "x".repeat(body_bytes);
+    format!(
+        "POST /{0}{query} HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {id}\r\nX-Call-Class: {0}\r\n\
+         X-Budget-Ms: {1}\r\nIdempotency-Key: key-of-{id}\r\nX-Consignee: dest={destination}\r\n\
+         Content-Length: {2}\r\n\r\n{body}",
+        class.name(),
+        budget.as_millis(),
+        body.len()
+    )
+}
+
 /// Connects to a sender with incomplete or invalid requests, if those are switched on, until the load stops.
 pub async fn run_peers(
     sender: usize,
--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -2,7 +2,7 @@
 //! status was sent to which sender.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
 const MAX_WAIT: Duration = Duration::from_secs(60);
 /// Delay of a response while the service is silent.
 const SILENCE: Duration = Duration::from_secs(30);
+/// Probability that notices are acknowledged late, while that is switched on.
+const LATE_NOTICE_CHANCE: f64 = 0.3;
+/// How late notices are then acknowledged, in milliseconds.
+const LATE_NOTICE_MS: std::ops::Range<u64> = 50..400;
 
 /// Whether requests for the list are answered. Notices are always acknowledged at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +78,8 @@
     history: Arc<History>,
     /// Whether notices are acknowledged, but not recorded, as a planted defect.
     pub drops_notices: bool,
+    /// Whether some notices are acknowledged late.
+    pub delays_notices: AtomicBool,
     addresses: Mutex<Vec<SocketAddr>>,
 }
 
@@ -88,6 +94,7 @@
             service_state: AtomicU8::new(ServiceState::Up as u8),
             history,
             drops_notices,
+            delays_notices: AtomicBool::new(false),
             addresses: Mutex::default(),
         })
     }
@@ -154,7 +161,9 @@
         let mut stream = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut stream).await {
             let response = if request.start_line.starts_with("POST") {
-                self.take_notices(&request)
+                let response = self.take_notices(&request);
+                self.delay_notices().await;
+                response
             } else {
                 self.list_response(sender, &request).await
             };
@@ -164,6 +173,12 @@
         }
     }
 
+    async fn delay_notices(&self) {
+        if self.delays_notices.load(Ordering::Relaxed) && fastrand::f64() < LATE_NOTICE_CHANCE {
+            sleep(Duration::from_millis(fastrand::u64(LATE_NOTICE_MS))).await;
+        }
+    }
+
     fn take_notices(&self, request: &HttpMessage) -> String {
         let now = Instant::now();
         for line in request.body.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
--- a/crates/fault-soak/src/disturbance.rs
+++ b/crates/fault-soak/src/disturbance.rs
@@ -22,6 +22,7 @@
             ProcessEvent::Paused => {
                 pause.get_or_insert(*at);
             }
+            ProcessEvent::Killed => {}
             ProcessEvent::Ready => disruptions.push((restart.take().unwrap_or(start), Some(*at))),
             ProcessEvent::Resumed => disruptions.push((pause.take().unwrap_or(start), Some(*at))),
         }
--- a/crates/fault-soak/src/endpoint.rs
+++ b/crates/fault-soak/src/endpoint.rs
@@ -14,6 +14,10 @@
 
 /// Time for which an endpoint that does not respond keeps the connection open.
 const HANG_TIME: Duration = Duration::from_secs(20);
+/// First piece of a status line that is sent in pieces, or not to its end.
+const PARTIAL_LINE: &[u8] = b"HTTP/1.1 20";
+/// Pause within a status line that is sent in pieces.
+const PIECES_PAUSE: Duration = Duration::from_millis(40);
 /// Time between two bytes of a response that is sent one byte at a time.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(8);
 
@@ -35,10 +39,12 @@
     Trickling,
     /// Responses are sent 0.1 s to 0.9 s late.
     Slow,
+    /// Some calls get 410 or 504, a first line in pieces, or part of a first line and a reset.
+    Odd,
 }
 
 impl Behaviour {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Healthy,
         Self::Flaky,
         Self::Limited,
@@ -46,6 +52,7 @@
         Self::Resetting,
         Self::Trickling,
         Self::Slow,
+        Self::Odd,
     ];
 }
 
@@ -155,6 +162,9 @@
         match draw_reply(behaviour) {
             Reply::Reset => {
                 self.record_reply(number, Reply::Reset);
+                if behaviour == Behaviour::Odd {
+                    let _ = stream.get_mut().write_all(PARTIAL_LINE).await;
+                }
                 let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
                 false
             }
@@ -173,6 +183,9 @@
         // Recorded before the response is written, as a sender may act on the response before this task
         // continues.
         self.record_reply(number, reply);
+        if behaviour == Behaviour::Odd {
+            return write_in_pieces(stream.get_mut(), &text).await.is_ok();
+        }
         if behaviour != Behaviour::Trickling {
             return stream.get_mut().write_all(text.as_bytes()).await.is_ok();
         }
@@ -199,11 +212,21 @@
     }
 }
 
+/// Writes a response with its first line in two pieces.
+async fn write_in_pieces(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let (first, second) = text.as_bytes().split_at(PARTIAL_LINE.len());
+    stream.write_all(first).await?;
+    sleep(PIECES_PAUSE).await;
+    stream.write_all(second).await
+}
+
 fn draw_reply(behaviour: Behaviour) -> Reply {
     let chance = fastrand::f64();
     match behaviour {
         Behaviour::Flaky if chance < 0.2 => Reply::Error,
-        Behaviour::Flaky if chance < 0.35 => Reply::Reset,
+        Behaviour::Odd if chance < 0.1 => Reply::Gone,
+        Behaviour::Odd if chance < 0.25 => Reply::NotProcessed,
+        Behaviour::Flaky | Behaviour::Odd if chance < 0.35 => Reply::Reset,
         Behaviour::Limited if chance < 0.45 => {
             Reply::Rejected { retry_after: Some(Duration::from_millis(fastrand::u64(150..700))) }
         }
@@ -223,6 +246,8 @@
         Reply::Rejected { retry_after: None } => {
             "HTTP/1.1 503 Busy\r\nX-Load-Report: x0=0.0\r\nContent-Length: 0\r\n\r\n".to_owned()
         }
+        Reply::NotProcessed => "HTTP/1.1 504 Not processed\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        Reply::Gone => "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n".to_owned(),
         Reply::Error | Reply::Reset => "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned(),
     }
 }
--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -79,6 +79,22 @@
     }
 
     async fn inject_process_fault(&self, fault: &Fault) {
+        if fault.kind == FaultKind::TerminateHanging {
+            self.set_all_behaviours(Some(Behaviour::Hanging));
+        }
+        self.run_process_fault(fault).await;
+        if fault.kind == FaultKind::TerminateHanging {
+            self.set_all_behaviours(None);
+        }
+    }
+
+    fn set_all_behaviours(&self, behaviour: Option<Behaviour>) {
+        for endpoint in &self.endpoints {
+            endpoint.set_behaviour(behaviour);
+        }
+    }
+
+    async fn run_process_fault(&self, fault: &Fault) {
         let mut tasks = tokio::task::JoinSet::new();
         for sender in self.senders_of(fault) {
             let discovery = self.discovery.clone();
@@ -88,7 +104,11 @@
                 match kind {
                     FaultKind::Kill => sender.kill_and_start().await,
                     FaultKind::KillTwice => sender.kill_twice_and_start(delay).await,
-                    FaultKind::Terminate => sender.terminate_and_start().await,
+                    FaultKind::Terminate | FaultKind::TerminateHanging => sender.terminate_and_start().await,
+                    FaultKind::SignalSeries => {
+                        sender.terminate_by_series_and_start(u64::from(rate) + sender.index as u64).await;
+                    }
+                    FaultKind::KillUnwritable => sender.kill_unwritable_and_start(delay).await,
                     FaultKind::Upgrade => sender.upgrade().await,
                     FaultKind::UpgradeDies => sender.upgrade_and_kill_successor(delay, false).await,
                     FaultKind::UpgradeCrossed => sender.upgrade_and_kill_successor(delay, true).await,
@@ -124,12 +144,19 @@
             FaultKind::EndpointsReset => behaviour(Behaviour::Resetting),
             FaultKind::EndpointsSlow if fault.rate < 1_000 => behaviour(Behaviour::Trickling),
             FaultKind::EndpointsSlow => behaviour(Behaviour::Slow),
+            FaultKind::EndpointsOdd => behaviour(Behaviour::Odd),
             FaultKind::EndpointsDrain => self.drain(fault, is_on),
             FaultKind::DiscoveryDown => service(ServiceState::Down),
             FaultKind::DiscoverySilent => service(ServiceState::Silent),
             FaultKind::DiscoveryReset if is_on => self.discovery.reset_versions(),
             FaultKind::DiscoveryReset => {}
+            FaultKind::NoticesLate => set_flag(&self.discovery.delays_notices),
             FaultKind::ClientsLeave => set_flag(&self.load_control.abandon),
+            FaultKind::ClientsPieces => set_flag(&self.load_control.pieces),
+            FaultKind::ClientsHalfClose => set_flag(&self.load_control.half_close),
+            FaultKind::ClientsRest => set_flag(&self.load_control.rest),
+            FaultKind::CrowdHolds => set_flag(&self.load_control.hold),
+            FaultKind::CrowdChurns => set_flag(&self.load_control.churn),
             FaultKind::PeersStall => set_flag(&self.load_control.stall),
             FaultKind::PeersGarbage => set_flag(&self.load_control.garbage),
             FaultKind::ClientsReplay => set_flag(&self.load_control.replay),
--- a/crates/fault-soak/src/history.rs
+++ b/crates/fault-soak/src/history.rs
@@ -21,14 +21,58 @@
     /// The client timed out, or closed the connection without waiting for the response.
     Abandoned,
     /// The connection failed or ended without a response while the request was written or after that.
-    Closed {
-        /// Whether the request was the first one on its connection.
-        is_fresh: bool,
-    },
+    Closed,
     /// No connection could be established, so nothing was submitted.
     NotConnected,
 }
 
+impl SubmitResult {
+    /// Returns the result that a response with this status stands for.
+    #[must_use]
+    pub fn of(status: u16) -> Self {
+        match status {
+            200 | 202 => Self::Accepted,
+            429 | 503 => Self::Refused,
+            status => Self::Failed(status),
+        }
+    }
+}
+
+/// What a connection had been used for before a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Nothing: the request was written right after the connection was established.
+    Fresh,
+    /// An earlier request, or the connection had been open for long enough to be accepted.
+    Accepted,
+}
+
+/// How a connection ended without a complete response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The client could not write the last byte of its request.
+    BeforeLastByte,
+    /// The sender closed it after it had read everything, or before the request arrived.
+    Closed,
+    /// It was reset: something of the request was not read, or the process was killed.
+    Reset,
+}
+
+/// A request whose connection ended without a complete response.
+#[derive(Debug, Clone, Copy)]
+pub struct EndedRequest {
+    /// Index of the sender.
+    pub sender: usize,
+    /// What the connection had been used for.
+    pub connection_use: ConnectionUse,
+    /// Time at which the client began to write the request.
+    pub first_byte_at: Instant,
+    /// Time at which the client noticed the end.
+    pub ended_at: Instant,
+    /// How the connection ended.
+    pub end: ConnectionEnd,
+}
+
 /// A submitted message as its client sees it.
 #[derive(Debug, Clone)]
 pub struct Message {
@@ -40,7 +84,7 @@
     pub destination: u64,
     /// Its order key and its position among the messages of that key.
     pub order: Option<(String, u64)>,
-    /// Time at which its client began to submit it.
+    /// Time at which its client wrote the last byte of its submission.
     pub submitted_at: Instant,
     /// Time from the submission to its deadline.
     pub budget: Duration,
@@ -70,7 +114,11 @@
         /// How long the sender must wait before its next call to the destination; `None` for status 503.
         retry_after: Option<Duration>,
     },
-    /// No response, and the connection was reset: the message may have taken effect.
+    /// Status 504: the message was not processed.
+    NotProcessed,
+    /// Status 410: the message is over, and nothing more is owed.
+    Gone,
+    /// No response or part of one, and the connection was reset: the message may have taken effect.
     Reset,
 }
 
@@ -99,7 +147,7 @@
     /// Whether the message may have taken effect by this call.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
-        !matches!(self.reply, Some((Reply::Rejected { .. }, _)))
+        !matches!(self.reply, Some((Reply::Rejected { .. } | Reply::NotProcessed | Reply::Gone, _)))
     }
 
     /// Time at which the call was replied to or its connection ended; `None` while it is in flight.
@@ -132,6 +180,8 @@
     Paused,
     /// The processes were continued with SIGCONT.
     Resumed,
+    /// The processes are about to get SIGKILL.
+    Killed,
 }
 
 /// A failure of a sender that is independent of the rules about messages, such as a crash.
@@ -148,6 +198,13 @@
 pub struct Records {
     /// Submitted messages by call id.
     pub messages: BTreeMap<String, Message>,
+    /// Requests whose connection ended without a complete response, by call id. A request that is sent again
+    /// on a new connection may be here and get a response.
+    pub ended_requests: Vec<(String, EndedRequest)>,
+    /// Times from SIGTERM to the end of the process.
+    pub shutdown_times: Vec<Duration>,
+    /// Whether faults of the run keep senders from accepting connections at once.
+    pub accepts_may_stall: bool,
     /// Calls in the order of their arrival.
     pub calls: Vec<EndpointCall>,
     /// Notices by call id, each with its result and the time at which it was acknowledged.
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -7,18 +7,23 @@
 //! count themselves are recorded as incidents.
 
 pub mod client;
+mod crowd;
 pub mod discovery;
 pub mod disturbance;
 pub mod endpoint;
+pub mod exchange;
 pub mod faults;
 pub mod history;
 pub mod http;
+mod lost_requests;
 pub mod oracle;
 pub mod plan;
 pub mod planted;
 mod process;
+mod resting_client;
 pub mod sender;
 pub mod settings;
 pub mod shim;
+mod signal_series;
 pub mod soak;
 pub mod violation;
--- /dev/null
+++ b/crates/fault-soak/src/lost_requests.rs
@@ -0,0 +1,77 @@
+//! Checks that no request is lost between its client and the endpoints: each one that a sender has begun to read
+//! gets a response, and nothing is sent to an endpoint after the end of its message.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::history::{ConnectionEnd, ConnectionUse, EndedRequest, Message, ProcessEvent};
+use crate::oracle::{Oracle, SCHEDULING_DELAY, TOLERANCE};
+
+/// Time after which an undisturbed sender has read the first bytes of a request on an accepted connection.
+const READ_TIME: Duration = Duration::from_millis(400);
+
+impl Oracle<'_> {
+    /// Checks that each request gets a complete response if the sender has read part of it, or if nothing
+    /// disrupted the sender. A request that crosses the end of a connection may be unread; its client sends it
+    /// again on a new one.
+    pub(crate) fn check_ended_requests(&mut self) {
+        let mut unanswered = Vec::new();
+        for (id, ended) in &self.records.ended_requests {
+            if self.must_be_answered(ended) {
+                unanswered.push(format!("{id} {:.3}: {ended:?}", self.seconds(ended.first_byte_at)));
+            }
+        }
+        self.report_all("closed without response", unanswered);
+    }
+
+    fn must_be_answered(&self, ended: &EndedRequest) -> bool {
+        let EndedRequest { sender, connection_use, first_byte_at, ended_at, end } = *ended;
+        if end == ConnectionEnd::BeforeLastByte || self.is_interrupted(sender, first_byte_at, ended_at) {
+            return false;
+        }
+        let is_read = ended_at >= first_byte_at + READ_TIME;
+        let is_accepted = connection_use == ConnectionUse::Accepted || !self.records.accepts_may_stall;
+        let is_fresh = connection_use == ConnectionUse::Fresh && !self.records.accepts_may_stall;
+        (is_read && is_accepted) || (is_fresh && !self.is_disrupted(sender, first_byte_at, ended_at))
+    }
+
+    /// Whether processes of the sender were killed or suspended in this period.
+    fn is_interrupted(&self, sender: usize, from: Instant, to: Instant) -> bool {
+        let is_interruption =
+            |event| matches!(event, ProcessEvent::Killed | ProcessEvent::Paused | ProcessEvent::Resumed);
+        self.records.process_events.iter().any(|(index, event, at)| {
+            *index == sender && is_interruption(*event) && *at + TOLERANCE >= from && *at <= to + TOLERANCE
+        })
+    }
+
+    /// Checks that no call is made after the message was ended by a notice, after its delivery, or after its
+    /// time. After a restart, a call may repeat one whose response the killed process had not recorded.
+    pub(crate) fn check_calls_after_end(&mut self) {
+        for (id, message) in &self.records.messages {
+            if let Some(rule) = self.call_after_end(id, message) {
+                self.report(rule, self.describe(id, message));
+            }
+        }
+    }
+
+    /// Returns the rule that the last call of a message violates, if it does.
+    fn call_after_end(&self, id: &str, message: &Message) -> Option<&'static str> {
+        let last_call = self.calls_of(id).iter().map(|call| call.first_byte_at).max()?;
+        let is_after = |end: Option<Instant>| end.is_some_and(|end| last_call > end + TOLERANCE);
+        let deadline = message.deadline() + SCHEDULING_DELAY;
+        let delivered_at = self.delivered_at(id);
+        let is_restarted = delivered_at.is_some_and(|at| self.is_disrupted(message.sender, at, last_call));
+        if message.is_replayed {
+            None
+        } else if is_after(self.notified_at(id)) {
+            Some("sent after notice")
+        } else if is_after(Some(deadline)) {
+            Some("sent after deadline")
+        } else if is_after(delivered_at) && !is_restarted {
+            Some("sent after delivery")
+        } else {
+            None
+        }
+    }
+}
--- a/crates/fault-soak/src/main.rs
+++ b/crates/fault-soak/src/main.rs
@@ -128,13 +128,15 @@
 }
 
 fn print_report(plan: &Plan, report: &Report) {
-    let Report { violations, accepted, submitted, calls, invariant_violations } = report;
+    let Report { violations, accepted, submitted, calls, invariant_violations, longest_shutdown } = report;
     let verdict = if violations.is_empty() { "passed" } else { "FAILED" };
     println!(
         "seed {}: {verdict}, {accepted} of {submitted} accepted, {calls} calls, {} violations, \
-         {invariant_violations} invariant violations counted by the senders, kinds {:?}",
+         {invariant_violations} invariant violations counted by the senders, longest shutdown {:.3} s, \
+         kinds {:?}",
         plan.seed,
         violations.len(),
+        longest_shutdown.as_secs_f64(),
         plan.kinds()
     );
     let mut rules: Vec<&str> = violations.iter().map(|violation| violation.rule).collect();
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -21,7 +21,7 @@
 /// Added to each limit: the tolerance of the protocol, and delays of the test machine.
 pub const TOLERANCE: Duration = Duration::from_millis(150);
 /// Longest time that a sender may be delayed between reading its clock and writing a request.
-const SCHEDULING_DELAY: Duration = Duration::from_millis(150);
+pub const SCHEDULING_DELAY: Duration = Duration::from_millis(150);
 /// Longest time from a listed drain to the first byte of a call that is not reported.
 pub const DRAIN_LIMIT: Duration =
     Duration::from_millis(DRAIN_GRACE_MS).saturating_add(SCHEDULING_DELAY).saturating_add(TOLERANCE);
@@ -33,12 +33,10 @@
 const EARLY_FAILURE_MARGIN: Duration = Duration::from_millis(800);
 /// At most one in this many peers with incomplete or invalid requests may get neither an error nor a close.
 const PEERS_PER_UNANSWERED: usize = 20;
-/// Longest time that a client waits for the response to a submission.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Checks the records of one run.
 pub struct Oracle<'a> {
-    records: &'a Records,
+    pub(crate) records: &'a Records,
     calls: BTreeMap<&'a str, Vec<&'a EndpointCall>>,
     start: Instant,
     violations: Vec<Violation>,
@@ -66,6 +64,8 @@
             self.check_submission(id, message);
             self.check_repeats(id, message);
         }
+        self.check_ended_requests();
+        self.check_calls_after_end();
         self.check_order();
         self.check_overlaps();
         self.check_unexpected_calls();
@@ -76,25 +76,25 @@
         self.violations
     }
 
-    fn report(&mut self, rule: &'static str, details: String) {
+    pub(crate) fn report(&mut self, rule: &'static str, details: String) {
         self.violations.push(Violation { rule, details });
     }
 
-    fn report_all(&mut self, rule: &'static str, details: Vec<String>) {
+    pub(crate) fn report_all(&mut self, rule: &'static str, details: Vec<String>) {
         for details in details {
             self.report(rule, details);
         }
     }
 
-    fn calls_of(&self, id: &str) -> Vec<&'a EndpointCall> {
+    pub(crate) fn calls_of(&self, id: &str) -> Vec<&'a EndpointCall> {
         self.calls.get(id).cloned().unwrap_or_default()
     }
 
-    fn seconds(&self, at: Instant) -> f64 {
+    pub(crate) fn seconds(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.start).as_secs_f64()
     }
 
-    fn describe(&self, id: &str, message: &Message) -> String {
+    pub(crate) fn describe(&self, id: &str, message: &Message) -> String {
         let calls: Vec<String> = self
             .calls_of(id)
             .iter()
@@ -118,15 +118,15 @@
         )
     }
 
-    fn delivered_at(&self, id: &str) -> Option<Instant> {
+    pub(crate) fn delivered_at(&self, id: &str) -> Option<Instant> {
         let delivered = |call: &&EndpointCall| match call.reply {
-            Some((Reply::Delivered, at)) => Some(at),
+            Some((Reply::Delivered | Reply::Gone, at)) => Some(at),
             _ => None,
         };
         self.calls_of(id).iter().filter_map(delivered).min()
     }
 
-    fn notified_at(&self, id: &str) -> Option<Instant> {
+    pub(crate) fn notified_at(&self, id: &str) -> Option<Instant> {
         self.records.notices.get(id)?.iter().map(|(_, at)| *at).min()
     }
 
@@ -159,26 +159,19 @@
     }
 
     /// Whether a process of the sender was ending, starting or paused around this period.
-    fn is_disrupted(&self, sender: usize, from: Instant, to: Instant) -> bool {
+    pub(crate) fn is_disrupted(&self, sender: usize, from: Instant, to: Instant) -> bool {
         let disruptions = disruptions(self.records, sender, self.start);
         disruptions
             .into_iter()
             .any(|(start, end)| start <= to + TOLERANCE && end.is_none_or(|end| from <= end + TOLERANCE))
     }
 
-    /// Checks that a refused message is never sent, and that a request on a new connection gets a response
-    /// unless the sender is disrupted.
+    /// Checks that a refused message is never sent.
     fn check_submission(&mut self, id: &str, message: &Message) {
-        let Some((result, at)) = message.result else { return };
-        if result == SubmitResult::Refused && !self.calls_of(id).is_empty() {
+        let is_refused = message.result.is_some_and(|(result, _)| result == SubmitResult::Refused);
+        if is_refused && !self.calls_of(id).is_empty() {
             self.report("sent after refusal", self.describe(id, message));
         }
-        let submitted = at.checked_sub(RESPONSE_TIMEOUT).unwrap_or(at);
-        if result == (SubmitResult::Closed { is_fresh: true })
-            && !self.is_disrupted(message.sender, submitted, at)
-        {
-            self.report("closed without response", self.describe(id, message));
-        }
     }
 
     /// Checks that a message that may have taken effect is sent again only as its class permits, and that its
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -14,6 +14,13 @@
     KillTwice,
     /// SIGTERM, SIGKILL if the process has not ended after 3.7 s, and a restart 0.6 s after its end.
     Terminate,
+    /// SIGTERM, SIGHUP and SIGINT mixed, with suspensions of up to 0.15 s, SIGKILL if the process has not ended
+    /// after 3.7 s, and a restart 0.6 s after its end.
+    SignalSeries,
+    /// As `Terminate`, while no endpoint responds.
+    TerminateHanging,
+    /// The state folder takes no writes; SIGKILL soon after, and a restart on a folder that takes writes.
+    KillUnwritable,
     /// A successor process takes over by handover.
     Upgrade,
     /// A successor is killed soon after its start, possibly during or after the handover.
@@ -59,6 +66,8 @@
     EndpointsReset,
     /// Endpoints send their responses one byte at a time, or late.
     EndpointsSlow,
+    /// Endpoints answer with 410 or 504, send their first line in pieces, or end the connection within it.
+    EndpointsOdd,
     /// An endpoint is listed as draining or removed, and later as up again.
     EndpointsDrain,
     /// Discovery responds to requests for the list with 503.
@@ -67,8 +76,20 @@
     DiscoverySilent,
     /// Discovery restarts its version numbers at 1.
     DiscoveryReset,
+    /// Discovery acknowledges some notices late.
+    NoticesLate,
     /// Some clients disconnect without waiting for the response.
     ClientsLeave,
+    /// Some clients send their requests in two pieces.
+    ClientsPieces,
+    /// Some clients end their sending side after the request.
+    ClientsHalfClose,
+    /// Further clients open connections that rest before their only request.
+    ClientsRest,
+    /// Peers hold more idle connections than a sender may have descriptors.
+    CrowdHolds,
+    /// Peers open and close connections without pause.
+    CrowdChurns,
     /// Peers send incomplete requests and keep the connection open.
     PeersStall,
     /// Peers send large amounts of data that is no valid request.
@@ -141,14 +162,34 @@
         kinds.contains(&self)
     }
 
+    /// Whether the fault may keep a sender from accepting connections at once.
+    #[must_use]
+    pub fn stalls_accepts(self) -> bool {
+        use FaultKind::{Accepts, CrowdChurns, CrowdHolds, PeersGarbage, PeersStall, Sockets};
+        [Accepts, CrowdChurns, CrowdHolds, PeersGarbage, PeersStall, Sockets].contains(&self)
+    }
+
     /// Whether the fault is a single event of the processes of a sender, not a condition that lasts.
     #[must_use]
     pub fn is_process_event(self) -> bool {
         use FaultKind::{
-            Kill, KillTwice, Pause, Reload, Terminate, TornReload, Upgrade, UpgradeCrossed, UpgradeDies,
+            Kill, KillTwice, KillUnwritable, Pause, Reload, SignalSeries, Terminate, TerminateHanging,
+            TornReload, Upgrade, UpgradeCrossed, UpgradeDies,
         };
-        let events =
-            [Kill, KillTwice, Terminate, Upgrade, UpgradeDies, UpgradeCrossed, Pause, Reload, TornReload];
+        let events = [
+            Kill,
+            KillTwice,
+            KillUnwritable,
+            Pause,
+            Reload,
+            SignalSeries,
+            Terminate,
+            TerminateHanging,
+            TornReload,
+            Upgrade,
+            UpgradeCrossed,
+            UpgradeDies,
+        ];
         events.contains(&self)
     }
 }
@@ -161,7 +202,15 @@
         let mut drawn = kinds.to_vec();
         random.shuffle(&mut drawn);
         drawn.truncate(random.usize(MIN_KINDS..=max_kinds.max(MIN_KINDS)));
-        let restarts = [FaultKind::Kill, FaultKind::Terminate, FaultKind::Upgrade, FaultKind::KillTwice];
+        let restarts = [
+            FaultKind::Kill,
+            FaultKind::Terminate,
+            FaultKind::Upgrade,
+            FaultKind::KillTwice,
+            FaultKind::SignalSeries,
+            FaultKind::TerminateHanging,
+            FaultKind::KillUnwritable,
+        ];
         let possible: Vec<FaultKind> = restarts.into_iter().filter(|kind| kinds.contains(kind)).collect();
         let has_restart = drawn.iter().any(|kind| restarts.contains(kind));
         if !has_restart && random.f64() < RESTART_CHANCE {
--- a/crates/fault-soak/src/planted.rs
+++ b/crates/fault-soak/src/planted.rs
@@ -9,12 +9,22 @@
 use clap::ValueEnum;
 use tokio::time::Instant;
 
-use crate::history::{EndpointCall, Records, Reply, StatusUpdate, SubmitResult};
+use crate::history::{
+    ConnectionEnd, ConnectionUse, EndedRequest, EndpointCall, Records, Reply, StatusUpdate, SubmitResult,
+};
 use crate::oracle::{DRAIN_LIMIT, TOLERANCE};
 use crate::settings::{Class, IDEMPOTENCY_WINDOW_MS};
 
 /// Time from the first call to the planted drain.
 const DRAIN_DELAY: Duration = Duration::from_millis(500);
+/// Time for which a planted request without a response is open, if it is answered right away otherwise.
+const BRIEF_REQUEST: Duration = Duration::from_millis(5);
+/// Time for which a planted request is open whose first bytes have certainly been read.
+const LONG_REQUEST: Duration = Duration::from_millis(800);
+/// Time from the end of a message to a planted call.
+const LATE_CALL_DELAY: Duration = Duration::from_millis(600);
+/// Of this many messages with an end, one gets a planted call.
+const LATE_CALL_INTERVAL: usize = 10;
 /// Of this many messages, one gets an altered result.
 const SAMPLE_INTERVAL: usize = 50;
 
@@ -31,6 +41,14 @@
     UnheededDrain,
     /// Some connections of clients are closed without a response to their first request.
     BrokenClients,
+    /// Some connections on which part of a request was read are closed without a response during a shutdown.
+    DroppedRequests,
+    /// Some messages are sent after their notice was acknowledged.
+    SentAfterNotice,
+    /// Some messages are sent after an endpoint confirmed their delivery.
+    SentAfterDelivery,
+    /// Some messages are sent after their time.
+    SentAfterTime,
     /// Messages with an order key are sent in the wrong order.
     OtherOrder,
     /// A call is repeated under its idempotency key after the idempotency window.
@@ -50,7 +68,13 @@
             Self::LyingDisk | Self::SwallowedNotices => {}
             Self::RepeatedCalls => duplicate_calls(records),
             Self::UnheededDrain => drain_busiest_endpoint(records),
-            Self::BrokenClients => set_results(records, SubmitResult::Closed { is_fresh: true }),
+            Self::BrokenClients => end_requests(records, ConnectionUse::Fresh, BRIEF_REQUEST),
+            Self::DroppedRequests => end_requests(records, ConnectionUse::Accepted, LONG_REQUEST),
+            Self::SentAfterNotice => call_after(records, notified_at),
+            Self::SentAfterDelivery => call_after(records, delivered_at),
+            Self::SentAfterTime => {
+                call_after(records, |records, id| Some(records.messages.get(id)?.deadline()));
+            }
             Self::SentRefused => set_results(records, SubmitResult::Refused),
             Self::OtherOrder => reverse_order(records),
             Self::LateRepeat => repeat_after_window(records),
@@ -101,6 +125,41 @@
     events.map(|(_, _, event_at)| *event_at).min()
 }
 
+/// Records requests without a response that took this long.
+fn end_requests(records: &mut Records, connection_use: ConnectionUse, open_for: Duration) {
+    for (id, message) in records.messages.iter().step_by(SAMPLE_INTERVAL) {
+        let ended = EndedRequest {
+            sender: message.sender,
+            connection_use,
+            first_byte_at: message.submitted_at,
+            ended_at: message.submitted_at + open_for,
+            end: ConnectionEnd::Reset,
+        };
+        records.ended_requests.push((id.clone(), ended));
+    }
+}
+
+fn notified_at(records: &Records, id: &str) -> Option<Instant> {
+    records.notices.get(id)?.iter().map(|(_, at)| *at).min()
+}
+
+fn delivered_at(records: &Records, id: &str) -> Option<Instant> {
+    let calls = records.calls.iter().filter(|call| call.call_id == id);
+    calls.filter_map(|call| Some(call.reply.filter(|(reply, _)| *reply == Reply::Delivered)?.1)).min()
+}
+
+/// Adds a call 0.6 s after the time that `end` returns, to some of the messages for which it returns one.
+fn call_after(records: &mut Records, end: impl Fn(&Records, &str) -> Option<Instant>) {
+    let mut late = Vec::new();
+    for call in &records.calls {
+        if let Some(end) = end(records, &call.call_id) {
+            let at = end + LATE_CALL_DELAY;
+            late.push(EndpointCall { first_byte_at: at, arrived_at: at, ..call.clone() });
+        }
+    }
+    records.calls.extend(late.into_iter().step_by(LATE_CALL_INTERVAL));
+}
+
 fn set_results(records: &mut Records, result: SubmitResult) {
     for message in records.messages.values_mut().step_by(SAMPLE_INTERVAL) {
         let at = message.result.map_or(message.submitted_at, |(_, at)| at);
--- a/crates/fault-soak/src/process.rs
+++ b/crates/fault-soak/src/process.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Records that the process may end from now on.
+    pub fn expect_end(&self) {
+        self.is_end_expected.store(true, Ordering::Relaxed);
+    }
+
     /// Sends SIGKILL.
     pub fn kill(&self) {
         self.is_end_expected.store(true, Ordering::Relaxed);
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -17,14 +17,16 @@
 use crate::history::{History, ProcessEvent};
 use crate::process::{fetch, signal_processes, watch_end, Process};
 use crate::settings::MAX_DESCRIPTORS;
-use crate::shim::{ControlFile, LIBRARY};
+use crate::shim::{ControlFile, Failure, FailureRule, Syscall, ALWAYS, LIBRARY};
 
 /// A start that takes longer is recorded as an incident.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a process to end after a signal; after SIGTERM, SIGKILL follows.
-const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
+pub(crate) const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
 /// Time between the end of a process and the start of the next one.
-const RESTART_DELAY: Duration = Duration::from_millis(600);
+pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Error number of Linux for a full disk.
+const ENOSPC: i32 = 28;
 /// Time between two checks whether a process is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Port for clients.
@@ -44,11 +46,11 @@
     executable: PathBuf,
     processes: Mutex<Vec<Process>>,
     /// Held while processes are ended and started, so that concurrent faults of one sender do not interfere.
-    lifecycle: Mutex<()>,
+    pub(crate) lifecycle: Mutex<()>,
     next_management: AtomicU16,
     /// Number of pauses that have begun, and number of pauses that have ended.
     pauses: [AtomicU16; 2],
-    history: Arc<History>,
+    pub(crate) history: Arc<History>,
     /// Path of the log file that all its processes append to.
     pub log: PathBuf,
     seed: u64,
@@ -178,7 +180,8 @@
         processes.iter().find(|process| process.management == management).is_none_or(|it| *it.ended.borrow())
     }
 
-    async fn take_processes(&self) -> Vec<Process> {
+    /// Removes the processes and returns those that still run.
+    pub(crate) async fn take_processes(&self) -> Vec<Process> {
         let mut processes = self.processes.lock().await;
         processes.drain(..).filter(|process| !*process.ended.borrow()).collect()
     }
@@ -186,6 +189,7 @@
     /// Kills all processes and waits for their end.
     pub async fn kill(&self) {
         self.history.record_process_event(self.index, ProcessEvent::Ending);
+        self.history.record_process_event(self.index, ProcessEvent::Killed);
         for process in self.take_processes().await {
             process.kill();
             process.wait_for_end(TERMINATION_TIMEOUT).await;
@@ -200,6 +204,31 @@
         self.start().await;
     }
 
+    /// Makes all writes to the state folder fail, kills all processes after the time `after`, and starts a new one
+    /// 0.6 s later on a folder that takes writes.
+    pub async fn kill_unwritable_and_start(&self, after: Duration) {
+        let _lifecycle = self.lifecycle.lock().await;
+        self.set_writable(false);
+        sleep(after).await;
+        self.kill().await;
+        self.set_writable(true);
+        sleep(RESTART_DELAY).await;
+        self.start().await;
+    }
+
+    fn set_writable(&self, is_writable: bool) {
+        let fails = FailureRule {
+            rate: if is_writable { 0 } else { ALWAYS },
+            modes: vec![Failure::NotDone],
+            errnos: vec![ENOSPC],
+        };
+        for call in [Syscall::WriteFile, Syscall::Rename, Syscall::Truncate] {
+            if let Err(error) = self.control.set(call, &fails) {
+                eprintln!("cannot write the control file: {error}");
+            }
+        }
+    }
+
     /// Kills all processes, starts one, kills it after the time `after`, ready or not, and starts another
     /// one.
     pub async fn kill_twice_and_start(&self, after: Duration) {
@@ -219,7 +248,7 @@
     pub async fn terminate(&self) {
         self.history.record_process_event(self.index, ProcessEvent::Ending);
         for process in self.take_processes().await {
-            process.is_end_expected.store(true, Ordering::Relaxed);
+            process.expect_end();
             self.end_gracefully(&process, "still running 3.7 s after SIGTERM").await;
         }
     }
@@ -228,13 +257,16 @@
     /// was paused in that time, as a paused process cannot end.
     async fn end_gracefully(&self, process: &Process, incident: &str) {
         let pauses_before = self.pauses[1].load(Ordering::Relaxed);
+        let start = Instant::now();
         process.signal(Signal::TERM);
         if process.wait_for_end(TERMINATION_TIMEOUT).await {
+            self.history.records().shutdown_times.push(start.elapsed());
             return;
         }
         if self.pauses[0].load(Ordering::Relaxed) == pauses_before {
             self.history.record_incident(self.index, incident);
         }
+        self.history.record_process_event(self.index, ProcessEvent::Killed);
         process.kill();
         process.wait_for_end(TERMINATION_TIMEOUT).await;
     }
@@ -253,7 +285,7 @@
         self.history.record_process_event(self.index, ProcessEvent::Upgrading);
         let predecessors = self.take_processes().await;
         for process in &predecessors {
-            process.is_end_expected.store(true, Ordering::Relaxed);
+            process.expect_end();
         }
         self.start().await;
         for process in predecessors {
@@ -269,7 +301,7 @@
         self.history.record_process_event(self.index, ProcessEvent::Ending);
         let predecessors = self.take_processes().await;
         for process in &predecessors {
-            process.is_end_expected.store(true, Ordering::Relaxed);
+            process.expect_end();
         }
         if let Err(error) = self.spawn().await {
             self.history.record_incident(self.index, format!("a process cannot be started: {error:#}"));
@@ -281,6 +313,7 @@
             }
         }
         sleep(after / 2).await;
+        self.history.record_process_event(self.index, ProcessEvent::Killed);
         for successor in self.take_processes().await {
             successor.kill();
             successor.wait_for_end(TERMINATION_TIMEOUT).await;
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::client::{run_peers, Client, LoadControl};
+use crate::crowd::run_crowd;
 use crate::discovery::Discovery;
 use crate::endpoint::{Behaviour, Endpoint};
 use crate::faults::Targets;
@@ -16,6 +17,7 @@
 use crate::oracle::Oracle;
 use crate::plan::{Plan, FAULTS_END};
 use crate::planted::PlantedDefect;
+use crate::resting_client::run_resting_clients;
 use crate::sender::{Sender, SenderSetup};
 use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION};
 use crate::shim::{Failure, FailureRule, Syscall};
@@ -66,6 +68,8 @@
     pub calls: usize,
     /// Number of invariant violations that the senders counted themselves.
     pub invariant_violations: u64,
+    /// Longest time from SIGTERM to the end of a process.
+    pub longest_shutdown: Duration,
 }
 
 /// Runs a plan. `run_index` keeps the addresses of concurrent runs distinct.
@@ -95,6 +99,7 @@
 impl Harness {
     async fn set_up(plan: &Plan, options: &Options, run_index: u8, folder: &Path) -> Result<Self> {
         let history = Arc::new(History::default());
+        history.records().accepts_may_stall = plan.faults.iter().any(|fault| fault.kind.stalls_accepts());
         let endpoints = start_endpoints(&history).await?;
         let drops_notices = options.planted_defects.contains(&PlantedDefect::SwallowedNotices);
         let discovery = Discovery::new(endpoints.clone(), history.clone(), drops_notices);
@@ -174,6 +179,14 @@
                 clients.spawn(client.run());
             }
             let history = self.history.clone();
+            clients.spawn(run_resting_clients(
+                sender.index,
+                sender.address,
+                load_control.clone(),
+                history.clone(),
+                self.seed,
+            ));
+            clients.spawn(run_crowd(sender.address, load_control.clone()));
             clients.spawn(run_peers(sender.index, sender.address, load_control.clone(), history, self.seed));
         }
         clients
@@ -243,6 +256,7 @@
             submitted: records.messages.len(),
             calls: records.calls.len(),
             invariant_violations,
+            longest_shutdown: records.shutdown_times.iter().max().copied().unwrap_or_default(),
         }
     }
 
--- a/crates/fault-soak/tests/planted_mistakes.rs
+++ b/crates/fault-soak/tests/planted_mistakes.rs
@@ -23,7 +23,7 @@
     };
     let plan = Plan::draw(SEED, &[Kill, EndpointsFlaky], DEFAULT_MAX_KINDS);
     assert!(plan.kinds().contains(&Kill), "{plan}");
-    let address = (std::process::id() % 18) as u8 * 7 + run + 121;
+    let address = (std::process::id() % 16) as u8 * 8 + run + 121;
     let report = run_plan(&plan, &options, address).await.unwrap();
     assert!(report.accepted > 500, "{} accepted", report.accepted);
     for violation in &report.violations {
@@ -87,3 +87,20 @@
         assert!(rules.contains(&rule), "{rule} in {rules:?}");
     }
 }
+
+/// Guards against an oracle that misses a request that was dropped after part of it was read, or a call after
+/// the end of its message, whichever the end is.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_kind_of_lost_request_is_named() {
+    let planted_defects = [
+        PlantedDefect::DroppedRequests,
+        PlantedDefect::SentAfterNotice,
+        PlantedDefect::SentAfterDelivery,
+        PlantedDefect::SentAfterTime,
+    ];
+    let rules = violated_rules(&planted_defects, 7).await;
+    for rule in ["closed without response", "sent after notice", "sent after delivery", "sent after deadline"]
+    {
+        assert!(rules.contains(&rule), "{rule} in {rules:?}");
+    }
+}
--- a/crates/fault-soak/tests/soak.rs
+++ b/crates/fault-soak/tests/soak.rs
@@ -1,5 +1,7 @@
 //! Runs one seed with faults of the disk, the clock and sockets around restarts and upgrades.
 
+use std::time::Duration;
+
 use fault_soak::plan::{FaultKind, Plan};
 use fault_soak::sender::find_executable;
 use fault_soak::soak::{run_plan, Options};
@@ -8,6 +10,29 @@
 const SENDERS: usize = 4;
 /// Seed from which the plan of faults is drawn.
 const SEED: u64 = 3;
+/// Seed of the plan of shutdowns, which has six kinds of faults or more.
+const SHUTDOWN_SEED: u64 = 7;
+/// Time from SIGTERM to SIGKILL.
+const KILL_AFTER: Duration = Duration::from_millis(3_700);
+
+/// Runs a seed of these kinds of faults and checks that no rule is broken. The argument `run` gives each test its
+/// own loopback addresses.
+async fn assert_no_rule_broken(seed: u64, kinds: &[FaultKind], run: u8) {
+    let plan = Plan::draw(seed, kinds, kinds.len());
+    println!("{plan}");
+    let options = Options {
+        senders: SENDERS,
+        executable: find_executable().unwrap(),
+        log_filter: "warn".to_owned(),
+        logs: None,
+        planted_defects: Vec::new(),
+    };
+    let report = run_plan(&plan, &options, (std::process::id() % 60) as u8 * 2 + 120 + run).await.unwrap();
+    let broken: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
+    assert_eq!(broken, Vec::<String>::new());
+    assert!(report.accepted > 1_000, "{} accepted", report.accepted);
+    assert!(report.longest_shutdown < KILL_AFTER, "{:?}", report.longest_shutdown);
+}
 
 /// Guards against violations of the protocol that show only when several kinds of faults overlap.
 #[tokio::test(flavor = "multi_thread")]
@@ -29,17 +54,29 @@
         WallClockBack,
         WallClockForward,
     ];
-    let plan = Plan::draw(SEED, &kinds, kinds.len());
-    println!("{plan}");
-    let options = Options {
-        senders: SENDERS,
-        executable: find_executable().unwrap(),
-        log_filter: "warn".to_owned(),
-        logs: None,
-        planted_defects: Vec::new(),
+    assert_no_rule_broken(SEED, &kinds, 0).await;
+}
+
+/// Guards against requests that are lost when a process ends: clients use their connections until SIGKILL, in
+/// pieces and after a rest, while signals come in series, endpoints hang and the state folder takes no writes.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_of_shutdowns_loses_no_request() {
+    use FaultKind::{
+        ClientsHalfClose, ClientsPieces, ClientsRest, CrowdChurns, CrowdHolds, EndpointsOdd, KillUnwritable,
+        NoticesLate, SignalSeries, Terminate, TerminateHanging,
     };
-    let report = run_plan(&plan, &options, (std::process::id() % 120) as u8 + 120).await.unwrap();
-    let broken: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
-    assert_eq!(broken, Vec::<String>::new());
-    assert!(report.accepted > 1_000, "{} accepted", report.accepted);
+    let kinds = [
+        ClientsHalfClose,
+        ClientsPieces,
+        ClientsRest,
+        CrowdChurns,
+        CrowdHolds,
+        EndpointsOdd,
+        KillUnwritable,
+        NoticesLate,
+        SignalSeries,
+        Terminate,
+        TerminateHanging,
+    ];
+    assert_no_rule_broken(SHUTDOWN_SEED, &kinds, 1).await;
 }
