--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -175,7 +175,7 @@
     assert!(!shutdown.attempts_have_stopped());
     advance(Duration::from_millis(1)).await;
     assert!(shutdown.attempts_have_stopped());
-    advance(Duration::from_millis(899)).await;
+    advance(Duration::from_millis(699)).await;
     assert!(!shutdown.is_complete(|| false));
     advance(Duration::from_millis(1)).await;
     assert!(shutdown.is_complete(|| false));
