Keep a message's deadline when time passes before the turn that decides on it

With a write to the state folder that takes 0.8 s, a message ended 0.76 s late, and until then could be sent to an endpoint after its time (rule `lost`).

The soak gets slow writes as a kind.

--- a/crates/fault-soak/shim/fault_shim.c
+++ b/crates/fault-soak/shim/fault_shim.c
@@ -24,7 +24,9 @@
                EPOLL_WAIT, SYSCALL_COUNT };
 
 /* How a call fails, as bits of `modes`; for each failing call, one of the bits that are set is drawn. */
-enum failure { NOT_DONE = 1, PARTIAL = 2, FALSE_FAILURE = 4, FALSE_SUCCESS = 8 };
+enum failure { NOT_DONE = 1, PARTIAL = 2, FALSE_FAILURE = 4, FALSE_SUCCESS = 8, DELAYED = 16 };
+/* Number of bits in `enum failure`. */
+#define FAILURE_COUNT 5
 
 /* Maximum number of error numbers in a rule. */
 #define MAX_ERRNOS 4
@@ -34,7 +36,8 @@
 struct failure_rule {
     uint32_t rate; /* how many of RATE_SCALE calls fail */
     uint32_t modes; /* bits of `enum failure` */
-    uint32_t errnos[MAX_ERRNOS]; /* error numbers, up to the first 0; EIO is used if there are none */
+    uint32_t errnos[MAX_ERRNOS]; /* error numbers, up to the first 0; EIO is used if there are none. For a delay,
+                                    the first is its time in milliseconds. */
     uint32_t injected; /* number of failures so far */
     uint32_t passes; /* number of calls that are done before the first one fails */
 };
@@ -84,7 +87,8 @@
     if (draw_below(RATE_SCALE) >= rule->rate) return 0;
     rule->injected++;
     uint32_t mode;
-    do mode = 1u << draw_below(4); while (!(modes & mode));
+    do mode = 1u << draw_below(FAILURE_COUNT); while (!(modes & mode));
+    if (mode == DELAYED) usleep(rule->errnos[0] * 1000);
     return mode;
 }
 
--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -35,6 +35,11 @@
 /// would not be a transient one.
 const MAX_START_RATE: u32 = 2_000;
 
+/// Highest rate of slow writes, of ten thousand: with a higher rate, a sender would hardly do anything else.
+const MAX_SLOW_RATE: u32 = 500;
+/// Time that a slow write takes, in milliseconds.
+const SLOW_WRITE_MS: i32 = 100;
+
 /// Everything that faults can affect.
 pub struct Targets {
     /// Senders under test.
@@ -238,6 +243,10 @@
         FaultKind::DiskFalseFailures => {
             vec![(Syscall::WriteFile, vec![Failure::FalseFailure], vec![EIO], twice)]
         }
+        FaultKind::DiskSlow => {
+            let rate = fault.rate.min(MAX_SLOW_RATE);
+            vec![(Syscall::WriteFile, vec![Failure::Delayed], vec![SLOW_WRITE_MS], rate)]
+        }
         FaultKind::DiskNames => vec![
             (Syscall::Rename, vec![Failure::NotDone, Failure::FalseFailure], vec![EIO, ENOSPC], twice),
             (Syscall::OpenFile, fail(), vec![EMFILE, ENFILE, EIO, EINTR], limited),
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -45,6 +45,8 @@
     DiskTornWrites,
     /// Some writes to files succeed, but are reported as failed.
     DiskFalseFailures,
+    /// Some writes to files take 0.1 s.
+    DiskSlow,
     /// Renames, opens, locks, truncations and removals of files fail at times.
     DiskNames,
     /// Reads of files fail or are partial at times.
--- a/crates/fault-soak/src/shim.rs
+++ b/crates/fault-soak/src/shim.rs
@@ -81,6 +81,8 @@
     /// The call has no effect, but returns success. This is a planted defect, not a fault that real systems
     /// have.
     FalseSuccess = 8,
+    /// The call is done late. The first error number of the rule is the delay in milliseconds.
+    Delayed = 16,
 }
 
 /// How often and how a kind of system call fails.
--- a/crates/fault-soak/tests/journal.rs
+++ b/crates/fault-soak/tests/journal.rs
@@ -9,6 +9,11 @@
 use fault_soak::shim::{Failure, Syscall};
 use support::{Fixture, EIO, ENOSPC, TIMEOUT};
 
+/// Time that a slow write takes, in milliseconds.
+const SLOW_WRITE_MS: i32 = 800;
+/// Time to the deadline of a message that is accepted by a slow write, in milliseconds.
+const BUDGET_MS: u64 = 3_000;
+
 /// Guards against losing records that are written after a partial record: a write was partial, and truncating
 /// the file failed. Also guards against a process that exits at its start because it cannot truncate the file
 /// either.
@@ -93,3 +98,19 @@
     fixture.clear_faults();
     fixture.await_delivery("m2", TIMEOUT).await;
 }
+
+/// Guards against a message that ends after its deadline, or is sent after it, because time passes between the
+/// moment at which it is accepted and the turn that decides on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_write_does_not_move_a_deadline() {
+    let fixture = Fixture::start(4).await;
+    fixture.set_behaviour(1, Behaviour::Hanging);
+    fixture.fail(Syscall::WriteFile, Failure::Delayed, SLOW_WRITE_MS);
+    let start = tokio::time::Instant::now();
+    fixture.submit_accepted("m1", Class::Pure, 1, BUDGET_MS).await;
+    fixture.clear_faults();
+    let is_notified = |fixture: &Fixture| fixture.notice("m1").is_some();
+    assert!(fixture.wait_until(TIMEOUT, is_notified).await);
+    let limit = Duration::from_millis(BUDGET_MS + 350);
+    assert!(start.elapsed() < limit, "ended after {:?}", start.elapsed());
+}
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -25,6 +25,7 @@
         for event in &self.events {
             self.summary.record_event(event);
         }
+        self.update_time_left(now);
         let events = std::mem::take(&mut self.events);
         let mut actions = Vec::new();
         self.controller.turn(now, &events, &mut actions);
@@ -34,6 +35,18 @@
         }
     }
 
+    /// Sets the time left to each submitted message as of this turn: time has passed since it was accepted, more
+    /// so if the process was suspended or its folder is slow.
+    fn update_time_left(&mut self, now: Micros) {
+        for event in &mut self.events {
+            if let Event::MessageSubmitted(submission) = event {
+                if let Some(message) = self.open_messages.get(submission.id) {
+                    submission.time_left = message.deadline - now;
+                }
+            }
+        }
+    }
+
     fn execute(&mut self, now: Micros, action: Action) {
         match action {
             Action::Send { id, endpoint, timeout, start_deadline } => {
