--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod shim;
 mod signal_series;
 pub mod soak;
+mod upgrades;
 pub mod violation;
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -44,7 +44,7 @@
     pub control: ControlFile,
     folder: PathBuf,
     executable: PathBuf,
-    processes: Mutex<Vec<Process>>,
+    pub(crate) processes: Mutex<Vec<Process>>,
     /// Held while processes are ended and started, so that concurrent faults of one sender do not interfere.
     pub(crate) lifecycle: Mutex<()>,
     next_management: AtomicU16,
@@ -125,7 +125,8 @@
         Ok(())
     }
 
-    async fn spawn(&self) -> Result<SocketAddr> {
+    /// Starts a process and returns its management address.
+    pub(crate) async fn spawn(&self) -> Result<SocketAddr> {
         let port = self.next_management.fetch_add(1, Ordering::Relaxed);
         let management = SocketAddr::new(self.address.ip(), port);
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
@@ -159,7 +160,7 @@
     }
 
     /// Waits until the process with this management address is ready or has ended, for 10 s at most.
-    async fn await_ready(&self, management: SocketAddr) {
+    pub(crate) async fn await_ready(&self, management: SocketAddr) {
         let started = Instant::now();
         while started.elapsed() < READY_TIMEOUT {
             if fetch(management, "/status").await.is_some_and(|response| response.0 == 200) {
@@ -175,7 +176,8 @@
         self.history.record_process_event(self.index, ProcessEvent::Ready);
     }
 
-    async fn is_ended(&self, management: SocketAddr) -> bool {
+    /// Whether the process with this management address has ended.
+    pub(crate) async fn is_ended(&self, management: SocketAddr) -> bool {
         let processes = self.processes.lock().await;
         processes.iter().find(|process| process.management == management).is_none_or(|it| *it.ended.borrow())
     }
@@ -255,7 +257,7 @@
 
     /// Sends SIGTERM, and SIGKILL if the process has not ended in time. That is an incident unless the sender
     /// was paused in that time, as a paused process cannot end.
-    async fn end_gracefully(&self, process: &Process, incident: &str) {
+    pub(crate) async fn end_gracefully(&self, process: &Process, incident: &str) {
         let pauses_before = self.pauses[1].load(Ordering::Relaxed);
         let start = Instant::now();
         process.signal(Signal::TERM);
@@ -279,71 +281,6 @@
         self.start().await;
     }
 
-    /// Starts a successor, which takes over; once it is ready, the predecessor gets SIGTERM.
-    pub async fn upgrade(&self) {
-        let _lifecycle = self.lifecycle.lock().await;
-        self.history.record_process_event(self.index, ProcessEvent::Upgrading);
-        let predecessors = self.take_processes().await;
-        for process in &predecessors {
-            process.expect_end();
-        }
-        self.start().await;
-        for process in predecessors {
-            self.end_gracefully(&process, "predecessor still running 3.7 s after SIGTERM").await;
-        }
-    }
-
-    /// Starts a successor and kills it after the time `after`. With `terminate_predecessor`, the predecessor
-    /// gets SIGTERM half-way, and a new process is started after its end. Otherwise the predecessor
-    /// continues, or a new process is started if the predecessor has ended.
-    pub async fn upgrade_and_kill_successor(&self, after: Duration, terminate_predecessor: bool) {
-        let _lifecycle = self.lifecycle.lock().await;
-        self.history.record_process_event(self.index, ProcessEvent::Ending);
-        let predecessors = self.take_processes().await;
-        for process in &predecessors {
-            process.expect_end();
-        }
-        if let Err(error) = self.spawn().await {
-            self.history.record_incident(self.index, format!("a process cannot be started: {error:#}"));
-        }
-        sleep(after / 2).await;
-        if terminate_predecessor {
-            for process in &predecessors {
-                process.signal(Signal::TERM);
-            }
-        }
-        sleep(after / 2).await;
-        self.history.record_process_event(self.index, ProcessEvent::Killed);
-        for successor in self.take_processes().await {
-            successor.kill();
-            successor.wait_for_end(TERMINATION_TIMEOUT).await;
-        }
-        if terminate_predecessor {
-            for process in predecessors {
-                self.end_gracefully(&process, "predecessor still running 3.7 s after SIGTERM").await;
-            }
-            sleep(RESTART_DELAY).await;
-            return self.start().await;
-        }
-        self.restore_predecessors(predecessors).await;
-    }
-
-    async fn restore_predecessors(&self, predecessors: Vec<Process>) {
-        let managements: Vec<_> = predecessors.iter().map(|process| process.management).collect();
-        for process in &predecessors {
-            process.is_end_expected.store(false, Ordering::Relaxed);
-        }
-        self.processes.lock().await.extend(predecessors);
-        for management in managements {
-            self.await_ready(management).await;
-            // The predecessor ended because it had handed over and had nothing left to relay.
-            if self.is_ended(management).await {
-                sleep(RESTART_DELAY).await;
-                self.start().await;
-            }
-        }
-    }
-
     /// Suspends all processes for this time.
     pub async fn pause(&self, duration: Duration) {
         self.pauses[0].fetch_add(1, Ordering::Relaxed);
