Carry out an operator's command that is read while its connection is to close

Found by looking for the cause of the unanswered requests elsewhere: the operators' server also ran its connections in a select of random order with the limiter's request to close, so a command that was read together with that request could be dropped without an answer. The connection is now polled first, and a command that has been read is answered. No test forces this moment; the tests of operator_api pass.

--- a/crates/message-sender/src/operator_api/server.rs
+++ b/crates/message-sender/src/operator_api/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use super::command::{CommandResult, OperatorCommand, OperatorRequest};
 use super::error::OperatorError;
 use super::route::Route;
-use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot};
+use crate::connection_limiter::{ConnectionLimiter, ConnectionSlot, Phase};
 use crate::instrumented_stream::InstrumentedStream;
 use crate::metrics::Metrics;
 use crate::serving_state::{ServingState, ServingStateControl};
@@ -79,13 +80,18 @@
         let mut server = http1::Builder::new();
         // The slot has a single timeout for head and body together.
         server.header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES).keep_alive(false);
-        tokio::select! {
-            result = server.serve_connection(io, service) => {
-                if let Err(error) = result {
-                    tracing::debug!(%error, "operator connection failed");
-                }
-            }
-            _ = slot.wait_for_close_request() => {}
+        let mut connection = pin!(server.serve_connection(io, service));
+        let result = tokio::select! {
+            biased;
+            result = &mut connection => result,
+            // A command that has been read is carried out and answered.
+            _ = slot.wait_for_close_request() => match slot.phase() {
+                Phase::Processing => connection.await,
+                Phase::Idle | Phase::Receiving => Ok(()),
+            },
+        };
+        if let Err(error) = result {
+            tracing::debug!(%error, "operator connection failed");
         }
     }
 
