--- a/crates/fault-soak/src/upgrades.rs
+++ b/crates/fault-soak/src/upgrades.rs
@@ -61,17 +61,20 @@
     }
 
     async fn restore_predecessors(&self, predecessors: Vec<Process>) {
-        let managements: Vec<_> = predecessors.iter().map(|process| process.management).collect();
-        for process in &predecessors {
-            process.is_end_expected.store(false, Ordering::Relaxed);
-        }
+        let restored: Vec<_> = predecessors
+            .iter()
+            .map(|process| (process.management, process.is_end_expected.clone()))
+            .collect();
         self.processes.lock().await.extend(predecessors);
-        for management in managements {
+        for (management, is_end_expected) in restored {
             self.await_ready(management).await;
-            // The predecessor ended because it had handed over and had nothing left to relay.
             if self.is_ended(management).await {
+                // The predecessor ended because it had handed over and had nothing left to relay, possibly just
+                // when the successor was killed.
                 sleep(RESTART_DELAY).await;
                 self.start().await;
+            } else {
+                is_end_expected.store(false, Ordering::Relaxed);
             }
         }
     }
