Keep the soak's check of new connections as strict as it was outside crowds

Cause: when the oracle began to judge requests by how their connection ended, the check that a request on a new connection gets a response was left out for whole runs with failing accepts or sockets, or with stalled or invalid peers, and for requests that could not be written to their end.

Change: only runs with a crowd are exempt. A connection that rested in a run whose accepts may stall has a use of its own, since it need not have been accepted.

--- a/crates/fault-soak/src/history.rs
+++ b/crates/fault-soak/src/history.rs
@@ -45,6 +45,8 @@
     Fresh,
     /// An earlier request, or the connection had been open for long enough to be accepted.
     Accepted,
+    /// Nothing for a while, in a run whose faults may keep it from being accepted.
+    Rested,
 }
 
 /// How a connection ended without a complete response.
@@ -205,6 +207,8 @@
     pub shutdown_times: Vec<Duration>,
     /// Whether faults of the run keep senders from accepting connections at once.
     pub accepts_may_stall: bool,
+    /// Whether crowds occupy senders in the run, so that new connections may be closed unread.
+    pub is_crowded: bool,
     /// Calls in the order of their arrival.
     pub calls: Vec<EndpointCall>,
     /// Notices by call id, each with its result and the time at which it was acknowledged.
--- a/crates/fault-soak/src/lost_requests.rs
+++ b/crates/fault-soak/src/lost_requests.rs
@@ -27,13 +27,16 @@
 
     fn must_be_answered(&self, ended: &EndedRequest) -> bool {
         let EndedRequest { sender, connection_use, first_byte_at, ended_at, end } = *ended;
-        if end == ConnectionEnd::BeforeLastByte || self.is_interrupted(sender, first_byte_at, ended_at) {
+        if self.is_interrupted(sender, first_byte_at, ended_at) {
             return false;
         }
-        let is_read = ended_at >= first_byte_at + READ_TIME;
+        let is_undisturbed = connection_use == ConnectionUse::Fresh
+            && !self.records.is_crowded
+            && !self.is_disrupted(sender, first_byte_at, ended_at);
         let is_accepted = connection_use == ConnectionUse::Accepted || !self.records.accepts_may_stall;
-        let is_fresh = connection_use == ConnectionUse::Fresh && !self.records.accepts_may_stall;
-        (is_read && is_accepted) || (is_fresh && !self.is_disrupted(sender, first_byte_at, ended_at))
+        let is_complete = end != ConnectionEnd::BeforeLastByte;
+        let is_read = is_accepted && ended_at >= first_byte_at + READ_TIME;
+        is_undisturbed || (is_complete && is_read)
     }
 
     /// Whether processes of the sender were killed or suspended in this period.
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -164,11 +164,17 @@
         kinds.contains(&self)
     }
 
+    /// Whether the fault is a crowd of connections that occupy a sender.
+    #[must_use]
+    pub fn is_crowd(self) -> bool {
+        matches!(self, Self::CrowdChurns | Self::CrowdHolds)
+    }
+
     /// Whether the fault may keep a sender from accepting connections at once.
     #[must_use]
     pub fn stalls_accepts(self) -> bool {
-        use FaultKind::{Accepts, CrowdChurns, CrowdHolds, PeersGarbage, PeersStall, Sockets};
-        [Accepts, CrowdChurns, CrowdHolds, PeersGarbage, PeersStall, Sockets].contains(&self)
+        use FaultKind::{Accepts, PeersGarbage, PeersStall, Sockets};
+        self.is_crowd() || [Accepts, PeersGarbage, PeersStall, Sockets].contains(&self)
     }
 
     /// Whether the fault is a single event of the processes of a sender, not a condition that lasts.
--- a/crates/fault-soak/src/resting_client.rs
+++ b/crates/fault-soak/src/resting_client.rs
@@ -77,8 +77,12 @@
         sleep(self.rest).await;
         let text = request_text(&self.id, self.class, 1, None, BUDGET, BODY_BYTES);
         self.record_submission();
-        let is_accepted = self.rest >= ACCEPT_TIME && !self.history.records().accepts_may_stall;
-        let connection_use = if is_accepted { ConnectionUse::Accepted } else { ConnectionUse::Fresh };
+        let may_stall = self.history.records().accepts_may_stall;
+        let connection_use = match (self.rest >= ACCEPT_TIME, may_stall) {
+            (false, _) => ConnectionUse::Fresh,
+            (true, false) => ConnectionUse::Accepted,
+            (true, true) => ConnectionUse::Rested,
+        };
         let style = SendStyle { pause: Some(self.pause), ..SendStyle::default() };
         let ended = exchange(self.sender, BufReader::new(stream), &text, connection_use, style).await;
         self.record_result(ended);
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -100,6 +100,7 @@
     async fn set_up(plan: &Plan, options: &Options, run_index: u8, folder: &Path) -> Result<Self> {
         let history = Arc::new(History::default());
         history.records().accepts_may_stall = plan.faults.iter().any(|fault| fault.kind.stalls_accepts());
+        history.records().is_crowded = plan.faults.iter().any(|fault| fault.kind.is_crowd());
         let endpoints = start_endpoints(&history).await?;
         let drops_notices = options.planted_defects.contains(&PlantedDefect::SwallowedNotices);
         let discovery = Discovery::new(endpoints.clone(), history.clone(), drops_notices);
