--- a/crates/message-sender/src/client_api/decision.rs
+++ b/crates/message-sender/src/client_api/decision.rs
@@ -10,9 +10,9 @@
 use crate::serving_state::ServingState;
 use crate::submission::SubmissionReply;
 
-/// Waits for the decision on a submission. If the client ends its sending side before that, the submission is
-/// withdrawn, as the client may have left. One that only waits for the answer must not submit the message again,
-/// because a kill may come before the withdrawal is recorded. `state` must not have changed unseen before the submission was passed to the event loop.
+/// Waits for the decision on a submission, and withdraws it if the client ends its sending side first, as it may
+/// have left. One that still waits gets [`SubmissionReply::Undetermined`]: a kill may come before the withdrawal is
+/// recorded. `state` must have been marked as unchanged before the submission was passed to the event loop.
 pub async fn wait_for_decision(
     mut decision: oneshot::Receiver<SubmissionReply>,
     stream: &TcpStream,
