--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -75,11 +75,7 @@
         let text = String::from_utf8_lossy(&request.body);
         for line in text.lines().filter(|line| !line.is_empty()) {
             self.record.line(format!("platform got the notice {line}"));
-            let notice = Notice {
-                at: self.record.now(),
-                call_id: text_field(line, "ref"),
-                result: text_field(line, "result"),
-            };
+            let notice = Notice { call_id: text_field(line, "ref") };
             self.record.facts.lock().unwrap().notices.push(notice);
         }
     }
--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -84,7 +84,7 @@
             let call_id = call.header("x-call-id").to_owned();
             let at = self.record.now();
             self.record.line(format!("endpoint {} got {call_id}", self.name));
-            let fact = Call { at, call_id: call_id.clone(), endpoint: self.name.clone() };
+            let fact = Call { at, endpoint: self.name.clone() };
             self.record.facts.lock().unwrap().calls.push(fact);
             thread::sleep(self.service_time);
             if writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,11 +1,12 @@
 //! Plays one case of the review: `play ROOT CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run.
 
+mod crowd;
 mod discovery;
 mod endpoint;
 mod http;
-mod outage;
 mod maintenance;
+mod outage;
 mod record;
 mod sender;
 mod settings;
@@ -72,6 +73,7 @@
     let trouble = Trouble::from_environment();
     let played = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "outage" => outage::play(Path::new(root), trouble, &record),
+        "crowd" => crowd::play(Path::new(root), trouble, &record),
         "maintenance" => maintenance::play(Path::new(root), trouble, &record),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
     }));
--- a/review/standins/src/maintenance.rs
+++ b/review/standins/src/maintenance.rs
@@ -1,4 +1,4 @@
-//! Case 2: an operator takes one endpoint out, a new version takes over, and the operator puts the endpoint back. No
+//! Case 3: an operator takes one endpoint out, a new version takes over, and the operator puts the endpoint back. No
 //! other endpoint may be out.
 
 use std::path::Path;
@@ -9,7 +9,7 @@
 use crate::discovery::Discovery;
 use crate::endpoint::Endpoint;
 use crate::record::{Facts, Record};
-use crate::sender::{Place, Sender};
+use crate::sender::{Place, Sender, USUAL_LIMITS};
 use crate::settings::settings;
 use crate::{endpoint_address, Trouble, Verdict};
 
@@ -37,8 +37,7 @@
         })
         .to_vec();
     let discovery = Discovery::start(&endpoints, record);
-    let place =
-        Place::new(root, discovery.address, &settings(SLOTS, HELD), &discovery.snapshot(), record);
+    let place = Place::new(root, &discovery, &settings(SLOTS, HELD), USUAL_LIMITS, record);
     let verdict = run(&place, trouble, record);
     place.remove();
     verdict
--- a/review/standins/src/outage.rs
+++ b/review/standins/src/outage.rs
@@ -10,7 +10,7 @@
 use crate::discovery::Discovery;
 use crate::endpoint::Endpoint;
 use crate::record::{Facts, Record};
-use crate::sender::Place;
+use crate::sender::{Place, USUAL_LIMITS};
 use crate::settings::settings;
 use crate::{endpoint_address, Trouble, Verdict};
 
@@ -47,9 +47,8 @@
         })
         .collect();
     let discovery = Discovery::start(&endpoints, record);
-    let settings = settings(SLOTS, HELD);
-    let place =
-        Arc::new(Place::new(root, discovery.address, &settings, &discovery.snapshot(), record));
+    let place = Place::new(root, &discovery, &settings(SLOTS, HELD), USUAL_LIMITS, record);
+    let place = Arc::new(place);
     let verdict = run(&place, &endpoints, trouble, record);
     place.remove();
     verdict
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -8,7 +8,6 @@
 #[derive(Clone)]
 pub struct Call {
     pub at: f64,
-    pub call_id: String,
     pub endpoint: String,
 }
 
@@ -18,7 +17,6 @@
     pub at: f64,
     pub call_id: String,
     pub destination: u64,
-    pub budget: f64,
     /// The status of the answer; 0 if there was none within 400 ms.
     pub status: u16,
 }
@@ -26,9 +24,7 @@
 /// A notice that the platform received.
 #[derive(Clone)]
 pub struct Notice {
-    pub at: f64,
     pub call_id: String,
-    pub result: String,
 }
 
 #[derive(Default)]
--- a/review/standins/src/sender.rs
+++ b/review/standins/src/sender.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::discovery::Discovery;
 use crate::http;
 use crate::record::{Record, Submission};
 
@@ -39,6 +40,16 @@
     record: Record,
 }
 
+/// The limits that bind in a case: memory in megabytes, and file descriptors.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: usize,
+}
+
+/// The limits that the operators' reports show for this deployment.
+pub const USUAL_LIMITS: Limits = Limits { memory_mb: 48, sockets: 384 };
+
 /// One running sender process.
 pub struct Sender {
     number: usize,
@@ -53,14 +64,22 @@
 
 impl Place {
     /// Prepares a temporary folder with the configuration; `settings` and `known` are JSON objects.
-    pub fn new(root: &Path, discovery: SocketAddr, settings: &str, known: &str, record: &Record) -> Self {
+    pub fn new(
+        root: &Path,
+        discovery: &Discovery,
+        settings: &str,
+        limits: Limits,
+        record: &Record,
+    ) -> Self {
+        let (known, discovery) = (discovery.snapshot(), discovery.address);
+        let Limits { memory_mb, sockets } = limits;
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(folder.join("state")).unwrap();
         let listen = free_address();
         let config = format!(
             "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\
              \"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":48,\"sockets\":384,\"disk_mb\":3}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets},\"disk_mb\":3}},\
              \"known\":{known},\"settings\":{settings}}}"
         );
         fs::write(folder.join("config.json"), config).unwrap();
@@ -119,10 +138,7 @@
             }
             thread::sleep(Duration::from_millis(20));
         }
-        self.record.line(format!("process {} gets SIGKILL", sender.number));
-        let child = &mut STARTED.lock().unwrap()[sender.number];
-        let _ = child.kill();
-        let _ = child.wait();
+        self.kill(sender);
     }
 
     pub fn has_ended(&self, sender: &Sender) -> bool {
@@ -141,12 +157,19 @@
         let answer = http::call(self.listen, request.as_bytes(), CLIENT_PATIENCE);
         let status = answer.map_or(0, |answer| answer.status());
         self.record.line(format!("client handed in {call_id} for {destination}: {status}"));
-        let budget = budget_ms as f64 / 1e3;
-        let submission = Submission { at, call_id: call_id.to_owned(), destination, budget, status };
+        let submission = Submission { at, call_id: call_id.to_owned(), destination, status };
         self.record.facts.lock().unwrap().submissions.push(submission);
         status
     }
 
+    /// Ends a process at once, as the platform does when it is over its memory.
+    pub fn kill(&self, sender: &Sender) {
+        self.record.line(format!("process {} is killed", sender.number));
+        let child = &mut STARTED.lock().unwrap()[sender.number];
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+
     /// Removes the temporary folder.
     pub fn remove(&self) {
         let _ = fs::remove_dir_all(&self.folder);
@@ -165,6 +188,13 @@
         }
     }
 
+    /// Memory of the process in bytes that no file backs; `None` once it has ended.
+    pub fn memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1024)
+    }
+
     /// The value of a figure; `None` if it is missing.
     pub fn figure(&self, name: &str) -> Option<i64> {
         let (_, text) = self.operate("GET", "/status/metrics", "");
