--- a/review/standins/src/crowd.rs
+++ b/review/standins/src/crowd.rs
@@ -71,7 +71,8 @@
     traffic.join().expect("the client failed");
     let mebibytes = highest as f64 / BYTES_PER_MEGABYTE as f64;
     if !held {
-        let text = format!("the sender took {mebibytes:.1} MiB of {} MB, or ended by itself", LIMITS.memory_mb);
+        let text =
+            format!("the sender took {mebibytes:.1} MiB of {} MB, or ended by itself", LIMITS.memory_mb);
         return Verdict::Broken(text);
     }
     let served: Vec<Duration> = crowd.into_iter().filter_map(|client| client.join().ok().flatten()).collect();
--- a/review/standins/src/maintenance.rs
+++ b/review/standins/src/maintenance.rs
@@ -44,7 +44,9 @@
 }
 
 fn run(place: &Place, trouble: Trouble, record: &Record) -> Verdict {
-    let Some(mut sender) = place.start() else { return Verdict::CouldNotRun("no sender became ready".into()) };
+    let Some(mut sender) = place.start() else {
+        return Verdict::CouldNotRun("no sender became ready".into());
+    };
     for destination in [1, 2, 2] {
         place.submit(&format!("before-{destination}-{:.3}", record.now()), destination, BUDGET_MS);
         thread::sleep(Duration::from_millis(300));
--- a/review/standins/src/outage.rs
+++ b/review/standins/src/outage.rs
@@ -81,6 +81,12 @@
     is_over.store(true, Ordering::Relaxed);
     traffic.join().expect("the client failed");
     wait_until(record, END);
+    record.line(format!(
+        "process asked at the end: /status {}, messages in progress {:?}, invariant_violations {:?}",
+        sender.operate("GET", "/status", "").0,
+        sender.figure("in_progress"),
+        sender.figure("invariant_violations"),
+    ));
     if place.has_ended(&sender) {
         return Verdict::Broken("the sender crashed".into());
     }
--- a/review/standins/src/sender.rs
+++ b/review/standins/src/sender.rs
@@ -64,13 +64,7 @@
 
 impl Place {
     /// Prepares a temporary folder with the configuration; `settings` and `known` are JSON objects.
-    pub fn new(
-        root: &Path,
-        discovery: &Discovery,
-        settings: &str,
-        limits: Limits,
-        record: &Record,
-    ) -> Self {
+    pub fn new(root: &Path, discovery: &Discovery, settings: &str, limits: Limits, record: &Record) -> Self {
         let (known, discovery) = (discovery.snapshot(), discovery.address);
         let Limits { memory_mb, sockets } = limits;
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
