--- a/review/standins/src/crowd.rs
+++ b/review/standins/src/crowd.rs
@@ -69,17 +69,16 @@
     let held = usual && watch(place, &sender, record, AFTER, &mut highest);
     is_over.store(true, Ordering::Relaxed);
     traffic.join().expect("the client failed");
-    let mebibytes = highest as f64 / BYTES_PER_MEGABYTE as f64;
+    let kibibytes = highest / 1024;
     if !held {
-        let text =
-            format!("the sender took {mebibytes:.1} MiB of {} MB, or ended by itself", LIMITS.memory_mb);
+        let text = format!("the sender took {kibibytes} KiB of {} MB, or ended by itself", LIMITS.memory_mb);
         return Verdict::Broken(text);
     }
     let served: Vec<Duration> = crowd.into_iter().filter_map(|client| client.join().ok().flatten()).collect();
-    let slowest = served.iter().max().copied().unwrap_or_default().as_secs_f64();
+    let slowest = served.iter().max().copied().unwrap_or_default().as_millis();
     Verdict::Held(format!(
-        "the sender took up to {mebibytes:.1} MiB of {} MB; {} of the clients that stopped got their error or close, \
-         the last after {slowest:.1} s",
+        "the sender took up to {kibibytes} KiB of {} MB; {} of the clients that stopped got their error or close, \
+         the last after {slowest} ms",
         LIMITS.memory_mb,
         served.len(),
     ))
--- a/review/standins/src/maintenance.rs
+++ b/review/standins/src/maintenance.rs
@@ -8,7 +8,7 @@
 
 use crate::discovery::Discovery;
 use crate::endpoint::Endpoint;
-use crate::record::{Facts, Record};
+use crate::record::{milliseconds, Facts, Record};
 use crate::sender::{Place, Sender, USUAL_LIMITS};
 use crate::settings::settings;
 use crate::{endpoint_address, Trouble, Verdict};
@@ -48,7 +48,7 @@
         return Verdict::CouldNotRun("no sender became ready".into());
     };
     for destination in [1, 2, 2] {
-        place.submit(&format!("before-{destination}-{:.3}", record.now()), destination, BUDGET_MS);
+        place.submit(&format!("before-{}", milliseconds(record.now())), destination, BUDGET_MS);
         thread::sleep(Duration::from_millis(300));
     }
     if !operate(&sender, "enter", record) {
@@ -69,8 +69,8 @@
     }
     let traffic_start = record.now();
     while record.now() < traffic_start + TRAFFIC {
-        place.submit(&format!("m-{:.3}", record.now()), OTHER_DESTINATION, BUDGET_MS);
-        place.submit(&format!("n-{:.3}", record.now()), 2, BUDGET_MS);
+        place.submit(&format!("m-{}", milliseconds(record.now())), OTHER_DESTINATION, BUDGET_MS);
+        place.submit(&format!("n-{}", milliseconds(record.now())), 2, BUDGET_MS);
         thread::sleep(MESSAGE_INTERVAL);
     }
     thread::sleep(Duration::from_secs_f64(REST));
@@ -107,10 +107,11 @@
     let is_delivered = |call_id: &str| facts.delivered.iter().any(|(delivered, _)| delivered == call_id);
     let delivered = others.iter().filter(|message| is_delivered(&message.call_id)).count();
     let text = format!(
-        "after s-2 was put back, s-1 got {calls} calls; of {} messages for its destination, handed in over {span:.1} s, \
+        "after s-2 was put back, s-1 got {calls} calls; of {} messages for its destination, handed in over {} ms, \
          {rejected} were rejected; skipped_endpoints is {left:?}; of {} messages for the other destination, {delivered} \
          were delivered",
         got.len(),
+        milliseconds(span),
         others.len(),
     );
     let is_out = calls == 0 && span >= SPAN && got.len() >= LEAST_MESSAGES && rejected == got.len();
--- a/review/standins/src/outage.rs
+++ b/review/standins/src/outage.rs
@@ -9,7 +9,7 @@
 
 use crate::discovery::Discovery;
 use crate::endpoint::Endpoint;
-use crate::record::{Facts, Record};
+use crate::record::{milliseconds, Facts, Record};
 use crate::sender::{Place, USUAL_LIMITS};
 use crate::settings::settings;
 use crate::{endpoint_address, Trouble, Verdict};
@@ -129,9 +129,10 @@
     let after: Vec<_> = facts.submissions.iter().filter(|message| message.at >= CHECK_START).collect();
     let delivered = after.iter().filter(|message| is_delivered(&message.call_id)).count();
     let text = format!(
-        "longest time without any attempt after {CHECK_START} s: {:.1} s, from {from:.1} s; the sender got {} messages \
+        "longest time without any attempt after {CHECK_START} s: {} ms, from {} ms on; the sender got {} messages \
          in it and rejected {rejected}; of all {} messages from {CHECK_START} s on, {delivered} were delivered",
-        to - from,
+        milliseconds(to - from),
+        milliseconds(from),
         got.len(),
         after.len(),
     );
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -37,6 +37,11 @@
     lines: Vec<(f64, String)>,
 }
 
+/// Seconds as whole milliseconds, as times are written: a decimal point could be taken for that of an address.
+pub fn milliseconds(seconds: f64) -> u64 {
+    (seconds * 1e3).round() as u64
+}
+
 /// Shared by all stand-ins of a play.
 #[derive(Clone)]
 pub struct Record {
@@ -59,10 +64,10 @@
         self.facts.lock().unwrap().lines.push((now, text.to_string()));
     }
 
-    /// The log, in order of time.
+    /// The log, in order of time, each line with its milliseconds since the start.
     pub fn text(&self) -> String {
         let mut lines = self.facts.lock().unwrap().lines.clone();
         lines.sort_by(|a, b| a.0.total_cmp(&b.0));
-        lines.iter().map(|(at, text)| format!("{at:8.3} {text}\n")).collect()
+        lines.iter().map(|(at, text)| format!("{:>6} ms {text}\n", milliseconds(*at))).collect()
     }
 }
