--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::diagnostics::BacklogReporter;
 use crate::model::{Context, RareCallRate, State, Subscription, TenantQuotas};
 use crate::turn::Turn;
-use crate::{endpoints, ordering, Action, Event, MessageId, Micros, Settings, SettingsError};
+use crate::{endpoints, ordering, Action, EndpointId, Event, MessageId, Micros, Settings, SettingsError};
 
 /// Decides for one sender which messages go where and when. Its serialized form is the state that one process
 /// hands over to the next.
@@ -60,6 +60,11 @@
         self.state.messages.contains(id)
     }
 
+    /// The endpoints that operators have drained, in ascending order of their ids.
+    pub fn drained_endpoints(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.state.endpoints.manually_drained()
+    }
+
     /// Number of listed endpoints that get no calls now: draining, drained by an operator, or ejected with no
     /// probe due.
     pub fn avoided_endpoint_count(&self) -> usize {
--- a/crates/delivery-control/src/invariants.rs
+++ b/crates/delivery-control/src/invariants.rs
@@ -43,11 +43,13 @@
     OpenMessageIsJournalled,
     /// A client's request was received in full, but this sender closed its connection without an answer.
     RequestIsAnswered,
+    /// An endpoint counts as drained by an operator, but no operator has drained it.
+    DrainedByOperator,
 }
 
 impl Invariant {
     /// All invariants, in the order of the metrics.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::OneAttemptAtATime,
         Self::NoAttemptAfterEnd,
         Self::OwnDestination,
@@ -59,6 +61,7 @@
         Self::JournalHoldsNoOrphan,
         Self::OpenMessageIsJournalled,
         Self::RequestIsAnswered,
+        Self::DrainedByOperator,
     ];
 }
 
--- a/crates/delivery-control/src/model/endpoints.rs
+++ b/crates/delivery-control/src/model/endpoints.rs
@@ -164,6 +164,11 @@
         self.manually_drained.contains_key(&id)
     }
 
+    /// The endpoints that operators have drained.
+    pub fn manually_drained(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.manually_drained.keys().copied()
+    }
+
     /// The endpoints that are not available, and since when.
     pub fn departed(&self) -> Vec<(EndpointId, Micros)> {
         self.departed.iter().map(|(id, since)| (*id, *since)).collect()
--- a/crates/message-sender/src/endpoint_registry/registry.rs
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -108,9 +108,9 @@
         }
     }
 
-    /// Continues from the state of a predecessor process. Departed endpoints are retained as if they had
-    /// departed now.
-    pub fn restore(&mut self, snapshot: RegistrySnapshot) {
+    /// A registry that continues from the state of a predecessor process. Departed endpoints are retained as
+    /// if they had departed now.
+    pub fn restore(names: Names, kinds: Vec<DestinationKind>, snapshot: RegistrySnapshot) -> Self {
         let now = Instant::now();
         let endpoint = |record: EndpointRecord| RegisteredEndpoint {
             address: record.address,
@@ -119,10 +119,13 @@
             name: record.name,
             departed_at: record.has_departed.then_some(now),
         };
-        self.endpoints = snapshot.endpoints.into_iter().map(|record| (record.id, endpoint(record))).collect();
-        self.ids = snapshot.ids;
-        self.destinations = Destinations::listed_at(now, snapshot.destinations);
-        self.is_complete = snapshot.is_complete;
+        Self {
+            endpoints: snapshot.endpoints.into_iter().map(|record| (record.id, endpoint(record))).collect(),
+            ids: snapshot.ids,
+            destinations: Destinations::listed_at(now, snapshot.destinations),
+            is_complete: snapshot.is_complete,
+            ..Self::new(names, kinds)
+        }
     }
 
     /// Number of listed endpoints.
@@ -142,6 +145,11 @@
         self.ids.get_or_assign(name)
     }
 
+    /// The ids of the endpoints that operators have drained.
+    pub fn drained_ids(&self) -> impl Iterator<Item = EndpointId> + '_ {
+        self.drained.iter().filter_map(|name| self.ids.get(name))
+    }
+
     /// Marks an endpoint as no longer drained and returns its id, which it loses if it is not registered.
     pub fn mark_restored(&mut self, name: &str) -> EndpointId {
         self.drained.remove(name);
--- a/crates/message-sender/src/endpoint_registry/registry/tests.rs
+++ b/crates/message-sender/src/endpoint_registry/registry/tests.rs
@@ -2,14 +2,18 @@
 
 use super::*;
 
-fn registry() -> EndpointRegistry {
+fn names() -> Names {
     let config = serde_json::json!({
         "balancers": 1, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
         "categories": [], "familyInfo": {"maxCalls": 1}, "membershipMode": "automatic", "resolutionMs": 5.0,
         "limits": {"mostHeld": 1, "sendCap": 1}, "rules": {},
     });
     let config: deployment_config::Config = serde_json::from_value(config).unwrap();
-    EndpointRegistry::new(config.names(), Vec::new())
+    config.names()
+}
+
+fn registry() -> EndpointRegistry {
+    EndpointRegistry::new(names(), Vec::new())
 }
 
 fn listed(name: &str, status: ListedStatus) -> ListedEndpoint {
@@ -80,8 +84,8 @@
     predecessor.apply_update(&delta(vec![listed("s-2", ListedStatus::Removed)]));
     let saved = rmp_serde::to_vec_named(&predecessor.snapshot()).unwrap();
 
-    let mut successor = registry();
-    successor.restore(rmp_serde::from_slice(&saved).unwrap());
+    let restored = rmp_serde::from_slice(&saved).unwrap();
+    let mut successor = EndpointRegistry::restore(names(), Vec::new(), restored);
     assert_eq!(successor.listed_count(), 1);
     assert!(successor.is_known("s-1") && !successor.is_known("s-2"));
     assert_eq!(successor.destination_status(8), DestinationStatus::Unknown);
--- a/crates/message-sender/src/event_loop/audit.rs
+++ b/crates/message-sender/src/event_loop/audit.rs
@@ -1,6 +1,7 @@
 //! Checks invariants at run time: whenever an attempt starts or a message ends, and once a second for all
 //! open messages.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::EventLoop;
-use crate::invariants::InvariantMonitor;
+use crate::invariants::{InvariantMonitor, ViolationSubject};
 use crate::journal::{AttemptHistory, AttemptStart, Journal};
 
 /// Time between two audits of all open messages.
@@ -91,14 +92,16 @@
     pub(super) fn check_end(&self, id: MessageId, with_notice: bool) {
         let closed = self.guard.borrow_mut().close(self.clock.now(), id, with_notice);
         match closed {
-            Err(invariant) if !self.audits.is_recovering() => self.invariants.report(invariant, id),
+            Err(invariant) if !self.audits.is_recovering() => {
+                self.invariants.report(invariant, ViolationSubject::Message(id));
+            }
             _ => {}
         }
         self.invariants.forget(id);
     }
 
-    /// If an audit is due, checks that the journal and the guard hold the same open messages, and that none
-    /// of them is overdue.
+    /// If an audit is due, checks that the journal and the guard hold the same open messages, that none of them
+    /// is overdue, and that the controller drains no endpoint that operators have not drained.
     pub(super) fn audit(&mut self) {
         if !self.audits.take_due() || self.audits.is_recovering() {
             return;
@@ -107,7 +110,20 @@
         let journal = self.journal.borrow();
         report_journal_mismatches(&guard, &journal, &self.invariants);
         for id in guard.overdue(self.clock.now()) {
-            self.invariants.report(Invariant::EndInTime, id);
+            self.invariants.report(Invariant::EndInTime, ViolationSubject::Message(id));
+        }
+        self.report_unnamed_drains();
+    }
+
+    /// Reports endpoints that the controller takes for drained by an operator, although none has drained them.
+    fn report_unnamed_drains(&self) {
+        // Late in a shutdown the controller no longer learns of commands.
+        if self.shutdown.attempts_have_stopped() {
+            return;
+        }
+        let drained: BTreeSet<_> = self.registry.drained_ids().collect();
+        for endpoint in self.controller.drained_endpoints().filter(|endpoint| !drained.contains(endpoint)) {
+            self.invariants.report(Invariant::DrainedByOperator, ViolationSubject::Endpoint(endpoint));
         }
     }
 }
@@ -115,10 +131,10 @@
 /// Reports messages that are open in the journal but not in the guard, and the reverse.
 fn report_journal_mismatches(guard: &AttemptGuard, journal: &Journal, invariants: &Rc<InvariantMonitor>) {
     for id in journal.open_messages().filter(|id| !guard.is_open(*id)) {
-        invariants.report(Invariant::JournalHoldsNoOrphan, id);
+        invariants.report(Invariant::JournalHoldsNoOrphan, ViolationSubject::Message(id));
     }
     for id in guard.open_messages().filter(|id| !journal.is_open(*id)) {
-        invariants.report(Invariant::OpenMessageIsJournalled, id);
+        invariants.report(Invariant::OpenMessageIsJournalled, ViolationSubject::Message(id));
     }
 }
 
@@ -132,7 +148,7 @@
     match guard.start(now, starting) {
         Ok(()) => true,
         Err(invariant) => {
-            invariants.report(invariant, starting.id);
+            invariants.report(invariant, ViolationSubject::Message(starting.id));
             false
         }
     }
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -26,7 +26,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use delivery_control::{AttemptGuard, Controller, Event, MaintenanceCommand, MessageId, Settings};
+use delivery_control::{AttemptGuard, Controller, Event, MessageId, Settings};
 use deployment_config::Names;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::yield_now;
@@ -50,7 +50,6 @@
 use crate::handover::OwnershipLock;
 use crate::invariants::InvariantMonitor;
 use crate::journal::Journal;
-use crate::machine_clock::MachineTime;
 use crate::metrics::Metrics;
 use crate::operator_api::CommandResult;
 use crate::time::duration;
@@ -63,8 +62,6 @@
 
 /// The components and settings of an event loop.
 pub struct EventLoopConfig {
-    /// The controller, which has had no turn yet.
-    pub controller: Controller,
     /// The controller's settings.
     pub settings: Settings,
     /// The names that the indices in the settings stand for.
@@ -85,6 +82,15 @@
     pub event_sender: mpsc::Sender<SenderEvent>,
 }
 
+/// The parts of an event loop that refer to each other by the ids of endpoints and by times. They come from one
+/// process: this one, if it starts from the journal, or its predecessor.
+struct InitialState {
+    controller: Controller,
+    registry: EndpointRegistry,
+    clock: JournalClock,
+    timers: Timers,
+}
+
 /// How an event loop ends.
 pub enum LoopEnd {
     /// The process is to terminate.
@@ -130,20 +136,14 @@
 }
 
 impl EventLoop {
-    /// Creates an event loop without open messages. Endpoints that operators have drained remain drained.
-    pub fn new(config: EventLoopConfig) -> Self {
-        let mut registry = EndpointRegistry::new(config.names.clone(), config.settings.kinds.clone());
-        let mut events = Vec::new();
-        for name in config.journal.drained_endpoints() {
-            let endpoint = registry.mark_drained(name);
-            events.push(Event::Maintenance { endpoint, command: MaintenanceCommand::Drain });
-        }
+    /// Creates an event loop without open messages and without events for the controller.
+    fn assemble(config: EventLoopConfig, initial: InitialState) -> Self {
         Self {
             lock: config.lock,
-            controller: config.controller,
+            controller: initial.controller,
             settings: config.settings,
             names: config.names,
-            clock: JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref()),
+            clock: initial.clock,
             next_message_id: config.journal.next_id(),
             journal: Rc::new(RefCell::new(config.journal)),
             journal_sync: JournalSync::new(),
@@ -151,15 +151,15 @@
             delivery: config.delivery,
             notices: config.notices,
             event_sender: config.event_sender,
-            events,
-            timers: Timers::default(),
+            events: Vec::new(),
+            timers: initial.timers,
             open_messages: OpenMessages::default(),
             pending_replies: Vec::new(),
             in_flight: InFlightAttempts::default(),
             guard: Rc::default(),
             invariants: config.invariants,
             audits: AuditSchedule::start(),
-            registry,
+            registry: initial.registry,
             metrics: config.metrics,
             unacknowledged_commands: Vec::new(),
             summary: LogSummary::new(),
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -1,16 +1,23 @@
 //! Restores the sender's state when a process starts: from the journal alone, or also from the state that a
 //! predecessor hands over.
 
-use delivery_control::{Event, MessageId, MessageSubmission, SettingsError};
+use std::collections::BTreeSet;
+
+use delivery_control::{
+    Controller, EndpointId, Event, Invariant, MaintenanceCommand, MessageId, MessageSubmission, SettingsError,
+};
 
 use super::audit::{ambiguous_attempt, first_ambiguous, GuardRegistration};
+use super::clock::JournalClock;
 use super::open_messages::{MessageOrigin, OpenMessage};
 use super::timers::Timers;
-use super::EventLoop;
+use super::{EventLoop, EventLoopConfig, InitialState};
 use crate::attempt_id::AttemptId;
 use crate::endpoint_list::EndpointList;
+use crate::endpoint_registry::EndpointRegistry;
 use crate::handover::relay::RemoteAttempt;
 use crate::handover::HandoverState;
+use crate::invariants::ViolationSubject;
 use crate::journal::{AcceptedMessage, AttemptHistory, Body, ClockReading, JournalEntry};
 use crate::machine_clock::MachineTime;
 use crate::notice::{Notice, NoticeResult};
@@ -47,9 +54,73 @@
 }
 
 impl EventLoop {
+    /// Creates an event loop that continues from the journal alone: with the open messages, pending notices and
+    /// drained endpoints that earlier processes recorded. `cached_list` is the endpoint list that was stored
+    /// last.
+    pub fn from_journal(
+        config: EventLoopConfig,
+        seed: u64,
+        cached_list: Option<EndpointList>,
+    ) -> Result<Self, SettingsError> {
+        let initial = InitialState {
+            controller: Controller::new(config.settings.clone(), seed)?,
+            registry: EndpointRegistry::new(config.names.clone(), config.settings.kinds.clone()),
+            clock: JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref()),
+            timers: Timers::default(),
+        };
+        let mut event_loop = Self::assemble(config, initial);
+        event_loop.synchronize_drained_endpoints();
+        event_loop.recover(cached_list);
+        Ok(event_loop)
+    }
+
+    /// Creates an event loop that continues from the state that a predecessor handed over and from the journal.
+    /// Returns it with the attempts that the predecessor has in flight, each with a receiver that completes
+    /// when the attempt is to be cancelled.
+    pub fn from_predecessor(
+        config: EventLoopConfig,
+        seed: u64,
+        state: HandoverState,
+    ) -> Result<(Self, Vec<RemoteAttempt>), SettingsError> {
+        let HandoverState { now, controller, registry, timers, in_flight, .. } = state;
+        let mut clock = JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref());
+        clock.restore(now);
+        let initial = InitialState {
+            controller: controller.restore(config.settings.clone(), seed)?,
+            registry: EndpointRegistry::restore(
+                config.names.clone(),
+                config.settings.kinds.clone(),
+                registry,
+            ),
+            clock,
+            timers: Timers::restore(timers),
+        };
+        let mut event_loop = Self::assemble(config, initial);
+        event_loop.synchronize_drained_endpoints();
+        let remote_attempts = event_loop.resume(in_flight);
+        Ok((event_loop, remote_attempts))
+    }
+
+    /// Makes the controller drain exactly the endpoints that the journal holds as drained by operators.
+    fn synchronize_drained_endpoints(&mut self) {
+        let names = self.journal.borrow().drained_endpoints().clone();
+        let recorded: BTreeSet<_> = names.iter().map(|name| self.registry.mark_drained(name)).collect();
+        let drained: BTreeSet<_> = self.controller.drained_endpoints().collect();
+        for endpoint in recorded.difference(&drained) {
+            self.command_controller(*endpoint, MaintenanceCommand::Drain);
+        }
+        for endpoint in drained.difference(&recorded) {
+            self.invariants.report(Invariant::DrainedByOperator, ViolationSubject::Endpoint(*endpoint));
+            self.command_controller(*endpoint, MaintenanceCommand::Restore);
+        }
+    }
+
+    fn command_controller(&mut self, endpoint: EndpointId, command: MaintenanceCommand) {
+        self.events.push(Event::Maintenance { endpoint, command });
+    }
+
     /// Recovers the open messages and pending notices that an earlier process left in the journal.
-    /// `cached_list` is the endpoint list that was stored last.
-    pub fn recover(&mut self, cached_list: Option<EndpointList>) {
+    fn recover(&mut self, cached_list: Option<EndpointList>) {
         if let Some(list) = cached_list {
             let update = self.registry.load_cached(&list);
             self.report_endpoints(list.version, update);
@@ -72,13 +143,8 @@
         self.record_clock_reading();
     }
 
-    /// Continues from the state that a predecessor handed over. Returns the attempts that the predecessor has
-    /// in flight, each with a receiver that completes when the attempt is to be cancelled.
-    pub fn restore(&mut self, state: HandoverState, seed: u64) -> Result<Vec<RemoteAttempt>, SettingsError> {
-        self.controller = state.controller.restore(self.settings.clone(), seed)?;
-        self.registry.restore(state.registry);
-        self.clock.restore(state.now);
-        self.timers = Timers::restore(state.timers);
+    /// Opens the messages that the predecessor's controller holds, with the predecessor's attempts in flight.
+    fn resume(&mut self, attempts_in_flight: Vec<AttemptId>) -> Vec<RemoteAttempt> {
         for (id, entry) in self.journal_entries() {
             match entry {
                 JournalEntry::PendingNotice(notice, order_key) => {
@@ -88,7 +154,7 @@
                     }
                 }
                 JournalEntry::Open(accepted, history) if self.controller.holds_message(id) => {
-                    let in_flight = state.in_flight.iter().find(|attempt| attempt.message_id == id);
+                    let in_flight = attempts_in_flight.iter().find(|attempt| attempt.message_id == id);
                     self.open_recovered(id, accepted, history, in_flight.copied());
                 }
                 // The message ended at the predecessor, which could not record that. A message that is not
@@ -96,13 +162,13 @@
                 JournalEntry::Open(accepted, history) => self.recover_message(id, accepted, history),
             }
         }
-        let mut remote_attempts = Vec::with_capacity(state.in_flight.len());
-        for attempt_id in state.in_flight {
+        let mut remote_attempts = Vec::with_capacity(attempts_in_flight.len());
+        for attempt_id in attempts_in_flight {
             let cancelled = self.in_flight.start(attempt_id);
             remote_attempts.push(RemoteAttempt { attempt_id, cancelled });
         }
         self.record_clock_reading();
-        Ok(remote_attempts)
+        remote_attempts
     }
 
     /// Limits the time left to each open message to what its class allows. A message with more time left was
--- a/crates/message-sender/src/invariants.rs
+++ b/crates/message-sender/src/invariants.rs
@@ -8,17 +8,28 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use delivery_control::{Invariant, MessageId};
+use delivery_control::{EndpointId, Invariant, MessageId};
 
 use crate::metrics::{increment, Metrics};
 
 /// Maximum number of violations that one process logs; the metric counts all.
 const MAX_LOG_LINES: u64 = 100;
 
-/// Counts violations of invariants; a repeated violation of one invariant by the same message counts once.
+/// What a violation concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ViolationSubject {
+    /// A message.
+    Message(MessageId),
+    /// An endpoint.
+    Endpoint(EndpointId),
+    /// A connection with a client. Each violation is counted, since connections have no ids.
+    Connection,
+}
+
+/// Counts violations of invariants; a repeated violation of one invariant by the same subject counts once.
 pub struct InvariantMonitor {
     metrics: Rc<Metrics>,
-    reported: RefCell<BTreeSet<(Invariant, MessageId)>>,
+    reported: RefCell<BTreeSet<(Invariant, ViolationSubject)>>,
     logged_lines: Cell<u64>,
 }
 
@@ -28,31 +39,27 @@
         Rc::new(Self { metrics, reported: RefCell::default(), logged_lines: Cell::new(0) })
     }
 
-    /// Reports that an invariant was violated for a message.
-    pub fn report(&self, invariant: Invariant, message_id: MessageId) {
-        if self.reported.borrow_mut().insert((invariant, message_id)) {
-            self.count(invariant, Some(message_id));
+    /// Reports that an invariant was violated.
+    pub fn report(&self, invariant: Invariant, subject: ViolationSubject) {
+        let is_new = self.reported.borrow_mut().insert((invariant, subject));
+        if is_new || subject == ViolationSubject::Connection {
+            self.count(invariant, subject);
         }
     }
 
-    /// Reports a violation that concerns a connection and no particular message.
-    pub fn report_connection(&self, invariant: Invariant) {
-        self.count(invariant, None);
-    }
-
     /// Forgets the violations of a message that has ended: its id is never used again.
     pub fn forget(&self, message_id: MessageId) {
         let mut reported = self.reported.borrow_mut();
         if !reported.is_empty() {
-            reported.retain(|(_, id)| *id != message_id);
+            reported.retain(|(_, subject)| *subject != ViolationSubject::Message(message_id));
         }
     }
 
-    fn count(&self, invariant: Invariant, message_id: Option<MessageId>) {
+    fn count(&self, invariant: Invariant, subject: ViolationSubject) {
         increment(&self.metrics.invariant_violations);
         if self.logged_lines.get() < MAX_LOG_LINES {
             increment(&self.logged_lines);
-            tracing::error!(?invariant, ?message_id, "invariant violated");
+            tracing::error!(?invariant, ?subject, "invariant violated");
         }
     }
 }
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use delivery_control::{Controller, Invariant};
+use delivery_control::Invariant;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -28,7 +28,7 @@
 use crate::event_loop::{EventLoop, EventLoopConfig, EventLoopInputs, LoopEnd};
 use crate::handover::relay::{self, Predecessor, RelayEnd};
 use crate::handover::{self, HandoverListener, InheritedState, Ownership, OwnershipLock, Successor};
-use crate::invariants::InvariantMonitor;
+use crate::invariants::{InvariantMonitor, ViolationSubject};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::operator_api::OperatorRequest;
@@ -146,12 +146,12 @@
     ) -> Result<Option<Predecessor>, ProcessError> {
         let notices = Rc::new(NoticeQueue::default());
         let retries = StartupRetries::begin();
-        let mut event_loop = self.new_event_loop(ownership.lock, notices.clone(), retries).await?;
+        let config = self.event_loop_config(ownership.lock, notices.clone(), retries).await?;
         // Done before the first connection is accepted, because a process that answers counts as ready.
-        match ownership.inherited {
-            Some(inherited) => self.continue_from_predecessor(&mut event_loop, inherited)?,
-            None => event_loop.recover(self.config.known.clone()),
-        }
+        let mut event_loop = match ownership.inherited {
+            Some(inherited) => self.continue_from_predecessor(config, inherited)?,
+            None => EventLoop::from_journal(config, self.config.seed, self.config.known.clone())?,
+        };
         event_loop.replay_missed_events(missed_events);
 
         let duplicate = || listener.try_clone().and_then(TcpListener::from_std);
@@ -175,31 +175,29 @@
         Ok(Some(predecessor))
     }
 
-    /// Restores a predecessor's state, and starts to receive the submissions and the ends of attempts that
+    /// Continues from a predecessor's state, and starts to receive the submissions and the ends of attempts that
     /// the predecessor relays.
     fn continue_from_predecessor(
         &self,
-        event_loop: &mut EventLoop,
+        config: EventLoopConfig,
         inherited: InheritedState,
-    ) -> Result<(), ProcessError> {
+    ) -> Result<EventLoop, ProcessError> {
         let InheritedState { state, stream } = inherited;
-        let remote_attempts = event_loop.restore(*state, self.config.seed)?;
+        let (event_loop, remote_attempts) = EventLoop::from_predecessor(config, self.config.seed, *state)?;
         relay::relay_predecessor(stream, remote_attempts, self.event_sender.clone(), self.limiter.clone());
-        Ok(())
+        Ok(event_loop)
     }
 
-    async fn new_event_loop(
+    async fn event_loop_config(
         &self,
         lock: OwnershipLock,
         notices: Rc<NoticeQueue>,
         retries: StartupRetries,
-    ) -> Result<EventLoop, ProcessError> {
+    ) -> Result<EventLoopConfig, ProcessError> {
         let config = &self.config;
-        let controller = Controller::new(config.settings.clone(), config.seed)?;
         let disk_bytes = (config.limits.disk_mb * BYTES_PER_MEGABYTE) as u64;
         let journal = retries.run("journal", || Journal::open(&config.state, disk_bytes)).await?;
-        Ok(EventLoop::new(EventLoopConfig {
-            controller,
+        Ok(EventLoopConfig {
             settings: config.settings.clone(),
             names: config.names.clone(),
             lock,
@@ -209,7 +207,7 @@
             metrics: self.metrics.clone(),
             invariants: self.invariants.clone(),
             event_sender: self.event_sender.clone(),
-        }))
+        })
     }
 
     /// Starts the tasks that only the sender may run. They end when the set is dropped.
@@ -247,7 +245,7 @@
         self.limiter.log_open_connections();
         let closed = timeout(FINAL_REPLY_TIMEOUT, self.limiter.close_all()).await;
         if closed.is_err() && self.limiter.has_request_without_answer() {
-            self.invariants.report_connection(Invariant::RequestIsAnswered);
+            self.invariants.report(Invariant::RequestIsAnswered, ViolationSubject::Connection);
             tracing::warn!(
                 connections = self.limiter.open_connections(),
                 "ending with a request in progress"
--- a/crates/message-sender/tests/handover_compatibility.rs
+++ b/crates/message-sender/tests/handover_compatibility.rs
@@ -7,23 +7,20 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{ErrorKind, IoSlice, IoSliceMut, Read, Write};
+use std::io::{IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsFd;
-use std::os::unix::net::{UnixListener, UnixStream};
+use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags,
-};
+use rustix::net::{recvmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use support::client::ACCEPTED;
 use support::configuration::{Idempotency, SenderOptions};
 use support::discovery::{endpoint_line, Discovery};
 use support::endpoint::{Endpoint, Reply, OK};
+use support::handover::{read_frame, ScriptedPredecessor, LISTENER_MARK};
 use support::sender_process::SenderProcess;
 use support::TIMEOUT;
 
@@ -47,8 +44,6 @@
 const IDEMPOTENT: Idempotency = Idempotency::Always;
 /// The idempotency of the class under which the messages were recorded.
 const WITH_IDEMPOTENCY_KEY: Idempotency = Idempotency::WithKey;
-/// The byte to which the predecessor attaches its listening socket.
-const LISTENER_MARK: u8 = b'L';
 /// How long a test waits before it checks that nothing more happens; a faulty process would act within it.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
 
@@ -156,75 +151,10 @@
     }
 }
 
-/// Simulates a process of the earlier version that is the active sender: it holds the lock, the recorded
-/// journal and the clients' listening socket.
-struct EarlierPredecessor {
-    lock: File,
-    handover: UnixListener,
-    clients: TcpListener,
-}
-
-impl EarlierPredecessor {
-    fn start(state: &Path) -> Self {
-        let lock = File::create(state.join("lock")).unwrap();
-        lock.try_lock().unwrap();
-        std::fs::write(state.join("journal"), JOURNAL).unwrap();
-        let handover = UnixListener::bind(state.join("handover")).unwrap();
-        handover.set_nonblocking(true).unwrap();
-        let clients = TcpListener::bind("127.0.0.1:0").unwrap();
-        // A real predecessor has it non-blocking, and the successor relies on that.
-        clients.set_nonblocking(true).unwrap();
-        Self { lock, handover, clients }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.clients.local_addr().unwrap()
-    }
-
-    fn accept(&self) -> UnixStream {
-        let since = Instant::now();
-        loop {
-            match self.handover.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(false).unwrap();
-                    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
-                    return stream;
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    assert!(since.elapsed() < TIMEOUT, "no successor connected");
-                    thread::sleep(Duration::from_millis(1));
-                }
-                Err(error) => panic!("accepting on the handover socket failed: {error}"),
-            }
-        }
-    }
-
-    fn offer(&self, stream: &mut UnixStream, offer: &[u8]) {
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut ancillary = SendAncillaryBuffer::new(&mut space);
-        let descriptors = [self.clients.as_fd()];
-        assert!(ancillary.push(SendAncillaryMessage::ScmRights(&descriptors)));
-        sendmsg(&*stream, &[IoSlice::new(&[LISTENER_MARK])], &mut ancillary, SendFlags::NOSIGNAL).unwrap();
-        stream.write_all(offer).unwrap();
-    }
-
-    /// Ends as a process does: its sockets are closed and its lock is released.
-    fn end(self) {
-        let Self { lock, handover, clients } = self;
-        drop(handover);
-        drop(clients);
-        drop(lock);
-    }
-}
-
-/// Reads a frame; returns its length prefix and its payload.
-fn read_frame(stream: &mut UnixStream) -> Vec<u8> {
-    let mut frame = vec![0; 4];
-    stream.read_exact(&mut frame).unwrap();
-    let length = u32::from_le_bytes(frame[..4].try_into().unwrap()) as usize;
-    frame.resize(4 + length, 0);
-    stream.read_exact(&mut frame[4..]).unwrap();
-    frame
+/// Starts a simulated process of the earlier version that holds the recorded journal.
+fn start_earlier_predecessor(state: &Path) -> ScriptedPredecessor {
+    std::fs::write(state.join("journal"), JOURNAL).unwrap();
+    ScriptedPredecessor::start(state)
 }
 
 /// The frame, with its length prefix, by which a successor announces this protocol version.
@@ -273,7 +203,7 @@
 #[test]
 fn an_upgrade_from_the_earlier_version_resumes_from_its_journal() {
     let fixture = Fixture::new(vec![OK]);
-    let predecessor = EarlierPredecessor::start(&fixture.state);
+    let predecessor = start_earlier_predecessor(&fixture.state);
     let mut successor = fixture.launch(IDEMPOTENT);
     let mut stream = predecessor.accept();
     assert_eq!(
@@ -295,7 +225,7 @@
 #[test]
 fn an_ambiguous_attempt_of_the_earlier_version_outside_the_idempotency_window_fails_with_a_notice() {
     let fixture = Fixture::new(vec![OK]);
-    let predecessor = EarlierPredecessor::start(&fixture.state);
+    let predecessor = start_earlier_predecessor(&fixture.state);
     let mut successor = fixture.launch(WITH_IDEMPOTENCY_KEY);
     let mut stream = predecessor.accept();
     read_frame(&mut stream);
@@ -312,7 +242,7 @@
 #[test]
 fn the_state_of_the_earlier_version_is_declined_and_the_journal_is_read() {
     let fixture = Fixture::new(vec![OK]);
-    let predecessor = EarlierPredecessor::start(&fixture.state);
+    let predecessor = start_earlier_predecessor(&fixture.state);
     let mut successor = fixture.launch(IDEMPOTENT);
     let mut stream = predecessor.accept();
     assert_eq!(read_frame(&mut stream), hello(CURRENT_PROTOCOL));
@@ -333,7 +263,7 @@
 #[test]
 fn the_state_of_the_earlier_version_is_declined_however_often_it_is_offered() {
     let fixture = Fixture::new(vec![OK]);
-    let predecessor = EarlierPredecessor::start(&fixture.state);
+    let predecessor = start_earlier_predecessor(&fixture.state);
     let mut successor = fixture.launch(IDEMPOTENT);
     for _ in 0..5 {
         let mut stream = predecessor.accept();
--- a/crates/message-sender/tests/support/client.rs
+++ b/crates/message-sender/tests/support/client.rs
@@ -41,6 +41,12 @@
         self.request(&submission(id, budget_ms, body)).expect("the sender did not answer").start_line
     }
 
+    /// Submits a message for any destination; returns the status line of the answer.
+    pub fn submit_to(&self, destination: u64, id: &str) -> String {
+        let text = submission(id, 20_000, "x").replace("dest=7", &format!("dest={destination}"));
+        self.request(&text).expect("the sender did not answer").start_line
+    }
+
     /// Submits a message about a subject, which is its order key, for destination 7; returns the status line
     /// of the answer.
     pub fn submit_about(&self, subject: &str, id: &str) -> String {
--- a/crates/message-sender/tests/support/handover.rs
+++ b/crates/message-sender/tests/support/handover.rs
@@ -1,25 +1,36 @@
-//! A simulated successor process whose steps in the handover protocol each test controls. It can disconnect
-//! at any step.
+//! Simulated successor and predecessor processes whose steps in the handover protocol each test controls. They
+//! can disconnect at any step.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::os::unix::net::UnixStream;
+use std::fs::File;
+use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
 
+use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use serde::Serialize;
 
 use super::TIMEOUT;
 
 /// Version of the handover protocol that this successor announces.
 const PROTOCOL_VERSION: u32 = 3;
-/// Length, in bytes, of what precedes the offer's payload: the marker byte that carries the listening socket,
-/// and the payload's length.
-const OFFER_PREFIX_LENGTH: usize = 5;
+
+/// The byte to which a predecessor attaches its listening socket.
+pub const LISTENER_MARK: u8 = b'L';
 
 /// The frame by which the successor confirms that it is ready to take over.
 #[derive(Serialize)]
 struct Prepared;
 
+/// The frame by which the predecessor makes the successor the sender.
+#[derive(Serialize)]
+struct Commit;
+
 /// The successor's side of a handover. Dropping it closes the connection, as the death of the process does.
 pub struct ScriptedSuccessor {
     stream: UnixStream,
@@ -41,14 +52,12 @@
     }
 
     /// Reads the offer, which is the marker byte that carries the listening socket, then a frame with the
-    /// state. Returns the frame's payload.
+    /// state. Returns the frame.
     pub fn read_offer(&mut self) -> Vec<u8> {
-        let mut head = [0; OFFER_PREFIX_LENGTH];
-        self.stream.read_exact(&mut head).unwrap();
-        let length = u32::from_le_bytes(head[1..].try_into().unwrap());
-        let mut state = vec![0; length as usize];
-        self.stream.read_exact(&mut state).unwrap();
-        state
+        let mut mark = [0];
+        self.stream.read_exact(&mut mark).unwrap();
+        assert_eq!(mark, [LISTENER_MARK]);
+        read_frame(&mut self.stream)
     }
 
     /// Confirms that the successor is ready, upon which the predecessor commits.
@@ -62,8 +71,99 @@
     }
 
     fn send(&mut self, frame: &impl Serialize) {
-        let text = rmp_serde::to_vec_named(frame).unwrap();
-        self.stream.write_all(&(text.len() as u32).to_le_bytes()).unwrap();
-        self.stream.write_all(&text).unwrap();
+        write_frame(&mut self.stream, frame);
+    }
+}
+
+/// A simulated process that is the active sender: it holds the lock, and has the clients' listening socket. The
+/// journal is what the state directory contains.
+pub struct ScriptedPredecessor {
+    lock: File,
+    handover: UnixListener,
+    clients: TcpListener,
+}
+
+impl ScriptedPredecessor {
+    /// Becomes the active sender of this state directory.
+    pub fn start(state: &Path) -> Self {
+        let lock = File::create(state.join("lock")).unwrap();
+        lock.try_lock().unwrap();
+        // The socket of a process that was killed before.
+        let _ = std::fs::remove_file(state.join("handover"));
+        let handover = UnixListener::bind(state.join("handover")).unwrap();
+        handover.set_nonblocking(true).unwrap();
+        let clients = TcpListener::bind("127.0.0.1:0").unwrap();
+        // A real predecessor has it non-blocking, and the successor relies on that.
+        clients.set_nonblocking(true).unwrap();
+        Self { lock, handover, clients }
+    }
+
+    /// Address of the clients' listening socket.
+    pub fn address(&self) -> SocketAddr {
+        self.clients.local_addr().unwrap()
+    }
+
+    /// Waits for a successor to connect.
+    pub fn accept(&self) -> UnixStream {
+        let since = Instant::now();
+        loop {
+            match self.handover.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+                    return stream;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    assert!(since.elapsed() < TIMEOUT, "no successor connected");
+                    thread::sleep(Duration::from_millis(1));
+                }
+                Err(error) => panic!("accepting on the handover socket failed: {error}"),
+            }
+        }
+    }
+
+    /// Sends the listening socket and an offer frame.
+    pub fn offer(&self, stream: &mut UnixStream, offer: &[u8]) {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut ancillary = SendAncillaryBuffer::new(&mut space);
+        let descriptors = [self.clients.as_fd()];
+        assert!(ancillary.push(SendAncillaryMessage::ScmRights(&descriptors)));
+        sendmsg(&*stream, &[IoSlice::new(&[LISTENER_MARK])], &mut ancillary, SendFlags::NOSIGNAL).unwrap();
+        stream.write_all(offer).unwrap();
     }
+
+    /// Ends as a process does: its sockets are closed and its lock is released.
+    pub fn end(self) {
+        let Self { lock, handover, clients } = self;
+        drop(handover);
+        drop(clients);
+        drop(lock);
+    }
+
+    /// Offers this state to the successor that connects, commits, and ends.
+    pub fn hand_over(self, offer: &[u8]) {
+        let mut stream = self.accept();
+        read_frame(&mut stream);
+        self.offer(&mut stream, offer);
+        read_frame(&mut stream);
+        self.end();
+        write_frame(&mut stream, &Commit);
+    }
+}
+
+/// Reads a frame; returns its length prefix and its payload.
+pub fn read_frame(stream: &mut UnixStream) -> Vec<u8> {
+    let mut frame = vec![0; 4];
+    stream.read_exact(&mut frame).unwrap();
+    let length = u32::from_le_bytes(frame[..4].try_into().unwrap()) as usize;
+    frame.resize(4 + length, 0);
+    stream.read_exact(&mut frame[4..]).unwrap();
+    frame
+}
+
+/// Writes a frame with its length prefix.
+fn write_frame(stream: &mut UnixStream, frame: &impl Serialize) {
+    let payload = rmp_serde::to_vec_named(frame).unwrap();
+    stream.write_all(&(payload.len() as u32).to_le_bytes()).unwrap();
+    stream.write_all(&payload).unwrap();
 }
