Evict client connections ahead of need, so that new ones don't wait for each other

Seen: with 400 connections that stop in the middle of a request (more than there are slots), a new client waited 1.6 to 2.1 s for its answer, of which its clients allow 0.4 s.

Cause: a new connection was accepted only once all evicted ones were closed, and each evicted one keeps its slot for up to 20 ms, in which its client reads the answer: 50 new connections a second. In a burst, the connection accepted last, on which nothing had been received yet, was the first to be evicted for the next one.

Change: one slot in 16 is kept free by evicting ahead of need; several evictions run at the same time, and never are more connections open than there are slots. Connections of the last 50 ms are evicted last.

The unit test of the eviction order now lets 50 ms pass first, as its idle connection would otherwise count as new; its assertions are the same.

--- a/crates/message-sender/src/connection_limiter/limiter.rs
+++ b/crates/message-sender/src/connection_limiter/limiter.rs
@@ -14,6 +14,10 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between the checks of [`ConnectionLimiter::close_all`] for open connections.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// One of so many slots is kept free for new connections, as far as connections can be evicted.
+const SPARE_SLOTS_DIVISOR: usize = 16;
+/// Time for which a connection is evicted only after all others: its request may be about to arrive.
+const NEW_CONNECTION_TIME: Duration = Duration::from_millis(50);
 
 /// Limits how many connections are open at the same time.
 pub struct ConnectionLimiter {
@@ -125,46 +129,61 @@
         }
     }
 
-    /// Waits until a new connection can get a slot: until all evicted connections have closed and, if no slot
-    /// is free, until a connection can be evicted because no request is being processed on it. Without this
-    /// wait, many clients that connect at once would use up the file descriptors that discovery and the
-    /// connections to endpoints need.
+    /// Waits until a new connection can get a slot. If none is free, connections are evicted, as far as no
+    /// request is being processed on them. Without this wait, many clients that connect at once would use up
+    /// the file descriptors that discovery and the connections to endpoints need.
     pub(super) async fn wait_for_slot(&self) {
-        while self.evictions_pending.get() > 0 || (self.is_full() && self.eviction_candidate().is_none()) {
+        while self.is_full() {
+            self.evict_down_to(self.target().min(self.available() - 1));
             self.changed.notified().await;
         }
     }
 
-    /// Assigns a slot to a new connection. If none is free, the connection that has been without a request
-    /// for longest is evicted.
+    /// Assigns a free slot to a new connection. If few others are free, connections are evicted ahead of need:
+    /// each keeps its slot until its client has read the answer, which new clients should not have to wait for.
     pub(super) fn occupy(self: &Rc<Self>) -> OccupiedSlot {
-        if self.is_full() {
-            self.evict_one();
-        }
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         let slot = Rc::new(ConnectionSlot::new());
         self.slots.borrow_mut().insert(number, slot.clone());
+        self.evict_down_to(self.target());
         OccupiedSlot { limiter: self.clone(), number, slot }
     }
 
     /// Whether no slot is free.
     pub(super) fn is_full(&self) -> bool {
-        let available = self.capacity.saturating_sub(self.reserved.get()).max(1);
-        self.open_connections() >= available
+        self.open_connections() >= self.available()
+    }
+
+    /// Number of slots that are not reserved for a predecessor, at least one.
+    fn available(&self) -> usize {
+        self.capacity.saturating_sub(self.reserved.get()).max(1)
+    }
+
+    /// Number of connections beyond which some are evicted ahead of need.
+    fn target(&self) -> usize {
+        self.available() - self.available() / SPARE_SLOTS_DIVISOR
     }
 
     /// The connection to evict if a new one needs a slot. Idle connections come before those on which a
-    /// request is being received; among each, the one whose phase began first. Connections on which a request
-    /// is being processed are not evicted, and none that is about to close anyway.
+    /// request is being received, and new connections come last; among each, the one whose phase began
+    /// first. Connections on which a request is being processed are not evicted, and none that is about to
+    /// close anyway.
     pub(super) fn eviction_candidate(&self) -> Option<Rc<ConnectionSlot>> {
         let slots = self.slots.borrow();
         let evictable = slots.values().filter(|slot| slot.phase() != Phase::Processing && !slot.is_closing());
-        evictable.min_by_key(|slot| (slot.phase() == Phase::Receiving, slot.phase_started())).cloned()
-    }
-
-    fn evict_one(&self) {
-        if let Some(slot) = self.eviction_candidate() {
+        evictable
+            .min_by_key(|slot| {
+                let is_new = slot.phase_started().elapsed() < NEW_CONNECTION_TIME;
+                (is_new, !is_new && slot.phase() == Phase::Receiving, slot.phase_started())
+            })
+            .cloned()
+    }
+
+    /// Asks for connections to be closed until no more than `target` remain, as far as they can be evicted.
+    fn evict_down_to(&self, target: usize) {
+        while self.open_connections() - self.evictions_pending.get() > target {
+            let Some(slot) = self.eviction_candidate() else { return };
             slot.close(CloseReason::Evicted);
             self.evictions_pending.set(self.evictions_pending.get() + 1);
         }
--- a/crates/message-sender/src/connection_limiter/tests.rs
+++ b/crates/message-sender/src/connection_limiter/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of the connection limiter, without sockets.
 
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{advance, timeout};
 
 use super::{ConnectionLimiter, ConnectionSlot};
 use crate::instrumented_stream::StreamObserver;
@@ -22,12 +25,13 @@
 }
 
 /// Guards against evicting a connection with a request on it while another connection is idle.
-#[test]
-fn the_connection_longest_without_a_request_is_evicted_first() {
+#[tokio::test(start_paused = true)]
+async fn the_connection_longest_without_a_request_is_evicted_first() {
     let limiter = ConnectionLimiter::new(3);
     let (processing, receiving, idle) = (limiter.occupy(), limiter.occupy(), limiter.occupy());
     processing.slot().mark_request_received();
     receiving.slot().read(b"P");
+    advance(Duration::from_millis(50)).await;
     assert!(Rc::ptr_eq(&limiter.eviction_candidate().unwrap(), &idle.slot()));
     drop(idle);
     assert!(Rc::ptr_eq(&limiter.eviction_candidate().unwrap(), &receiving.slot()));
@@ -35,6 +39,28 @@
     assert!(limiter.eviction_candidate().is_none());
 }
 
+/// Guards against new connections that wait for evictions, against an eviction of the connections that were just
+/// accepted, and against more connections than there are descriptors for.
+#[tokio::test(start_paused = true)]
+async fn connections_are_evicted_ahead_of_need() {
+    let limiter = ConnectionLimiter::new(32);
+    let occupied: Vec<_> = (0..31)
+        .map(|_| {
+            let occupied = limiter.occupy();
+            occupied.slot().read(b"P");
+            occupied
+        })
+        .collect();
+    assert!(occupied[0].slot().is_closing() && !occupied[1].slot().is_closing());
+    advance(Duration::from_millis(50)).await;
+    let new = limiter.occupy();
+    assert!(occupied[1].slot().is_closing() && !new.slot().is_closing());
+    assert!(limiter.is_full(), "an evicted connection keeps its descriptor until it is closed");
+    assert!(timeout(Duration::from_millis(1), limiter.wait_for_slot()).await.is_err());
+    drop(occupied);
+    limiter.wait_for_slot().await;
+}
+
 /// Guards against a predecessor and its successor that together hold more connections than one process may.
 #[test]
 fn slots_reserved_for_a_predecessor_stay_free() {
--- a/crates/message-sender/tests/hostile_clients.rs
+++ b/crates/message-sender/tests/hostile_clients.rs
@@ -13,6 +13,9 @@
 use support::sender_process::SenderProcess;
 use support::TIMEOUT;
 
+/// Time within which a client waits for its answer.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Starts a sender and waits until it has the endpoint list, so that it knows which destinations exist.
 fn start() -> (Environment, SenderProcess) {
     let environment = Environment::new(vec![OK]);
@@ -65,6 +68,24 @@
     }
 }
 
+/// Guards against new clients that wait while stopped connections are closed for them, one after the other, each
+/// for as long as its client takes to read its answer.
+#[test]
+fn stopped_connections_delay_no_other_client() {
+    let (_environment, sender) = start();
+    let stop_in_head = |_| {
+        let mut stream = sender.connect();
+        stream.write_all(b"POST /notice HTTP/1.1\r\n").unwrap();
+        stream
+    };
+    let _stopped: Vec<_> = (0..400).map(stop_in_head).collect();
+    for number in 0..10 {
+        let start = Instant::now();
+        assert_eq!(sender.submit(&format!("m{number}"), 20_000, "x"), ACCEPTED);
+        assert!(start.elapsed() < CLIENT_TIMEOUT, "{:?}", start.elapsed());
+    }
+}
+
 /// Guards against a request timeout that starts again with each byte received.
 #[test]
 fn endless_request_is_closed_though_bytes_keep_arriving() {
