Count the bodies of requests against one budget of memory

Cause: client connections were limited by number at an assumed size without bodies. Each could hold a buffer of 32 KiB and a body of 64 KiB, whose pieces kept the buffers that they were read into: some 140 KiB.

Change: a connection's buffer is 8 KiB at most. A body over 4 KiB is read only once memory of its stated length is reserved, into one buffer; the reservation lives until the message is decided on. The bodies of open messages have a budget as well. Related: bodies of endpoints' responses are discarded instead of collected; answers of discovery are held once, up to 3 MiB instead of 8; idle connections to endpoints have a share of the memory; lingering reads take 4 KiB.

--- a/crates/message-sender/src/client_api/incomplete_request.rs
+++ b/crates/message-sender/src/client_api/incomplete_request.rs
@@ -33,7 +33,9 @@
 fn status(reason: CloseReason) -> StatusCode {
     match reason {
         CloseReason::RequestTimeout | CloseReason::IdleTimeout => StatusCode::REQUEST_TIMEOUT,
-        CloseReason::Evicted | CloseReason::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+        CloseReason::Evicted | CloseReason::ShuttingDown | CloseReason::MemoryShortage => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     }
 }
 
--- a/crates/message-sender/src/client_api/linger.rs
+++ b/crates/message-sender/src/client_api/linger.rs
@@ -19,7 +19,7 @@
 /// Maximum number of bytes that are read and discarded. A client that sends more does not wait for an answer.
 const MAX_LINGER_BYTES: usize = 512 * 1024;
 /// Size of the buffer that bytes are read into before they are discarded.
-const BUFFER_BYTES: usize = 16 * 1024;
+const BUFFER_BYTES: usize = 4 * 1024;
 
 /// Reads and discards what the client still sends until it closes the connection, for at most `limit` and up to
 /// a number of bytes.
--- a/crates/message-sender/src/client_api/mod.rs
+++ b/crates/message-sender/src/client_api/mod.rs
@@ -10,4 +10,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use server::ClientApi;
+pub use request::MAX_BODY_BYTES;
+pub use server::{ClientApi, MAX_BUFFER_BYTES};
--- a/crates/message-sender/src/client_api/request.rs
+++ b/crates/message-sender/src/client_api/request.rs
@@ -11,7 +11,7 @@
 use crate::submission::Submission;
 
 /// Maximum length of a body that the protocol allows, in bytes.
-pub const MAX_BODY_BYTES: u64 = 64 * 1024;
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum length of a header value or an order key, in bytes.
 const MAX_TEXT_BYTES: usize = 256;
 
@@ -44,7 +44,7 @@
     let Some(length) = headers.get(CONTENT_LENGTH) else { return Ok(0) };
     let length = length.to_str().ok().and_then(parse_digits);
     let length = length.ok_or(RequestError::Header("content-length"))?;
-    if length > MAX_BODY_BYTES {
+    if length > MAX_BODY_BYTES as u64 {
         return Err(RequestError::BodyTooLong);
     }
     Ok(length)
@@ -88,6 +88,7 @@
         returned: resubmission == Some(RETURNED),
         repeat: resubmission == Some(REPEAT),
         body: Bytes::new(),
+        reservation: None,
     })
 }
 
--- a/crates/message-sender/src/client_api/server.rs
+++ b/crates/message-sender/src/client_api/server.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use delivery_control::Settings;
 use deployment_config::Names;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
@@ -23,16 +23,17 @@
 use super::error::RequestError;
 use super::incomplete_request::answer_incomplete_request;
 use super::linger::{linger, LINGER_TIME};
-use super::request::{body_length, call_id, class_name, decode, MAX_BODY_BYTES};
+use super::request::{body_length, call_id, class_name, decode};
 use super::response::{empty, Reply};
 use crate::connection_limiter::{CloseReason, ConnectionLimiter, ConnectionSlot, Phase};
 use crate::event::SenderEvent;
+use crate::http_body::read_to_end;
 use crate::instrumented_stream::InstrumentedStream;
 use crate::serving_state::ServingState;
 use crate::submission::{Submission, SubmissionReply};
 
 /// Maximum size of a request's head, and of the buffer of a connection, in bytes.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Path at which load balancers check whether the sender serves.
 const HEALTH_PATH: &str = "/healthz";
@@ -256,10 +257,10 @@
     ) -> Result<Reply, RequestError> {
         let (head, body) = request.into_parts();
         let mut submission = decode(&self.settings, &self.names, &head.uri, &head.headers)?;
-        let body = Limited::new(body, MAX_BODY_BYTES as usize).collect().await;
-        let body = body.map_err(|_| RequestError::IncompleteBody)?.to_bytes();
-        // Copied, because the received bytes are a slice of a much larger buffer and would keep it allocated.
-        submission.body = Bytes::copy_from_slice(&body);
+        let length = body_length as usize;
+        let reservation = self.limiter.reserve_body(&client.slot, length).await;
+        submission.reservation = reservation.map(Rc::new);
+        submission.body = read_to_end(body, length).await.map_err(|_| RequestError::IncompleteBody)?;
         submission.received_at = Instant::now();
         if !client.slot.holds_one_request(body_length) {
             return Err(RequestError::TrailingBytes);
--- a/crates/message-sender/src/config/tests.rs
+++ b/crates/message-sender/src/config/tests.rs
@@ -71,4 +71,5 @@
     assert_eq!((shares(0).clients, shares(0).idle), (1, 0));
     let low_memory = Limits { memory_mb: 1.0, sockets: 1_000, disk_mb: 1.0 }.shares(12);
     assert_eq!(low_memory.clients, 10, "limited by the memory");
+    assert_eq!(low_memory.idle, 7, "limited by the memory");
 }
--- a/crates/message-sender/src/connection_limiter/limiter.rs
+++ b/crates/message-sender/src/connection_limiter/limiter.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::body_memory::{BodyMemory, BodyReservation};
 use super::{CloseReason, ConnectionSlot, Phase};
 
 /// Interval between checks for timed-out connections.
@@ -18,11 +19,19 @@
 const SPARE_SLOTS_DIVISOR: usize = 16;
 /// Time for which a connection is evicted only after all others: its request may be about to arrive.
 const NEW_CONNECTION_TIME: Duration = Duration::from_millis(50);
+/// Length in bytes up to which a body needs no reservation: it is part of what each connection may take.
+pub const SMALL_BODY_BYTES: usize = 4 * 1024;
+/// Time for which a body that is being received keeps its memory although other requests wait for it.
+const BODY_HOLD_TIME: Duration = Duration::from_millis(100);
+/// Interval at which a request that waits for memory checks whether others have held it for too long.
+const RECLAIM_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Limits how many connections are open at the same time.
 pub struct ConnectionLimiter {
     /// Maximum number of open connections, including those reserved for a predecessor process.
     capacity: usize,
+    /// Memory for the bodies of requests.
+    body_memory: Rc<BodyMemory>,
     /// Number of slots that are left to the connections of a predecessor process.
     reserved: Cell<usize>,
     /// Number of connections that were evicted but are not closed yet, and so still hold their file
@@ -56,10 +65,12 @@
 }
 
 impl ConnectionLimiter {
-    /// Creates a limiter for at most `capacity` connections.
-    pub fn new(capacity: usize) -> Rc<Self> {
+    /// Creates a limiter for at most `capacity` connections, with `body_bytes` of memory for the bodies of
+    /// their requests.
+    pub fn new(capacity: usize, body_bytes: usize) -> Rc<Self> {
         Rc::new(Self {
             capacity,
+            body_memory: BodyMemory::new(body_bytes),
             reserved: Cell::new(0),
             evictions_pending: Cell::new(0),
             slots: RefCell::default(),
@@ -115,6 +126,48 @@
         self.changed.notify_one();
     }
 
+    /// Waits until there is memory for a body of this length, and reserves it. Meanwhile, closes connections
+    /// that have held the memory for their bodies for longer than [`BODY_HOLD_TIME`]. Small bodies need no
+    /// reservation.
+    pub async fn reserve_body(&self, slot: &ConnectionSlot, length: usize) -> Option<BodyReservation> {
+        if length <= SMALL_BODY_BYTES {
+            return None;
+        }
+        let mut granted = self.body_memory.request(length);
+        slot.mark_awaiting_memory();
+        loop {
+            tokio::select! {
+                biased;
+                Ok(reservation) = &mut granted => {
+                    slot.mark_body_reserved(length);
+                    return Some(reservation);
+                }
+                () = sleep(RECLAIM_INTERVAL) => self.reclaim_body_memory(length),
+            }
+        }
+    }
+
+    /// Closes the connections that have held memory for a body that is still being received for longest, at
+    /// least for [`BODY_HOLD_TIME`], until they hold `needed` bytes together.
+    fn reclaim_body_memory(&self, needed: usize) {
+        let slots = self.slots.borrow();
+        let mut stalled: Vec<_> = slots
+            .values()
+            .filter(|slot| slot.phase() == Phase::Receiving && !slot.is_closing())
+            .filter_map(|slot| Some((slot.reserved_body()?, slot)))
+            .filter(|(body, _)| body.since.elapsed() >= BODY_HOLD_TIME)
+            .collect();
+        stalled.sort_by_key(|(body, _)| body.since);
+        let mut reclaimed = 0;
+        for (body, slot) in stalled {
+            if reclaimed >= needed {
+                return;
+            }
+            slot.close(CloseReason::MemoryShortage);
+            reclaimed += body.bytes;
+        }
+    }
+
     /// Records that the request on this slot has been answered.
     pub fn mark_answered(&self, slot: &ConnectionSlot) {
         slot.mark_answered();
--- a/crates/message-sender/src/connection_limiter/slot.rs
+++ b/crates/message-sender/src/connection_limiter/slot.rs
@@ -39,6 +39,29 @@
     IdleTimeout,
     /// The process is about to end.
     ShuttingDown,
+    /// Other requests need the memory for the body, or no memory became free for it in time.
+    MemoryShortage,
+}
+
+/// The memory that is reserved for the body of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReservedBody {
+    /// When it was reserved.
+    pub since: Instant,
+    /// The length of the body, in bytes.
+    pub bytes: usize,
+}
+
+/// Whether memory is reserved for the body of the current request.
+#[derive(Debug, Clone, Copy, Default)]
+enum BodyMemoryState {
+    /// The body needs no reservation, or none yet.
+    #[default]
+    NotNeeded,
+    /// The body is not read until there is memory for it.
+    Awaited,
+    /// The body is being received.
+    Reserved(ReservedBody),
 }
 
 /// The slot that an open connection occupies, with the state of the connection.
@@ -57,6 +80,7 @@
     close_requested: Notify,
     /// Number of bytes received since the last answer.
     received: Cell<u64>,
+    body_memory: Cell<BodyMemoryState>,
     /// Finds where the head of the current request ends.
     head_end: HeadEndFinder,
 }
@@ -90,6 +114,7 @@
             has_unread_request: Cell::new(false),
             close_requested: Notify::new(),
             received: Cell::new(0),
+            body_memory: Cell::default(),
             head_end: HeadEndFinder::default(),
         }
     }
@@ -99,6 +124,24 @@
         self.phase.set(Phase::Processing);
     }
 
+    /// Records that the body of the current request waits for memory.
+    pub(super) fn mark_awaiting_memory(&self) {
+        self.body_memory.set(BodyMemoryState::Awaited);
+    }
+
+    /// Records that memory is reserved for a body of this length, which is being received from now on.
+    pub(super) fn mark_body_reserved(&self, bytes: usize) {
+        self.body_memory.set(BodyMemoryState::Reserved(ReservedBody { since: Instant::now(), bytes }));
+    }
+
+    /// The memory that is reserved for the body of the current request, if any.
+    pub(super) fn reserved_body(&self) -> Option<ReservedBody> {
+        match self.body_memory.get() {
+            BodyMemoryState::Reserved(body) => Some(body),
+            BodyMemoryState::NotNeeded | BodyMemoryState::Awaited => None,
+        }
+    }
+
     /// Records that a request was answered while more bytes, of the request or after it, may still arrive.
     pub fn mark_unread_request(&self) {
         self.has_unread_request.set(true);
@@ -127,6 +170,7 @@
         self.has_answered.set(true);
         self.phase_started.set(Instant::now());
         self.received.set(0);
+        self.body_memory.take();
         self.head_end.reset();
     }
 
@@ -199,10 +243,18 @@
         let (timeout, reason) = match self.phase.get() {
             Phase::Processing => return None,
             Phase::Idle if self.has_answered.get() => (IDLE_TIMEOUT, CloseReason::IdleTimeout),
-            Phase::Idle | Phase::Receiving => (REQUEST_TIMEOUT, CloseReason::RequestTimeout),
+            Phase::Idle | Phase::Receiving => (REQUEST_TIMEOUT, self.request_timeout_reason()),
         };
         (self.phase_started.get().elapsed() >= timeout).then_some(reason)
     }
+
+    /// Why a request was not received in time: its client is not to blame if its body was not read.
+    fn request_timeout_reason(&self) -> CloseReason {
+        match self.body_memory.get() {
+            BodyMemoryState::Awaited => CloseReason::MemoryShortage,
+            BodyMemoryState::NotNeeded | BodyMemoryState::Reserved(_) => CloseReason::RequestTimeout,
+        }
+    }
 }
 
 /// Finds the end of a request's head, in whatever pieces its bytes arrive.
--- a/crates/message-sender/src/discovery/client.rs
+++ b/crates/message-sender/src/discovery/client.rs
@@ -4,17 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
+use hyper::body::Body;
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::error::DiscoveryError;
+use crate::http_body::read_to_end;
 use crate::http_connection::Connection;
 
-/// Longest response body that is read, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Longest response body that is read, in bytes: a list of 3,200 endpoints is a third of it.
+const MAX_RESPONSE_BYTES: usize = 3 * 1024 * 1024;
 
 /// The address of discovery, which a configuration reload may change while the process runs.
 pub type DiscoveryAddress = watch::Receiver<SocketAddr>;
@@ -91,11 +93,11 @@
         let request = Request::builder().method(method).uri(path).header(HOST, self.address.to_string());
         let response = connection.send(request.body(Full::new(body))?).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
+        let body = response.into_body();
+        let expected_length = (body.size_hint().lower() as usize).min(MAX_RESPONSE_BYTES);
+        let body = read_to_end(Limited::new(body, MAX_RESPONSE_BYTES), expected_length)
             .await
-            .map_err(DiscoveryError::Body)?
-            .to_bytes();
+            .map_err(DiscoveryError::Body)?;
         if connection.ready().await {
             self.connection = Some(connection);
         }
--- a/crates/message-sender/src/event_loop/mod.rs
+++ b/crates/message-sender/src/event_loop/mod.rs
@@ -66,6 +66,8 @@
     pub settings: Settings,
     /// The names that the indices in the settings stand for.
     pub names: Names,
+    /// Memory for the bodies of open messages, in bytes.
+    pub max_open_body_bytes: usize,
     /// The lock whose holder is the sender.
     pub lock: OwnershipLock,
     /// The journal, already replayed.
@@ -105,6 +107,8 @@
     controller: Controller,
     settings: Settings,
     names: Names,
+    /// Memory for the bodies of open messages, in bytes. New messages are rejected beyond it.
+    max_open_body_bytes: usize,
     clock: JournalClock,
     /// Shared with the attempts, which record here that their requests start. Their references are weak:
     /// nothing is written once the event loop is dropped.
@@ -143,6 +147,7 @@
             controller: initial.controller,
             settings: config.settings,
             names: config.names,
+            max_open_body_bytes: config.max_open_body_bytes,
             clock: initial.clock,
             next_message_id: config.journal.next_id(),
             journal: Rc::new(RefCell::new(config.journal)),
--- a/crates/message-sender/src/event_loop/open_messages.rs
+++ b/crates/message-sender/src/event_loop/open_messages.rs
@@ -40,6 +40,8 @@
 #[derive(Default)]
 pub struct OpenMessages {
     messages: BTreeMap<MessageId, OpenMessage>,
+    /// Length of all bodies together, in bytes.
+    body_bytes: usize,
     ids_by_call_id: HashMap<String, MessageId>,
 }
 
@@ -47,6 +49,7 @@
     /// Adds a message.
     pub fn insert(&mut self, id: MessageId, message: OpenMessage) {
         self.ids_by_call_id.insert(message.call_id.clone(), id);
+        self.body_bytes += message.body.len();
         self.messages.insert(id, message);
     }
 
@@ -54,6 +57,7 @@
     pub fn remove(&mut self, id: MessageId) -> Option<OpenMessage> {
         let message = self.messages.remove(&id)?;
         self.ids_by_call_id.remove(&message.call_id);
+        self.body_bytes -= message.body.len();
         Some(message)
     }
 
@@ -77,6 +81,11 @@
         self.ids_by_call_id.get(call_id).copied()
     }
 
+    /// Length of the bodies of all open messages together, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
     /// Number of open messages.
     pub fn len(&self) -> usize {
         self.messages.len()
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -102,6 +102,9 @@
         {
             return Err(UndeliveredCause::BufferFull);
         }
+        if self.open_messages.body_bytes() + submission.body.len() > self.max_open_body_bytes {
+            return Err(UndeliveredCause::MemoryFull);
+        }
         Ok(())
     }
 
--- a/crates/message-sender/src/event_loop/summary.rs
+++ b/crates/message-sender/src/event_loop/summary.rs
@@ -26,6 +26,8 @@
 pub enum UndeliveredCause {
     /// The buffer is full.
     BufferFull,
+    /// The bodies of open messages take all the memory that they may.
+    MemoryFull,
     /// The journal has no space left for the message.
     JournalFull,
     /// The journal could not be written.
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -19,6 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::byte_counter::ByteCounter;
+use crate::http_body::discard;
 use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
 
 /// Maximum size of the connection's buffers in bytes. It limits the head of a response, which could
@@ -112,7 +113,7 @@
             return ResponseRemainder::Incomplete;
         }
         let read = async {
-            let is_complete = Limited::new(body, max_bytes).collect().await.is_ok();
+            let is_complete = discard(Limited::new(body, max_bytes)).await;
             let is_ready = self.ready().await;
             is_complete.then_some(is_ready)
         };
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -25,6 +25,7 @@
 mod event;
 mod event_loop;
 mod handover;
+mod http_body;
 mod http_connection;
 mod instrumented_stream;
 mod invariants;
--- a/crates/message-sender/src/process/mod.rs
+++ b/crates/message-sender/src/process/mod.rs
@@ -61,6 +61,8 @@
 /// The parts that the process keeps throughout its life, whether it is the sender or not.
 struct SenderProcess {
     config: Config,
+    /// Memory for the bodies of open messages, in bytes.
+    max_open_body_bytes: usize,
     /// The address of discovery, which changes when the configuration file is read again.
     discovery: watch::Receiver<SocketAddr>,
     serving_state: Rc<ServingStateControl>,
@@ -200,6 +202,7 @@
         Ok(EventLoopConfig {
             settings: config.settings.clone(),
             names: config.names.clone(),
+            max_open_body_bytes: self.max_open_body_bytes,
             lock,
             journal,
             delivery: self.delivery.clone(),
--- a/crates/message-sender/src/process/startup.rs
+++ b/crates/message-sender/src/process/startup.rs
@@ -53,7 +53,7 @@
         signals.spawn_handlers(discovery_sender, serving_state.clone(), event_sender.clone());
         let shares = config.limits.shares(config.settings.limits.max_in_flight);
         let delivery = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.attempts.clone());
-        let limiter = ConnectionLimiter::new(shares.clients);
+        let limiter = ConnectionLimiter::new(shares.clients, shares.request_bodies);
         let client_api = Rc::new(ClientApi {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -65,6 +65,7 @@
         spawn_local(limiter.clone().run_maintenance());
         Ok(Self {
             config,
+            max_open_body_bytes: shares.open_bodies,
             discovery,
             serving_state,
             ready,
@@ -97,7 +98,8 @@
     let listener = listener.map_err(ProcessError::ManagementAddress)?;
     let management = listener.local_addr().map_err(ProcessError::Socket)?;
     tracing::info!(%management, "listening for operators");
-    let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS);
+    // The bodies of operators' requests are small.
+    let limiter = ConnectionLimiter::new(operator_api::MAX_CONNECTIONS, 0);
     spawn_local(limiter.clone().run_maintenance());
     spawn_local(Rc::new(operator_api).serve(listener, limiter));
     Ok(())
--- a/crates/message-sender/src/submission.rs
+++ b/crates/message-sender/src/submission.rs
@@ -2,11 +2,15 @@
 //!
 //! Both are also sent over the relay between two processes, which encodes fields by name.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use delivery_control::{DestinationId, Micros};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::connection_limiter::BodyReservation;
+
 /// A message that a client submits.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Submission {
@@ -35,6 +39,10 @@
     pub repeat: bool,
     /// The body, passed on unchanged.
     pub body: Bytes,
+    /// The memory that is reserved for the body until the message is accepted or rejected. A relayed body is
+    /// limited by what its predecessor may reserve.
+    #[serde(skip)]
+    pub reservation: Option<Rc<BodyReservation>>,
 }
 
 /// The reply to a submission.
--- a/crates/message-sender/tests/support/configuration.rs
+++ b/crates/message-sender/tests/support/configuration.rs
@@ -31,6 +31,8 @@
 pub struct SenderOptions {
     /// Disk space for the journal, in megabytes.
     pub disk_mb: f64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
     /// Whether messages that may have taken effect may be sent again.
     pub idempotency: Idempotency,
     /// Limit of open file descriptors, in the configuration and for the process.
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Self {
             disk_mb: 3.0,
+            memory_mb: 192,
             idempotency: Idempotency::WithKey,
             max_descriptors: 256,
             sender_count: 1,
@@ -63,7 +66,7 @@
 pub fn configuration(options: &SenderOptions, discovery: SocketAddr, known_endpoints: Vec<Value>) -> Value {
     json!({
         "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": options.max_descriptors,
+        "limits": {"cores": 1.0, "memory_mb": options.memory_mb, "sockets": options.max_descriptors,
             "disk_mb": options.disk_mb},
         "known": {"index": 0, "snapshot": true, "endpoints": known_endpoints},
         "settings": {
--- a/crates/message-sender/tests/support/sender_process.rs
+++ b/crates/message-sender/tests/support/sender_process.rs
@@ -155,6 +155,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Memory of the process that no file backs, in bytes; 0 once the process has ended.
+    pub fn anonymous_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let Some(line) = status.lines().find_map(|line| line.strip_prefix("RssAnon:")) else { return 0 };
+        let kibibytes = line.trim().strip_suffix(" kB").expect("the unit is kB");
+        kibibytes.parse::<u64>().unwrap() * 1024
+    }
+
     /// Waits until the process exits.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
