Look for data right before the first byte of a request on a used connection

Seen: an endpoint that sends a copy of its response 0.2 to 5 ms later, while nothing waits, had 17 of 49,819 such copies read as the response to the next request: messages that it answered with 500 counted as delivered.

What comes between the look and the write is the response to the HTTP library.

Change: the look is made right before the first write, in the same step; if anything has arrived or the connection has ended, nothing is written, the attempt counts as not started and goes over another connection at once. The look at the pool is gone in return. An endpoint that has sent such data gets each request on a new connection until it has sent none for 60 s; router.excess_data counts, a log line names it. Discovery's client does the same for polls and notices; a list with entries that is no newer than the poll's version is not applied.

Evidence: data_that_arrives_before_a_request_is_not_its_response (Delivered instead of Error) and a_list_that_arrives_before_a_poll_is_not_its_response (version 5 instead of 6) failed before and pass now.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -19,6 +19,7 @@
 use super::response::{interpret, is_delivered};
 use super::send_restrictions::{SendRestriction, SendRestrictions};
 use crate::http_connection::{Connection, ResponseRemainder, SendError};
+use crate::metrics::DeliveryCounters;
 use crate::time::duration;
 use crate::transient::is_local_shortage;
 
@@ -91,16 +92,15 @@
 }
 
 impl DeliveryClient {
-    /// Creates a client that keeps up to `max_idle_connections` and counts the requests that are written in
-    /// full in `attempts_written`.
-    pub fn new(limits: &Limits, max_idle_connections: usize, attempts_written: Rc<Cell<u64>>) -> Rc<Self> {
+    /// Creates a client that keeps up to `max_idle_connections`.
+    pub fn new(limits: &Limits, max_idle_connections: usize, counters: DeliveryCounters) -> Rc<Self> {
         let max_idle_time = duration(limits.connection_idle).mul_f64(IDLE_TIME_SHARE);
         Rc::new(Self {
-            pool: ConnectionPool::new(max_idle_connections, max_idle_time),
+            pool: ConnectionPool::new(max_idle_connections, max_idle_time, counters.excess_data),
             restrictions: SendRestrictions::default(),
             failure_log: FailureLog::default(),
             connect_timeout: duration(limits.connect_timeout.max(1)),
-            attempts_written,
+            attempts_written: counters.attempts_written,
         })
     }
 
@@ -131,7 +131,7 @@
                 self.pool.decay_lifetimes();
             }
             self.pool.close_expired();
-            self.pool.expire_saturation();
+            self.pool.expire_endpoints();
             self.restrictions.expire(DRAIN_RETENTION_CONNECT_TIMEOUTS * self.connect_timeout);
         }
     }
@@ -239,11 +239,12 @@
                     self.record_reuse(idle_for, ReuseOutcome::Alive);
                     return Ok(response);
                 }
-                // The endpoint had closed an idle connection before any byte was written: try another
-                // connection.
+                // The endpoint had closed an idle connection, or had sent excess data on it, before any byte
+                // was written: try another connection.
                 Err(SendError::NotSent) if idle_for.is_some() => {
                     (call.on_phase)(AttemptPhase::NotStarted);
                     progress.request_started = false;
+                    self.discard_connection(call.target(), progress).await;
                 }
                 Err(error) => {
                     self.record_send_error(connection, idle_for, &error);
@@ -253,6 +254,15 @@
         }
     }
 
+    /// Closes the connection on which nothing of an attempt was written.
+    async fn discard_connection(&self, target: Target, progress: &mut AttemptProgress) {
+        let Some(connection) = progress.connection.take() else { return };
+        if connection.has_excess_data() {
+            self.pool.record_excess_data(target);
+        }
+        connection.close().await;
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptOutcome> {
         match timeout(self.connect_timeout, Connection::open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
@@ -319,6 +329,7 @@
         match (remainder, progress.connection.take()) {
             (ResponseRemainder::Complete, Some(connection)) => self.put_idle(call.target(), connection),
             (ResponseRemainder::ExcessData, Some(connection)) => {
+                self.pool.record_excess_data(call.target());
                 connection.close().await;
                 // The response's length may be wrong, so the message may have been processed. The
                 // Retry-After applies anyway.
@@ -342,8 +353,10 @@
             let _pending_read = self.pool.begin_read();
             connection.read_remainder(response.into_body(), MAX_RESPONSE_BODY_BYTES).await
         };
-        if remainder == ResponseRemainder::Complete {
-            self.put_idle(target, connection);
+        match remainder {
+            ResponseRemainder::Complete => self.put_idle(target, connection),
+            ResponseRemainder::ExcessData => self.pool.record_excess_data(target),
+            ResponseRemainder::CompleteAndClosed | ResponseRemainder::Incomplete => {}
         }
     }
 
--- a/crates/message-sender/src/delivery/mod.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod client;
+mod excess_data;
 mod failure_log;
 mod idle_lifetime;
 mod pool;
--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -2,15 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use delivery_control::EndpointId;
 use tokio::time::Instant;
 
 use super::attempt::Target;
+use super::excess_data::ExcessDataTracker;
 use super::idle_lifetime::{IdleLifetimeEstimator, ReuseOutcome};
 use super::saturation::SaturationTracker;
-use crate::http_connection::Connection;
+use crate::http_connection::{Connection, IdleState};
 
 struct IdleConnection {
     connection: Connection,
@@ -38,11 +40,13 @@
     max_idle_time: Duration,
     lifetime_estimator: RefCell<IdleLifetimeEstimator>,
     saturation: RefCell<SaturationTracker>,
+    excess_data: ExcessDataTracker,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool of up to `capacity` connections, each idle for at most `max_idle_time`.
-    pub fn new(capacity: usize, max_idle_time: Duration) -> Self {
+    /// Creates an empty pool of up to `capacity` connections, each idle for at most `max_idle_time`. Counts in
+    /// `excess_data` how often data arrived that belonged to no response.
+    pub fn new(capacity: usize, max_idle_time: Duration, excess_data: Rc<Cell<u64>>) -> Self {
         Self {
             idle: RefCell::default(),
             capacity,
@@ -50,37 +54,47 @@
             max_idle_time,
             lifetime_estimator: RefCell::default(),
             saturation: RefCell::default(),
+            excess_data: ExcessDataTracker::new(excess_data),
         }
     }
 
     /// Takes the most recently used connection to the target, so that the others can reach the maximum idle
     /// time. Closes unusable connections to the target's endpoint that it finds before that one.
     pub fn take(&self, target: Target) -> Option<PooledConnection> {
-        let mut idle = self.idle.borrow_mut();
         loop {
-            let index = idle.iter().rposition(|idle| idle.target.endpoint == target.endpoint)?;
-            let candidate = idle.remove(index)?;
+            let candidate = self.remove_latest(target.endpoint)?;
             let idle_for = candidate.idle_since.elapsed();
+            if candidate.connection.has_excess_data() {
+                self.record_excess_data(candidate.target);
+            }
             if self.is_usable(&candidate, idle_for, target) {
                 return Some(PooledConnection { connection: candidate.connection, idle_for });
             }
         }
     }
 
+    /// Removes the most recently used connection to an endpoint.
+    fn remove_latest(&self, endpoint: EndpointId) -> Option<IdleConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let index = idle.iter().rposition(|idle| idle.target.endpoint == endpoint)?;
+        idle.remove(index)
+    }
+
     fn is_usable(&self, candidate: &IdleConnection, idle_for: Duration, target: Target) -> bool {
         candidate.target.address == target.address
             && idle_for < self.max_idle_time
             && self.lifetime_estimator.borrow().trusts(idle_for)
-            && candidate.connection.is_reusable()
+            && candidate.connection.idle_state() == IdleState::Reusable
     }
 
-    /// Keeps a connection for the next attempt, unless its endpoint is saturated. Closes the longest idle
-    /// connections to stay within the pool's capacity.
-    pub fn put(&self, target: Target, mut connection: Connection) {
-        if self.saturation.borrow().is_saturated(target.endpoint) {
+    /// Keeps a connection for the next attempt, unless its endpoint is saturated or has sent excess data.
+    /// Closes the longest idle connections to stay within the pool's capacity.
+    pub fn put(&self, target: Target, connection: Connection) {
+        if self.saturation.borrow().is_saturated(target.endpoint)
+            || self.excess_data.is_known(target.endpoint)
+        {
             return;
         }
-        connection.mark_reused();
         let mut idle = self.idle.borrow_mut();
         idle.push_back(IdleConnection { connection, target, idle_since: Instant::now() });
         while idle.len() > self.capacity {
@@ -134,6 +148,13 @@
         self.saturation.borrow_mut().record(endpoint);
     }
 
+    /// Records that an endpoint has sent data that belongs to no response, and closes the idle connections to
+    /// it.
+    pub fn record_excess_data(&self, target: Target) {
+        self.close_endpoint(target.endpoint);
+        self.excess_data.record(target);
+    }
+
     /// Raises the idle time that saturation has reduced, according to the time `elapsed` since the last
     /// call.
     pub fn recover_idle_time(&self, elapsed: Duration) {
@@ -144,14 +165,24 @@
     /// unexpected bytes.
     pub fn close_expired(&self) {
         let max_idle_time = self.max_idle_time.mul_f64(self.saturation.borrow().idle_time_scale());
-        self.idle
-            .borrow_mut()
-            .retain(|idle| idle.idle_since.elapsed() < max_idle_time && idle.connection.is_reusable());
+        let mut with_excess_data = Vec::new();
+        self.idle.borrow_mut().retain(|idle| match idle.connection.inspect() {
+            IdleState::Reusable => idle.idle_since.elapsed() < max_idle_time,
+            IdleState::Ended => false,
+            IdleState::ExcessData => {
+                with_excess_data.push(idle.target);
+                false
+            }
+        });
+        for target in with_excess_data {
+            self.record_excess_data(target);
+        }
     }
 
-    /// Forgets endpoints whose saturation has expired.
-    pub fn expire_saturation(&self) {
+    /// Forgets endpoints whose saturation has expired, and those that have sent no excess data for long.
+    pub fn expire_endpoints(&self) {
         self.saturation.borrow_mut().expire();
+        self.excess_data.expire();
     }
 }
 
--- a/crates/message-sender/src/discovery/client.rs
+++ b/crates/message-sender/src/discovery/client.rs
@@ -5,15 +5,15 @@
 
 use bytes::Bytes;
 use http_body_util::{Full, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::error::DiscoveryError;
 use crate::http_body::read_to_end;
-use crate::http_connection::Connection;
+use crate::http_connection::{Connection, ResponseRemainder, SendError, EXCESS_DATA_MEMORY};
 
 /// Longest response body that is read, in bytes: a list of 3,200 endpoints is a third of it.
 const MAX_RESPONSE_BYTES: usize = 3 * 1024 * 1024;
@@ -25,6 +25,8 @@
 pub struct DiscoveryClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    /// When discovery last sent data that belonged to no response, if it has.
+    excess_data_at: Option<Instant>,
 }
 
 /// A response that was read completely.
@@ -36,7 +38,7 @@
 impl DiscoveryClient {
     /// A client without a connection; the first request opens it.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None }
+        Self { address, connection: None, excess_data_at: None }
     }
 
     /// Sends a GET request and reads the complete response, all within `response_timeout`.
@@ -63,6 +65,21 @@
         self.connection = None;
     }
 
+    /// Records that discovery has sent data that belongs to no response, and closes the connection. For a
+    /// while each request goes over a connection of its own.
+    pub fn record_excess_data(&mut self) {
+        if !self.avoids_reuse() {
+            tracing::warn!(address = %self.address, "discovery sends data after its responses");
+        }
+        self.excess_data_at = Some(Instant::now());
+        self.disconnect();
+    }
+
+    /// Whether discovery has lately sent data that belonged to no response.
+    fn avoids_reuse(&self) -> bool {
+        self.excess_data_at.is_some_and(|at| at.elapsed() < EXCESS_DATA_MEMORY)
+    }
+
     /// Whether a connection is kept open for the next request.
     #[cfg(test)]
     pub fn is_connected(&self) -> bool {
@@ -88,29 +105,40 @@
         path: &str,
         body: Bytes,
     ) -> Result<DiscoveryResponse, DiscoveryError> {
-        // The connection is taken out of the client, so that any failure or timeout from here on closes it.
-        let mut connection = self.take_or_open_connection().await?;
         let request = Request::builder().method(method).uri(path).header(HOST, self.address.to_string());
-        let response = connection.send(request.body(Full::new(body))?).await?;
+        let (mut connection, response) = self.exchange(request.body(Full::new(body))?).await?;
         let status = response.status();
         let body = response.into_body();
         let expected_length = (body.size_hint().lower() as usize).min(MAX_RESPONSE_BYTES);
         let body = read_to_end(Limited::new(body, MAX_RESPONSE_BYTES), expected_length)
             .await
             .map_err(DiscoveryError::Body)?;
-        if connection.ready().await {
-            self.connection = Some(connection);
+        match connection.finish_exchange().await {
+            ResponseRemainder::Complete if !self.avoids_reuse() => self.connection = Some(connection),
+            ResponseRemainder::ExcessData => self.record_excess_data(),
+            _ => {}
         }
         Ok(DiscoveryResponse { status, body })
     }
 
-    async fn take_or_open_connection(&mut self) -> Result<Connection, DiscoveryError> {
-        match self.connection.take().filter(Connection::is_reusable) {
-            Some(connection) => Ok(connection),
-            None => Connection::open(self.address)
-                .await
-                .map_err(|source| DiscoveryError::Connect { address: self.address, source }),
+    /// Sends a request on the open connection, or on a new one if there is none or nothing can be written to
+    /// it. The connection is taken out of the client, so that any failure or timeout closes it.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>), DiscoveryError> {
+        if let Some(mut connection) = self.connection.take() {
+            match connection.send(request.clone()).await {
+                Err(SendError::NotSent) if connection.has_excess_data() => self.record_excess_data(),
+                Err(SendError::NotSent) => {}
+                sent => return Ok((connection, sent?)),
+            }
         }
+        let opened = Connection::open(self.address).await;
+        let mut connection =
+            opened.map_err(|source| DiscoveryError::Connect { address: self.address, source })?;
+        let response = connection.send(request).await?;
+        Ok((connection, response))
     }
 }
 
--- a/crates/message-sender/src/discovery/poll.rs
+++ b/crates/message-sender/src/discovery/poll.rs
@@ -64,6 +64,12 @@
         !list.is_snapshot && self.after.is_some_and(|after| list.version < after)
     }
 
+    /// Whether a list that brings entries is no newer than the requested version, so that it cannot be the
+    /// response to this poll. It may be a second copy of the last one.
+    pub fn is_stale(&self, list: &EndpointList) -> bool {
+        self.after == Some(list.version) && !list.endpoints.is_empty()
+    }
+
     /// Sends the poll and returns the list in the response.
     pub async fn send(&self, client: &mut DiscoveryClient) -> Result<EndpointList, DiscoveryError> {
         let response = match self.after {
--- a/crates/message-sender/src/discovery/watch.rs
+++ b/crates/message-sender/src/discovery/watch.rs
@@ -86,6 +86,12 @@
                     tracing::warn!(version = list.version, ?requested_after, "endpoint list version reset");
                     poll.request_snapshot();
                 }
+                Ok(list) if poll.is_stale(&list) => {
+                    tracing::warn!(version = list.version, "endpoint list is no newer than the known one");
+                    // What follows on this connection may belong to an earlier poll as well.
+                    client.record_excess_data();
+                    poll.request_snapshot();
+                }
                 Ok(list) => {
                     poll.continue_watch(list.version, self.backoff.long_poll_wait());
                     self.record_response(&list);
--- a/crates/message-sender/src/http_connection/byte_counter.rs
+++ b/crates/message-sender/src/http_connection/byte_counter.rs
@@ -1,10 +1,14 @@
-//! Counts the written bytes of the current request and reads the status line of its response.
+//! Counts the written bytes of the current request, reads the status line of its response, and notices data that
+//! belongs to no response.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::socket_state::SocketState;
 use super::status_line::StatusLineParser;
 use crate::instrumented_stream::StreamObserver;
 use crate::metrics::increment;
@@ -16,9 +20,15 @@
     counter: Rc<Cell<u64>>,
 }
 
-/// Observes what was written and read on a connection since the last reset, which precedes each request.
+/// Observes what was written and read on a connection since its last request began.
 #[derive(Default)]
 pub struct ByteCounter {
+    /// Number of requests that have begun.
+    requests: Cell<u64>,
+    /// Whether the last response has ended and no further request has begun.
+    is_idle: Cell<bool>,
+    /// Whether data has arrived that belongs to no response.
+    has_excess_data: Cell<bool>,
     /// Number of bytes of the request that the kernel has accepted.
     written: Cell<u64>,
     /// Set before a request is sent; removed when it fires.
@@ -30,11 +40,36 @@
 
 impl ByteCounter {
     /// Starts over for the next request. A completion trigger that has not fired yet remains set.
-    pub fn reset(&self) {
+    pub fn begin_request(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.is_idle.set(false);
         self.written.set(0);
         self.status_line.take();
     }
 
+    /// Records that a response has ended. The counts of its exchange must not be taken for those of the next
+    /// request, which may be cancelled before it is sent.
+    pub fn end_exchange(&self) {
+        self.is_idle.set(true);
+        self.written.set(0);
+        self.status_line.take();
+    }
+
+    /// Whether the connection has carried another request before the current one.
+    pub fn is_reused(&self) -> bool {
+        self.requests.get() > 1
+    }
+
+    /// Whether data has arrived that belongs to no response.
+    pub fn has_excess_data(&self) -> bool {
+        self.has_excess_data.get()
+    }
+
+    /// Records that data has arrived that belongs to no response.
+    pub fn mark_excess_data(&self) {
+        self.has_excess_data.set(true);
+    }
+
     /// Sets a trigger that increments `counter` once `request_length` bytes of the next request are written.
     pub fn count_when_written(&self, request_length: u64, counter: Rc<Cell<u64>>) {
         self.completion_trigger.replace(Some(CompletionTrigger { request_length, counter }));
@@ -65,6 +100,10 @@
 
 impl StreamObserver for ByteCounter {
     fn read(&self, bytes: &[u8]) {
+        if self.is_idle.get() {
+            self.has_excess_data.set(self.has_excess_data.get() || !bytes.is_empty());
+            return;
+        }
         let mut status_line = self.status_line.borrow_mut();
         status_line.read(bytes);
         if status_line.has_started() {
@@ -80,4 +119,20 @@
             increment(&trigger.counter);
         }
     }
+
+    /// Allows the first byte of a request on a used connection only if nothing has arrived since the last
+    /// response: data that is there before the request would be read as the response to it.
+    fn before_write(&self, stream: &TcpStream) -> io::Result<()> {
+        if self.written.get() > 0 || !self.is_reused() {
+            return Ok(());
+        }
+        match SocketState::of(stream) {
+            SocketState::Empty => Ok(()),
+            SocketState::Ended => Err(io::ErrorKind::ConnectionAborted.into()),
+            SocketState::Data => {
+                self.mark_excess_data();
+                Err(io::ErrorKind::InvalidData.into())
+            }
+        }
+    }
 }
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::io::{self, Read};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::byte_counter::ByteCounter;
+use super::socket_state::SocketState;
 use crate::http_body::discard;
 use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
 
@@ -61,13 +61,23 @@
     Incomplete,
 }
 
+/// What has happened on a connection since its last response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing; it can carry another request.
+    Reusable,
+    /// It has ended.
+    Ended,
+    /// Data has arrived that belongs to no response.
+    ExcessData,
+}
+
 /// An open connection. Dropping it closes the socket, which is the only way to cancel a request.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<hyper::Result<()>>,
     stream: Rc<TcpStream>,
     byte_counter: Rc<ByteCounter>,
-    is_reused: bool,
 }
 
 impl Connection {
@@ -83,7 +93,7 @@
         // Nothing needs to watch this task: a broken connection fails the request that is on it, and a
         // closed idle connection is detected before its next use.
         let task = tokio::task::spawn_local(connection);
-        Ok(Self { sender, task, stream, byte_counter, is_reused: false })
+        Ok(Self { sender, task, stream, byte_counter })
     }
 
     /// Increments `counter` once `request_length` bytes of the next request are written.
@@ -91,19 +101,26 @@
         self.byte_counter.count_when_written(request_length, counter.clone());
     }
 
-    /// Sends one request and returns the head of its response. Never retries.
+    /// Sends one request and returns the head of its response. Never retries. On a used connection nothing is
+    /// written if anything has arrived before the first byte.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.byte_counter.reset();
+        self.byte_counter.begin_request();
         let byte_counter = self.byte_counter.clone();
         let sent = tokio::select! {
             biased;
             sent = self.sender.try_send_request(request) => sent,
             () = head_timeout(&byte_counter) => return Err(SendError::HeadTimeout),
         };
-        sent.map_err(|mut error| match error.take_message() {
-            Some(_) if byte_counter.bytes_written() == 0 => SendError::NotSent,
-            _ => SendError::Broken(error.into_error()),
-        })
+        match sent {
+            Ok(_) if byte_counter.bytes_written() == 0 => {
+                // It arrived before the request, so it is the response to none.
+                byte_counter.mark_excess_data();
+                Err(SendError::NotSent)
+            }
+            Ok(response) => Ok(response),
+            Err(_) if byte_counter.bytes_written() == 0 => Err(SendError::NotSent),
+            Err(error) => Err(SendError::Broken(error.into_error())),
+        }
     }
 
     /// Reads a response to its end. A body that is longer than `max_bytes`, or not received within
@@ -114,51 +131,58 @@
         }
         let read = async {
             let is_complete = discard(Limited::new(body, max_bytes)).await;
-            let is_ready = self.ready().await;
-            is_complete.then_some(is_ready)
-        };
-        match timeout(RESPONSE_BODY_TIMEOUT, read).await {
-            Err(_) | Ok(None) => ResponseRemainder::Incomplete,
-            Ok(Some(true)) => {
-                // The counts of this exchange must not be taken for those of the next request, which may be
-                // cancelled before it is sent.
-                self.byte_counter.reset();
-                ResponseRemainder::Complete
+            let remainder = self.finish_exchange().await;
+            if is_complete {
+                remainder
+            } else {
+                ResponseRemainder::Incomplete
             }
-            Ok(Some(false)) => self.closed_remainder().await,
-        }
+        };
+        timeout(RESPONSE_BODY_TIMEOUT, read).await.unwrap_or(ResponseRemainder::Incomplete)
     }
 
-    /// Determines why the connection ended after a complete response: unexpected bytes end it with an
-    /// error, a close does not.
-    async fn closed_remainder(&mut self) -> ResponseRemainder {
+    /// Waits until a response whose body was read to its end is over, and determines whether the connection
+    /// can carry another request. Unexpected bytes end a connection with an error, a close does not.
+    pub async fn finish_exchange(&mut self) -> ResponseRemainder {
+        if self.sender.ready().await.is_ok() {
+            self.byte_counter.end_exchange();
+            return ResponseRemainder::Complete;
+        }
         match (&mut self.task).await {
             Ok(Ok(())) => ResponseRemainder::CompleteAndClosed,
             Ok(Err(_)) | Err(_) => ResponseRemainder::ExcessData,
         }
     }
 
-    /// Waits until another request can be sent. Returns false if the connection has ended.
-    pub async fn ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
+    /// Whether another request can be sent, as far as what has arrived was read. What was not read yet is
+    /// noticed when the request is written.
+    pub fn idle_state(&self) -> IdleState {
+        if self.byte_counter.has_excess_data() {
+            IdleState::ExcessData
+        } else if self.sender.is_ready() {
+            IdleState::Reusable
+        } else {
+            IdleState::Ended
+        }
     }
 
-    /// Whether another request can be sent and nothing has arrived since the last response. Peeks at the
-    /// socket, since bytes that have arrived but were not read yet would be taken for the response to the
-    /// next request.
-    pub fn is_reusable(&self) -> bool {
-        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
-        self.sender.is_ready() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    /// Whether another request can be sent. Unlike [`Self::idle_state`], looks at the socket.
+    pub fn inspect(&self) -> IdleState {
+        match SocketState::of(&self.stream) {
+            SocketState::Empty => self.idle_state(),
+            SocketState::Ended => IdleState::Ended,
+            SocketState::Data => IdleState::ExcessData,
+        }
     }
 
-    /// Whether the connection has carried an earlier request.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
+    /// Whether data has arrived that belongs to no response.
+    pub fn has_excess_data(&self) -> bool {
+        self.byte_counter.has_excess_data()
     }
 
-    /// Marks the connection as one that has carried a request.
-    pub fn mark_reused(&mut self) {
-        self.is_reused = true;
+    /// Whether the connection has carried another request before the current one.
+    pub fn is_reused(&self) -> bool {
+        self.byte_counter.is_reused()
     }
 
     /// Number of bytes of the last request that were written.
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -7,6 +7,12 @@
 
 mod byte_counter;
 mod connection;
+mod socket_state;
 mod status_line;
 
-pub use self::connection::{Connection, ResponseRemainder, SendError};
+pub use self::connection::{Connection, IdleState, ResponseRemainder, SendError};
+
+use std::time::Duration;
+
+/// Time for which no connection to a peer is reused after it has sent data that belongs to no response.
+pub const EXCESS_DATA_MEMORY: Duration = Duration::from_secs(60);
--- a/crates/message-sender/src/instrumented_stream.rs
+++ b/crates/message-sender/src/instrumented_stream.rs
@@ -23,6 +23,10 @@
     fn read(&self, bytes: &[u8]);
     /// Called with the number of bytes that the kernel has accepted.
     fn written(&self, bytes: usize);
+    /// Called right before each write. If it returns an error, nothing is written.
+    fn before_write(&self, _stream: &TcpStream) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// A stream with its observer. The stream is shared, so that its owner can inspect the socket.
@@ -47,6 +51,7 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(context))?;
+            self.observer.before_write(&self.stream)?;
             match write(&self.stream) {
                 Err(error) if should_retry_io(&error) => {}
                 written => {
--- a/crates/message-sender/src/metrics.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -27,12 +27,21 @@
     failed: Cell<u64>,
 }
 
+/// Counters that deliveries update.
+#[derive(Clone, Default)]
+pub struct DeliveryCounters {
+    /// Attempts whose request was written to an endpoint in full.
+    pub attempts_written: Rc<Cell<u64>>,
+    /// Times that an endpoint has sent data that belonged to no response.
+    pub excess_data: Rc<Cell<u64>>,
+}
+
 /// The counters and gauges of this process.
 #[derive(Default)]
 pub struct Metrics {
     classes: Vec<ClassMetrics>,
-    /// Attempts whose request was written to an endpoint in full.
-    pub attempts: Rc<Cell<u64>>,
+    /// Counters that deliveries update.
+    pub delivery: DeliveryCounters,
     /// Messages that have not ended, or whose notice is not acknowledged.
     pub in_progress: Cell<usize>,
     /// Endpoints in the endpoint list.
@@ -74,10 +83,11 @@
             append_counter(&mut text, &format!("dropped.{}", class.name), class.rejected.get());
             append_counter(&mut text, &format!("bad_gateway.{}", class.name), class.failed.get());
         }
-        append_counter(&mut text, "upstream_tries", self.attempts.get());
+        append_counter(&mut text, "upstream_tries", self.delivery.attempts_written.get());
         append_gauge(&mut text, "in_progress", self.in_progress.get());
         append_gauge(&mut text, "known_endpoints", self.known_endpoints.get());
         append_gauge(&mut text, "skipped_endpoints", self.skipped_endpoints.get());
+        append_counter(&mut text, "excess_data", self.delivery.excess_data.get());
         append_counter(&mut text, "invariant_violations", self.invariant_violations.get());
         text
     }
--- a/crates/message-sender/src/process/startup.rs
+++ b/crates/message-sender/src/process/startup.rs
@@ -52,7 +52,7 @@
         }
         signals.spawn_handlers(discovery_sender, serving_state.clone(), event_sender.clone());
         let shares = config.limits.shares(config.settings.limits.max_in_flight);
-        let delivery = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.attempts.clone());
+        let delivery = DeliveryClient::new(&config.settings.limits, shares.idle, metrics.delivery.clone());
         let limiter = ConnectionLimiter::new(shares.clients, shares.request_bodies);
         let client_api = Rc::new(ClientApi {
             settings: config.settings.clone(),
