Let the controller alone number attempts, and compare its attempts with the calls at a handover

Attempts that could not connect or were not sent are in the first count alone. The end of each later attempt had a lower number than the attempt; Turn::record_attempt_end dropped it without a word, and the attempt held its permit for ever. A second gap of the same kind: a cancelled attempt left the event loop's list before it had ended, so neither the successor nor the relay waited for it.

Change: Action::Send carries the number; nobody else counts. Cancelled attempts stay in flight until they end. An end without an attempt, and an attempt without a call, are counted as EndHasAttempt and AttemptHasCall, at each handover and once a second. A final end without an attempt still ends its message.

--- a/crates/delivery-control/src/action.rs
+++ b/crates/delivery-control/src/action.rs
@@ -6,10 +6,12 @@
 /// An instruction to the host, which carries out actions in the order given.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Make an attempt: send a message to an endpoint. The attempts of a message are numbered from 0.
+    /// Make an attempt: send a message to an endpoint.
     Send {
         /// The message.
         id: MessageId,
+        /// Number of the attempt. The attempts of a message are numbered from 0, by the controller alone.
+        attempt: u32,
         /// The endpoint.
         endpoint: EndpointId,
         /// Timeout of this attempt in µs, including the time to connect.
--- a/crates/delivery-control/src/controller.rs
+++ b/crates/delivery-control/src/controller.rs
@@ -5,8 +5,11 @@
 
 use crate::diagnostics::BacklogReporter;
 use crate::model::{Context, RareCallRate, State, Subscription, TenantQuotas};
+use crate::reconciliation::{self, AttemptReconciliation};
 use crate::turn::Turn;
-use crate::{endpoints, ordering, Action, EndpointId, Event, MessageId, Micros, Settings, SettingsError};
+use crate::{
+    endpoints, ordering, Action, AttemptId, EndpointId, Event, MessageId, Micros, Settings, SettingsError,
+};
 
 /// Decides for one sender which messages go where and when. Its serialized form is the state that one process
 /// hands over to the next.
@@ -65,6 +68,27 @@
         self.state.endpoints.manually_drained()
     }
 
+    /// The messages that the controller holds.
+    pub fn messages(&self) -> impl Iterator<Item = MessageId> + '_ {
+        self.state.messages.ids()
+    }
+
+    /// Whether an attempt is in flight: its end has not been reported.
+    pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
+        self.state.in_flight.contains(attempt.into())
+    }
+
+    /// The attempts in flight, also those that were cancelled and whose end has not been reported.
+    pub fn attempts_in_flight(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        self.state.in_flight.attempts().map(|(key, _)| (*key).into())
+    }
+
+    /// Compares the attempts in flight with those that the predecessor says its calls carry, and adopts the
+    /// predecessor's number where only the number of a message's attempt differs.
+    pub fn reconcile_attempts(&mut self, carried: &[AttemptId]) -> AttemptReconciliation {
+        reconciliation::reconcile(&mut self.state.in_flight, carried)
+    }
+
     /// Number of listed endpoints that get no calls now: draining, drained by an operator, or ejected with no
     /// probe due.
     pub fn avoided_endpoint_count(&self) -> usize {
--- a/crates/delivery-control/src/dispatch.rs
+++ b/crates/delivery-control/src/dispatch.rs
@@ -74,8 +74,8 @@
         let start_deadline = retry::latest_start(self.context, message);
         let joined = self.state.in_flight.join_batch(to);
         let call = joined.unwrap_or_else(|| self.start_call(to, jitter_sample));
-        self.state.record_attempt(self.context, id, to, call);
-        self.actions.push(Action::Send { id, endpoint: to, timeout, start_deadline });
+        let attempt = self.state.record_attempt(self.context, id, to, call);
+        self.actions.push(Action::Send { id, attempt, endpoint: to, timeout, start_deadline });
     }
 
     /// Starts a call, and updates the endpoint's connections and health and the route's rate limit.
--- a/crates/delivery-control/src/invariants.rs
+++ b/crates/delivery-control/src/invariants.rs
@@ -10,6 +10,7 @@
 
 use crate::event::{AmbiguousAttempt, AttemptOutcome};
 use crate::ids::{DestinationId, MessageId, Micros};
+use crate::invariant::Invariant;
 use crate::settings::{Idempotency, IdempotencyScope};
 
 /// Allowed time in µs from a decision to the first byte, since the process may be delayed in between.
@@ -17,54 +18,6 @@
 /// The platform counts a message as lost this long after its deadline, in µs.
 const END_GRACE: Micros = 300_000;
 
-/// An invariant. Each variant is named after the rule, and described by what violates it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Invariant {
-    /// An attempt starts while another one of the message is in flight.
-    OneAttemptAtATime,
-    /// An attempt starts for a message that has ended.
-    NoAttemptAfterEnd,
-    /// An attempt goes to an endpoint of another destination.
-    OwnDestination,
-    /// An attempt repeats one that may have taken effect, although the message may not be repeated.
-    NoUnsafeRepeat,
-    /// A repeat under an idempotency key starts outside the key's window or zone.
-    RepeatWithinWindow,
-    /// An attempt starts after the message's deadline.
-    NoAttemptAfterDeadline,
-    /// An attempt starts while an earlier message of its order key is open, or has an unacknowledged
-    /// notice.
-    OrderOfKey,
-    /// A message ends after the platform has counted it as lost.
-    EndInTime,
-    /// The journal holds a message as open that is not open in the process.
-    JournalHoldsNoOrphan,
-    /// A message is open in the process, but not in the journal.
-    OpenMessageIsJournalled,
-    /// A client's request was received in full, but this sender closed its connection without an answer.
-    RequestIsAnswered,
-    /// An endpoint counts as drained by an operator, but no operator has drained it.
-    DrainedByOperator,
-}
-
-impl Invariant {
-    /// All invariants, in the order of the metrics.
-    pub const ALL: [Self; 12] = [
-        Self::OneAttemptAtATime,
-        Self::NoAttemptAfterEnd,
-        Self::OwnDestination,
-        Self::NoUnsafeRepeat,
-        Self::RepeatWithinWindow,
-        Self::NoAttemptAfterDeadline,
-        Self::OrderOfKey,
-        Self::EndInTime,
-        Self::JournalHoldsNoOrphan,
-        Self::OpenMessageIsJournalled,
-        Self::RequestIsAnswered,
-        Self::DrainedByOperator,
-    ];
-}
-
 /// What the guard must know about a message when the message is accepted or recovered.
 #[derive(Debug, Clone)]
 pub struct GuardedMessage {
--- a/crates/delivery-control/src/lib.rs
+++ b/crates/delivery-control/src/lib.rs
@@ -18,11 +18,13 @@
 mod event;
 mod health;
 mod ids;
+mod invariant;
 mod invariants;
 mod model;
 mod ordering;
 mod outlier_detection;
 mod rate_limit;
+mod reconciliation;
 mod retry;
 mod settings;
 mod subscription;
@@ -35,8 +37,10 @@
     AmbiguousAttempt, AttemptEnd, AttemptOutcome, EndpointEntry, Event, ListingState, LoadReport,
     MaintenanceCommand, MessageSubmission, UpdateKind,
 };
-pub use ids::{DestinationId, EndpointId, MessageId, Micros};
-pub use invariants::{AttemptGuard, AttemptStarting, GuardedMessage, Invariant};
+pub use ids::{AttemptId, DestinationId, EndpointId, MessageId, Micros};
+pub use invariant::Invariant;
+pub use invariants::{AttemptGuard, AttemptStarting, GuardedMessage};
+pub use reconciliation::AttemptReconciliation;
 pub use settings::{
     DestinationKind, DiscoveryMode, Idempotency, IdempotencyScope, Limits, MessageClass, Prices, Rules,
     Settings, SettingsError, Tenant, ValueDecay, Zone,
--- a/crates/delivery-control/src/model/in_flight.rs
+++ b/crates/delivery-control/src/model/in_flight.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::event::{AttemptEnd, AttemptOutcome};
-use crate::ids::{EndpointId, MessageId, Micros};
+use crate::ids::{AttemptId, EndpointId, MessageId, Micros};
 use crate::model::Endpoint;
 
 /// Identifies a call; never reused during the life of a controller.
@@ -19,6 +19,18 @@
     pub number: u32,
 }
 
+impl From<AttemptId> for AttemptKey {
+    fn from(id: AttemptId) -> Self {
+        Self { message: id.message_id, number: id.attempt }
+    }
+}
+
+impl From<AttemptKey> for AttemptId {
+    fn from(key: AttemptKey) -> Self {
+        Self { message_id: key.message, attempt: key.number }
+    }
+}
+
 /// An attempt without an outcome yet. Its message may already have ended.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Attempt {
@@ -160,6 +172,17 @@
         self.attempts.remove(&key)
     }
 
+    pub fn contains(&self, key: AttemptKey) -> bool {
+        self.attempts.contains_key(&key)
+    }
+
+    /// Gives an attempt another number, under which it is not cancelled.
+    pub fn renumber(&mut self, from: AttemptKey, to: AttemptKey) {
+        if let Some(attempt) = self.attempts.remove(&from) {
+            self.attempts.insert(to, Attempt { cancelled: false, ..attempt });
+        }
+    }
+
     pub fn mark_cancelled(&mut self, key: AttemptKey) {
         if let Some(attempt) = self.attempts.get_mut(&key) {
             attempt.cancelled = true;
--- a/crates/delivery-control/src/model/message.rs
+++ b/crates/delivery-control/src/model/message.rs
@@ -90,6 +90,10 @@
         self.messages.contains_key(&id)
     }
 
+    pub fn ids(&self) -> impl Iterator<Item = MessageId> + '_ {
+        self.messages.keys().copied()
+    }
+
     pub fn len(&self) -> usize {
         self.messages.len()
     }
--- a/crates/delivery-control/src/model/state.rs
+++ b/crates/delivery-control/src/model/state.rs
@@ -85,9 +85,9 @@
         self.wake_ups.mark_dirty(message.destination);
     }
 
-    /// Records that an attempt of a waiting message was sent in a call.
-    pub fn record_attempt(&mut self, context: Context, id: MessageId, to: EndpointId, call: CallId) {
-        let Some(message) = self.messages.get_mut(id) else { return };
+    /// Records that an attempt of a waiting message is sent in a call. Returns the number of the attempt.
+    pub fn record_attempt(&mut self, context: Context, id: MessageId, to: EndpointId, call: CallId) -> u32 {
+        let Some(message) = self.messages.get_mut(id) else { return 0 };
         let key = AttemptKey { message: id, number: message.attempts };
         let attempt = Attempt {
             endpoint: to,
@@ -101,6 +101,7 @@
         message.recovered_unattempted = false;
         message.in_flight = true;
         self.endpoints.destination_mut(message.destination).waiting.remove(&id);
+        key.number
     }
 }
 
--- a/crates/delivery-control/src/turn.rs
+++ b/crates/delivery-control/src/turn.rs
@@ -82,7 +82,12 @@
     /// Applies the end of an attempt to its call, route, order key and message.
     pub fn record_attempt_end(&mut self, end: &AttemptEnd) {
         let key = AttemptKey { message: end.id, number: end.attempt };
-        let Some(attempt) = self.state.in_flight.remove_attempt(key) else { return };
+        let Some(attempt) = self.state.in_flight.remove_attempt(key) else {
+            if end.is_final {
+                self.remove(end.id);
+            }
+            return;
+        };
         // Each outcome of a batch may carry a Retry-After and a load report, not only the last one.
         self.state.record_limits(self.context, &attempt, end);
         let result = AttemptResult::new(&attempt, end, self.state.endpoints.get(attempt.endpoint));
--- a/crates/delivery-control/tests/controller/main.rs
+++ b/crates/delivery-control/tests/controller/main.rs
@@ -12,6 +12,7 @@
 mod many_senders;
 mod ordering;
 mod rate_limit;
+mod reconciliation;
 mod recovery;
 mod retry;
 mod settings;
--- a/crates/delivery-control/tests/module_limits.rs
+++ b/crates/delivery-control/tests/module_limits.rs
@@ -13,13 +13,14 @@
 const SOURCE_FOLDER: &str = "crates/delivery-control/src";
 
 /// Source files without policy: public types, state records, containers, and texts for the log.
-const NON_POLICY_FILES: [&str; 19] = [
+const NON_POLICY_FILES: [&str; 20] = [
     "action.rs",
     "backlog.rs",
     "controller.rs",
     "diagnostics.rs",
     "event.rs",
     "ids.rs",
+    "invariant.rs",
     "lib.rs",
     "model/choice.rs",
     "model/endpoint.rs",
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -10,11 +10,11 @@
 use super::audit::check_start;
 use super::journal_sync::UnrecordedStep;
 use super::EventLoop;
-use crate::attempt_id::AttemptId;
 use crate::delivery::{AttemptPhase, Call};
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::journal::AttemptStart;
 use crate::time::{duration, micros};
+use delivery_control::AttemptId;
 
 /// The time limits that the controller sets for an attempt.
 #[derive(Debug, Clone, Copy)]
@@ -31,20 +31,17 @@
     pub(super) fn start_attempt(
         &mut self,
         now: Micros,
-        id: MessageId,
+        attempt_id: AttemptId,
         endpoint: EndpointId,
         limits: AttemptLimits,
     ) {
-        let Some(call) = self.prepare_call(now, id, endpoint, limits) else {
-            self.report_not_sent(id, endpoint);
+        let AttemptId { message_id, attempt } = attempt_id;
+        let Some(call) = self.prepare_call(now, attempt_id, endpoint, limits) else {
+            self.report_not_sent(attempt_id, endpoint);
             return;
         };
-        let attempt = self.count_attempt(id);
-        if attempt == 0 {
-            self.record_first_attempt(now, id);
-        }
-        tracing::debug!(message_id = id, attempt, endpoint, timeout_us = limits.timeout, "attempt started");
-        let attempt_id = AttemptId { message_id: id, attempt };
+        self.record_attempt(now, message_id);
+        tracing::debug!(message_id, attempt, endpoint, timeout_us = limits.timeout, "attempt started");
         let cancelled = self.in_flight.start(attempt_id);
         self.spawn_call(attempt_id, call, cancelled);
     }
@@ -54,10 +51,11 @@
     fn prepare_call(
         &self,
         now: Micros,
-        id: MessageId,
+        attempt_id: AttemptId,
         endpoint: EndpointId,
         limits: AttemptLimits,
     ) -> Option<Call> {
+        let AttemptId { message_id: id, attempt } = attempt_id;
         let registered = self.registry.get(endpoint)?;
         let message = self.open_messages.get(id)?;
         // Not sending the message does less harm than sending it to another destination.
@@ -79,7 +77,7 @@
                 AttemptStart { sent_at: now, zone: registered.zone as u64 },
                 AttemptStarting {
                     id,
-                    attempt: message.attempts,
+                    attempt,
                     destination: registered.route.destination,
                     zone: registered.zone,
                 },
@@ -87,23 +85,18 @@
         })
     }
 
-    /// Counts an attempt of a message and returns the attempt's number, counted from 0.
-    fn count_attempt(&mut self, id: MessageId) -> u32 {
-        let Some(message) = self.open_messages.get_mut(id) else { return 0 };
-        let attempt = message.attempts;
-        message.attempts += 1;
-        attempt
-    }
-
-    fn record_first_attempt(&mut self, now: Micros, id: MessageId) {
-        if let Some(message) = self.open_messages.get(id) {
+    /// Records that a message is attempted, and how long it waited for its first attempt.
+    fn record_attempt(&mut self, now: Micros, id: MessageId) {
+        let Some(message) = self.open_messages.get_mut(id) else { return };
+        if !message.is_attempted {
+            message.is_attempted = true;
             self.summary.record_first_attempt(now - message.accepted_at);
         }
     }
 
     /// Reports to the controller that an attempt was not sent because no call could be built for it.
-    fn report_not_sent(&mut self, id: MessageId, endpoint: EndpointId) {
-        let attempt = self.count_attempt(id);
+    fn report_not_sent(&mut self, attempt_id: AttemptId, endpoint: EndpointId) {
+        let AttemptId { message_id: id, attempt } = attempt_id;
         self.events.push(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
--- a/crates/message-sender/src/event_loop/audit.rs
+++ b/crates/message-sender/src/event_loop/audit.rs
@@ -101,7 +101,9 @@
     }
 
     /// If an audit is due, checks that the journal and the guard hold the same open messages, that none of them
-    /// is overdue, and that the controller drains no endpoint that operators have not drained.
+    /// is overdue, that the controller drains no endpoint that operators have not drained, and that a call
+    /// carries each of its attempts. The last two are not checked while the controller has yet to learn of
+    /// events, or no longer does.
     pub(super) fn audit(&mut self) {
         if !self.audits.take_due() || self.audits.is_recovering() {
             return;
@@ -112,15 +114,22 @@
         for id in guard.overdue(self.clock.now()) {
             self.invariants.report(Invariant::EndInTime, ViolationSubject::Message(id));
         }
-        self.report_unnamed_drains();
+        if !self.shutdown.attempts_have_stopped() && self.events.is_empty() {
+            self.report_unnamed_drains();
+            self.report_attempts_without_call();
+        }
+    }
+
+    /// Reports attempts that the controller has in flight although no call carries them.
+    fn report_attempts_without_call(&self) {
+        for attempt_id in self.controller.attempts_in_flight().filter(|id| !self.in_flight.contains(*id)) {
+            let subject = ViolationSubject::Message(attempt_id.message_id);
+            self.invariants.report(Invariant::AttemptHasCall, subject);
+        }
     }
 
     /// Reports endpoints that the controller takes for drained by an operator, although none has drained them.
     fn report_unnamed_drains(&self) {
-        // Late in a shutdown the controller no longer learns of commands.
-        if self.shutdown.attempts_have_stopped() {
-            return;
-        }
         let drained: BTreeSet<_> = self.registry.drained_ids().collect();
         for endpoint in self.controller.drained_endpoints().filter(|endpoint| !drained.contains(endpoint)) {
             self.invariants.report(Invariant::DrainedByOperator, ViolationSubject::Endpoint(endpoint));
--- a/crates/message-sender/src/event_loop/completion.rs
+++ b/crates/message-sender/src/event_loop/completion.rs
@@ -52,17 +52,21 @@
     /// Counts and logs a message that the controller rejects or fails.
     pub(super) fn count_undelivered(&mut self, id: MessageId, outcome: MessageOutcome) {
         let Some(message) = self.open_messages.get(id) else { return };
-        let cause = match (outcome, message.attempts, message.origin) {
-            (MessageOutcome::Rejected, 0, MessageOrigin::Recovered) => UndeliveredCause::RecoveredUnattempted,
-            (MessageOutcome::Rejected, 0, MessageOrigin::Submitted) => UndeliveredCause::RejectedUnattempted,
-            (MessageOutcome::Rejected, _, _) => UndeliveredCause::RejectedAttempted,
+        let cause = match (outcome, message.is_attempted, message.origin) {
+            (MessageOutcome::Rejected, true, _) => UndeliveredCause::RejectedAttempted,
+            (MessageOutcome::Rejected, false, MessageOrigin::Recovered) => {
+                UndeliveredCause::RecoveredUnattempted
+            }
+            (MessageOutcome::Rejected, false, MessageOrigin::Submitted) => {
+                UndeliveredCause::RejectedUnattempted
+            }
             _ => UndeliveredCause::Failed,
         };
         tracing::debug!(
             message_id = id,
             call_id = message.call_id,
             ?cause,
-            attempts = message.attempts,
+            is_attempted = message.is_attempted,
             "message rejected or failed"
         );
         self.summary.count_undelivered(cause, message.destination);
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -1,13 +1,14 @@
 //! Handles events from socket tasks and reports them to the controller.
 
-use delivery_control::{AttemptEnd, Event, MessageId};
+use delivery_control::{AttemptEnd, Event, Invariant, MessageId};
 
 use super::completion::final_outcome;
 use super::EventLoop;
-use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
 use crate::endpoint_registry::RegistryUpdate;
 use crate::event::{FinishedAttempt, SenderEvent};
+use crate::invariants::ViolationSubject;
+use delivery_control::AttemptId;
 
 impl EventLoop {
     /// Handles an event that a socket task reported.
@@ -48,6 +49,9 @@
     fn handle_attempt_end(&mut self, finished: FinishedAttempt) {
         let FinishedAttempt { attempt_id, endpoint, elapsed, result } = finished;
         let AttemptId { message_id, attempt } = attempt_id;
+        if !self.controller.is_in_flight(attempt_id) {
+            self.invariants.report(Invariant::EndHasAttempt, ViolationSubject::Message(message_id));
+        }
         self.in_flight.remove(attempt_id);
         self.guard.borrow_mut().end_attempt(message_id, attempt, result.outcome);
         if let Some(registered) = self.registry.get(endpoint) {
--- a/crates/message-sender/src/event_loop/handover.rs
+++ b/crates/message-sender/src/event_loop/handover.rs
@@ -56,7 +56,7 @@
         delivery.suspend();
         handover::commit(&mut stream, lock).await;
         tracing::info!(in_flight = in_flight.len(), "handed over");
-        let predecessor = Predecessor::new(stream, in_flight.into_cancel_handles(), shutdown.requested_at());
+        let predecessor = Predecessor::new(stream, in_flight, shutdown.requested_at());
         LoopEnd::HandedOver(predecessor)
     }
 }
--- a/crates/message-sender/src/event_loop/open_messages.rs
+++ b/crates/message-sender/src/event_loop/open_messages.rs
@@ -26,8 +26,8 @@
     pub destination: DestinationId,
     /// The body of the message.
     pub body: Bytes,
-    /// Number of attempts made so far.
-    pub attempts: u32,
+    /// Whether an attempt of it was made, by this process or an earlier one. The controller counts them.
+    pub is_attempted: bool,
     /// When this process accepted or recovered it, in microseconds of the journal's clock.
     pub accepted_at: Micros,
     /// When it must have ended, in microseconds of the journal's clock.
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 use delivery_control::{
-    Controller, EndpointId, Event, Invariant, MaintenanceCommand, MessageId, MessageSubmission, SettingsError,
+    AttemptEnd, AttemptId, AttemptOutcome, AttemptReconciliation, Controller, EndpointId, Event, Invariant,
+    MaintenanceCommand, MessageId, MessageSubmission, SettingsError,
 };
 
 use super::audit::{ambiguous_attempt, first_ambiguous, GuardRegistration};
@@ -12,7 +13,6 @@
 use super::open_messages::{MessageOrigin, OpenMessage};
 use super::timers::Timers;
 use super::{EventLoop, EventLoopConfig, InitialState};
-use crate::attempt_id::AttemptId;
 use crate::endpoint_list::EndpointList;
 use crate::endpoint_registry::EndpointRegistry;
 use crate::handover::relay::RemoteAttempt;
@@ -22,6 +22,9 @@
 use crate::machine_clock::MachineTime;
 use crate::notice::{Notice, NoticeResult};
 
+/// Stands for the endpoint of an attempt that no call carries; no endpoint has this id.
+const UNKNOWN_ENDPOINT: EndpointId = 0;
+
 /// Number of entries of each kind in the journal at the start, for the log.
 #[derive(Default)]
 struct RecoveryCounts {
@@ -144,7 +147,12 @@
     }
 
     /// Opens the messages that the predecessor's controller holds, with the predecessor's attempts in flight.
-    fn resume(&mut self, attempts_in_flight: Vec<AttemptId>) -> Vec<RemoteAttempt> {
+    fn resume(&mut self, mut attempts_in_flight: Vec<AttemptId>) -> Vec<RemoteAttempt> {
+        let AttemptReconciliation { lost, ending } = self.controller.reconcile_attempts(&attempts_in_flight);
+        attempts_in_flight.extend(&ending);
+        for attempt_id in lost {
+            self.end_lost_attempt(attempt_id);
+        }
         for (id, entry) in self.journal_entries() {
             match entry {
                 JournalEntry::PendingNotice(notice, order_key) => {
@@ -167,10 +175,44 @@
             let cancelled = self.in_flight.start(attempt_id);
             remote_attempts.push(RemoteAttempt { attempt_id, cancelled });
         }
+        for attempt_id in ending {
+            self.in_flight.cancel(attempt_id);
+        }
+        self.withdraw_ended_messages();
         self.record_clock_reading();
         remote_attempts
     }
 
+    /// Ends an attempt that the predecessor's controller has in flight although no call carries it. The journal
+    /// knows whether it may have taken effect.
+    fn end_lost_attempt(&mut self, attempt_id: AttemptId) {
+        let AttemptId { message_id, attempt } = attempt_id;
+        self.invariants.report(Invariant::AttemptHasCall, ViolationSubject::Message(message_id));
+        let was_started = self.journal.borrow().has_attempt_started(message_id);
+        let outcome = if was_started { AttemptOutcome::Reset } else { AttemptOutcome::NotSent };
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            id: message_id,
+            attempt,
+            endpoint: UNKNOWN_ENDPOINT,
+            outcome,
+            elapsed: 0,
+            was_started,
+            is_final: false,
+            retry_after: 0,
+            load_report: None,
+        }));
+    }
+
+    /// Withdraws messages that the predecessor's controller holds although they have ended.
+    fn withdraw_ended_messages(&mut self) {
+        let ended: Vec<_> =
+            self.controller.messages().filter(|id| !self.open_messages.contains(*id)).collect();
+        for id in ended {
+            self.invariants.report(Invariant::OpenMessageIsJournalled, ViolationSubject::Message(id));
+            self.events.push(Event::MessageWithdrawn { id });
+        }
+    }
+
     /// Limits the time left to each open message to what its class allows. A message with more time left was
     /// accepted before the clock was set back, so it is unknown how much time has passed since.
     fn limit_deadlines(&self) {
@@ -255,7 +297,7 @@
             idempotency_key: key,
             destination,
             body,
-            attempts: history.attempts,
+            is_attempted: history.attempts > 0,
             accepted_at: self.clock.now(),
             deadline,
             origin: MessageOrigin::Recovered,
--- a/crates/message-sender/src/event_loop/submissions.rs
+++ b/crates/message-sender/src/event_loop/submissions.rs
@@ -172,7 +172,7 @@
             idempotency_key: submission.key,
             destination: submission.destination,
             body: submission.body,
-            attempts: 0,
+            is_attempted: false,
             accepted_at: self.clock.now(),
             deadline,
             origin: MessageOrigin::Submitted,
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -11,15 +11,15 @@
 use tracing::subscriber::DefaultGuard;
 
 use super::clock::JournalClock;
-use super::in_flight::InFlightAttempts;
 use super::open_messages::{MessageOrigin, OpenMessage, OpenMessages};
 use super::shutdown::Shutdown;
 use super::summary::{LogSummary, UndeliveredCause};
 use super::timers::Timers;
-use crate::attempt_id::AttemptId;
 use crate::delivery::AttemptResult;
+use crate::in_flight::InFlightAttempts;
 use crate::journal::ClockReading;
 use crate::machine_clock::MachineTime;
+use delivery_control::AttemptId;
 
 /// Captures what is logged on the current test's thread.
 #[derive(Clone, Default)]
@@ -61,7 +61,7 @@
         idempotency_key: None,
         destination,
         body: Bytes::new(),
-        attempts: 0,
+        is_attempted: false,
         accepted_at: 0,
         deadline: 0,
         origin: MessageOrigin::Submitted,
@@ -134,9 +134,11 @@
     let mut in_flight = InFlightAttempts::default();
     let mut first = in_flight.start(AttemptId { message_id: 1, attempt: 0 });
     let mut second = in_flight.start(AttemptId { message_id: 1, attempt: 1 });
-    in_flight.remove(AttemptId { message_id: 1, attempt: 0 });
+    in_flight.cancel(AttemptId { message_id: 1, attempt: 0 });
     assert_eq!(first.try_recv(), Err(TryRecvError::Closed));
     assert_eq!(second.try_recv(), Err(TryRecvError::Empty));
+    assert_eq!(in_flight.len(), 2, "a cancelled attempt is in flight until it ends");
+    in_flight.remove(AttemptId { message_id: 1, attempt: 0 });
     assert_eq!(in_flight.ids(), [AttemptId { message_id: 1, attempt: 1 }]);
     drop(in_flight);
     assert_eq!(second.try_recv(), Err(TryRecvError::Closed));
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -6,8 +6,8 @@
 
 use super::attempts::AttemptLimits;
 use super::EventLoop;
-use crate::attempt_id::AttemptId;
 use crate::notice::NoticeResult;
+use delivery_control::AttemptId;
 
 impl EventLoop {
     /// Runs a turn of the controller. Clients learn whether their message was accepted before any action
@@ -49,10 +49,11 @@
 
     fn execute(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, endpoint, timeout, start_deadline } => {
-                self.start_attempt(now, id, endpoint, AttemptLimits { timeout, start_deadline });
+            Action::Send { id, attempt, endpoint, timeout, start_deadline } => {
+                let attempt_id = AttemptId { message_id: id, attempt };
+                self.start_attempt(now, attempt_id, endpoint, AttemptLimits { timeout, start_deadline });
             }
-            Action::Cancel { id, attempt } => self.in_flight.remove(AttemptId { message_id: id, attempt }),
+            Action::Cancel { id, attempt } => self.in_flight.cancel(AttemptId { message_id: id, attempt }),
             Action::Reject { id, retry_after } => {
                 self.end_with_notice(id, NoticeResult::Rejected { retry_after });
             }
--- a/crates/message-sender/src/handover/relay/predecessor.rs
+++ b/crates/message-sender/src/handover/relay/predecessor.rs
@@ -1,20 +1,20 @@
 //! The predecessor's side of the relay: it passes events on to the successor, and the successor's replies to
 //! its clients.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{interval, Instant};
 
 use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
-use crate::attempt_id::AttemptId;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::drain::DRAIN_DEADLINE;
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::handover::error::HandoverError;
 use crate::handover::protocol::{read_frame, write_frame};
 use crate::handover::stream::{HandoverStream, HandoverWriter};
+use crate::in_flight::InFlightAttempts;
 use crate::submission::{Submission, SubmissionReply};
 
 /// How often the predecessor checks whether its part is finished, and counts its connections.
@@ -39,8 +39,8 @@
     writer: HandoverWriter,
     /// The successor's frames; the channel closes when the successor has died.
     frames: mpsc::Receiver<SuccessorFrame>,
-    /// The attempts in flight with their cancellation handles; dropping a handle cancels the attempt.
-    in_flight: HashMap<AttemptId, oneshot::Sender<()>>,
+    /// The attempts in flight, also those that are cancelled and have not ended.
+    in_flight: InFlightAttempts,
     /// The submissions that have no reply yet, by number.
     pending: HashMap<u64, PendingSubmission>,
     /// The number of the last submission; 0 before the first.
@@ -56,11 +56,10 @@
 }
 
 impl Predecessor {
-    /// Starts the relay over the connection of the handover. `in_flight` holds the attempts, each with its
-    /// cancellation handle.
+    /// Starts the relay over the connection of the handover.
     pub fn new(
         stream: HandoverStream,
-        in_flight: HashMap<AttemptId, oneshot::Sender<()>>,
+        in_flight: InFlightAttempts,
         shutdown_requested_at: Option<Instant>,
     ) -> Self {
         let (reader, writer) = stream.split();
@@ -118,7 +117,7 @@
             SenderEvent::Submitted(_, reply) if reply.is_closed() => return Ok(()),
             SenderEvent::Submitted(submission, reply) => self.register(submission, reply),
             SenderEvent::AttemptEnded(finished) => {
-                self.in_flight.remove(&finished.attempt_id);
+                self.in_flight.remove(finished.attempt_id);
                 if finished.result.is_final {
                     self.final_ends.push(finished);
                 }
@@ -163,22 +162,20 @@
                     let _ = pending.reply.send(answer);
                 }
             }
-            SuccessorFrame::Cancel(attempt_id) => {
-                self.in_flight.remove(&attempt_id);
-            }
+            SuccessorFrame::Cancel(attempt_id) => self.in_flight.cancel(attempt_id),
         }
     }
 
     /// Whether the predecessor's part is finished. The first call after [`DRAIN_DEADLINE`] cancels the
-    /// attempts in flight. While clients are left, only the next call ends the relay, so that the ends of
-    /// these attempts are relayed in between.
+    /// attempts in flight. Only the next call ends the relay, so that the ends of these attempts are relayed in
+    /// between.
     fn is_finished(&mut self, limiter: &ConnectionLimiter) -> bool {
         if self.shutdown_requested_at.is_some_and(|since| since.elapsed() >= DRAIN_DEADLINE) {
             if self.attempts_cancelled {
                 return true;
             }
             self.attempts_cancelled = true;
-            self.in_flight.clear();
+            self.in_flight.cancel_all();
         }
         self.in_flight.is_empty() && self.pending.is_empty() && limiter.open_connections() == 0
     }
@@ -205,12 +202,11 @@
         for pending in self.pending.into_values() {
             missed_events.push(SenderEvent::Submitted(pending.submission, pending.reply));
         }
-        // Drops the cancellation handles, which cancels the attempts.
-        let mut in_flight: BTreeSet<AttemptId> = self.in_flight.into_keys().collect();
-        while !in_flight.is_empty() {
+        self.in_flight.cancel_all();
+        while !self.in_flight.is_empty() {
             let Some(event) = events.recv().await else { return RelayEnd::Finished };
             if let SenderEvent::AttemptEnded(finished) = &event {
-                in_flight.remove(&finished.attempt_id);
+                self.in_flight.remove(finished.attempt_id);
             }
             missed_events.push(event);
         }
--- a/crates/message-sender/src/handover/relay/successor.rs
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -8,12 +8,12 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
-use crate::attempt_id::AttemptId;
 use crate::connection_limiter::ConnectionLimiter;
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::handover::protocol::{read_frame, write_frame};
 use crate::handover::stream::{HandoverStream, HandoverWriter};
 use crate::submission::{Submission, SubmissionReply};
+use delivery_control::AttemptId;
 
 /// An attempt that the predecessor has in flight.
 pub struct RemoteAttempt {
--- a/crates/message-sender/src/journal/state.rs
+++ b/crates/message-sender/src/journal/state.rs
@@ -81,6 +81,12 @@
         matches!(self.entries.get(&id), Some(JournalEntry::Open(..)))
     }
 
+    /// Whether the journal holds the message, and its last attempt is not known to have had no effect.
+    pub(super) fn has_attempt_started(&self, id: MessageId) -> bool {
+        let Some(JournalEntry::Open(_, history)) = self.entries.get(&id) else { return false };
+        history.last_started().is_some()
+    }
+
     /// The messages that the journal holds and that have not ended.
     pub(super) fn open_messages(&self) -> impl Iterator<Item = MessageId> + '_ {
         let is_open = |entry: &JournalEntry| matches!(entry, JournalEntry::Open(..));
--- a/crates/message-sender/src/journal/writer.rs
+++ b/crates/message-sender/src/journal/writer.rs
@@ -79,6 +79,11 @@
         self.state.open_messages()
     }
 
+    /// Whether the journal holds the message, and its last attempt may have taken effect.
+    pub fn has_attempt_started(&self, id: MessageId) -> bool {
+        self.state.has_attempt_started(id)
+    }
+
     /// Whether a message with this call id was recently delivered, or recently failed after attempts.
     pub fn has_recently_ended(&self, call_id: &str) -> bool {
         self.state.recently_ended().contains(call_id)
--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -13,7 +13,6 @@
 use tokio::task::LocalSet;
 use tracing_subscriber::EnvFilter;
 
-mod attempt_id;
 mod client_api;
 mod config;
 mod connection_limiter;
@@ -27,6 +26,7 @@
 mod handover;
 mod http_body;
 mod http_connection;
+mod in_flight;
 mod instrumented_stream;
 mod invariants;
 mod journal;
--- a/crates/message-sender/tests/support/configuration.rs
+++ b/crates/message-sender/tests/support/configuration.rs
@@ -37,6 +37,8 @@
     pub idempotency: Idempotency,
     /// Limit of open file descriptors, in the configuration and for the process.
     pub max_descriptors: usize,
+    /// Number of calls that the sender may have in flight.
+    pub max_in_flight: u32,
     /// Number of senders in the deployment.
     pub sender_count: u32,
     /// Largest number of messages in the buffer.
@@ -54,6 +56,7 @@
             memory_mb: 192,
             idempotency: Idempotency::WithKey,
             max_descriptors: 256,
+            max_in_flight: 10,
             sender_count: 1,
             buffer_capacity: 50,
             is_ordered: false,
@@ -75,7 +78,7 @@
             "categories": [{"name": "notice", "effect": options.idempotency.effect(), "dedupScope": "all",
                 "windowMs": 15000.0, "aimMs": 2500.0, "deadlineMs": 24000.0, "worth": 1.0, "lateShare": 0.3,
                 "fifoByKey": options.is_ordered}],
-            "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": 10},
+            "familyInfo": {"ownLimits": [false], "bundleMax": [1], "decay": "line", "maxCalls": options.max_in_flight},
             "orgs": [{"name": options.tenant, "allowancePerS": 0.001}], "overShareWorth": 0.2,
             "membershipMode": "automatic", "weights": "none", "resolutionMs": 5.0,
             "limits": {"mostHeld": options.buffer_capacity, "sendCap": 12, "cancel": true, "retryAfter": true,
--- a/crates/message-sender/tests/support/endpoint.rs
+++ b/crates/message-sender/tests/support/endpoint.rs
@@ -53,7 +53,17 @@
 impl Endpoint {
     /// Starts an endpoint with this script.
     pub fn start(script: Vec<Reply>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::start_at("127.0.0.1:0".parse().unwrap(), script)
+    }
+
+    /// An address at which connections are refused until an endpoint is started there.
+    pub fn unused_address() -> SocketAddr {
+        TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    }
+
+    /// Starts an endpoint at this address with this script.
+    pub fn start_at(address: SocketAddr, script: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let (call_sender, calls) = channel();
         let (closed_sender, closed_connections) = channel();
--- a/crates/simulator-adapter/src/outgoing.rs
+++ b/crates/simulator-adapter/src/outgoing.rs
@@ -117,8 +117,9 @@
 impl OutgoingLine<'_> {
     fn from_action(instance: u64, action: Action) -> Self {
         match action {
-            // `start_deadline` is not needed: in the simulator, an attempt begins at the moment it is sent.
-            Action::Send { id, endpoint, timeout, start_deadline: _ } => {
+            // The simulator counts attempts by itself. `start_deadline` is not needed: in the simulator, an
+            // attempt begins at the moment it is sent.
+            Action::Send { id, attempt: _, endpoint, timeout, start_deadline: _ } => {
                 Self::Send { instance, id, endpoint, timeout_ms: millis_from_micros(timeout) }
             }
             Action::Cancel { id, attempt } => Self::Cancel { instance, id, attempt },
--- a/crates/simulator-adapter/src/outgoing/tests.rs
+++ b/crates/simulator-adapter/src/outgoing/tests.rs
@@ -17,7 +17,7 @@
 fn every_action_has_its_line() {
     let cases = [
         (
-            Action::Send { id: 1, endpoint: 2, timeout: 3_456, start_deadline: 9 },
+            Action::Send { id: 1, attempt: 0, endpoint: 2, timeout: 3_456, start_deadline: 9 },
             r#"{"event_type":"try","i":5,"req":1,"endpoint":2,"withinMs":3.456}"#,
         ),
         (Action::Cancel { id: 1, attempt: 2 }, r#"{"event_type":"retract","i":5,"req":1,"attempt":2}"#),
