Drop log lines that cannot be written instead of ending the process

Cause: the log library reports a failed write with eprintln, which panics when that fails as well.

Change: the log goes to a writer that counts a line that it cannot write and drops it; router.log_lines_lost shows the count. The final error message no longer panics either.

Evidence: a_log_that_nobody_reads_ends_no_process closes the pipe and passes; three lines were lost and the next message was delivered.

--- a/crates/message-sender/src/main.rs
+++ b/crates/message-sender/src/main.rs
@@ -5,7 +5,7 @@
 //! [`config::Config::from_environment`].
 #![forbid(unsafe_code)]
 
-use std::io;
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use anyhow::Context;
@@ -31,6 +31,7 @@
 mod invariants;
 mod journal;
 mod log_limit;
+mod log_output;
 mod machine_clock;
 mod metrics;
 mod notice;
@@ -42,6 +43,7 @@
 mod time;
 mod transient;
 
+use log_output::LogOutput;
 use transient::{is_transient, RETRY_PAUSE};
 
 /// The log filter if `RUST_LOG` is not set or is invalid.
@@ -54,7 +56,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("Error: {error:#}");
+            // The only place to report a failure to write the error is where that failed.
+            let _ = writeln!(LogOutput, "Error: {error:#}");
             ExitCode::FAILURE
         }
     }
@@ -63,7 +66,7 @@
 /// Initializes the log, which is written to standard error, one line per event.
 fn init_logging() {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_LOG_FILTER));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(|| LogOutput).with_ansi(false).init();
 }
 
 /// Runs the process on a single thread, because its parts share state without locks.
--- a/crates/message-sender/src/metrics.rs
+++ b/crates/message-sender/src/metrics.rs
@@ -7,6 +7,8 @@
 
 use deployment_config::Names;
 
+use crate::log_output::lost_lines;
+
 /// How a message ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MessageOutcome {
@@ -88,6 +90,7 @@
         append_gauge(&mut text, "known_endpoints", self.known_endpoints.get());
         append_gauge(&mut text, "skipped_endpoints", self.skipped_endpoints.get());
         append_counter(&mut text, "excess_data", self.delivery.excess_data.get());
+        append_counter(&mut text, "log_lines_lost", lost_lines());
         append_counter(&mut text, "invariant_violations", self.invariant_violations.get());
         text
     }
--- a/crates/message-sender/tests/operator_api.rs
+++ b/crates/message-sender/tests/operator_api.rs
@@ -110,6 +110,24 @@
     assert_eq!(metrics(), [2, 1, 2, calls, 0]);
 }
 
+/// Guards against a process that ends at its next log line because nobody reads its log any more.
+#[test]
+fn a_log_that_nobody_reads_ends_no_process() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    sender.await_metric("known_endpoints", 1);
+    sender.close_log();
+    let start = Instant::now();
+    while sender.metric("log_lines_lost") < 3 {
+        assert!(start.elapsed() < TIMEOUT, "no log line was lost");
+        // Each of these calls is logged.
+        assert_eq!(sender.management_status("POST", "/maintenance/enter", "s-1"), 200);
+        assert_eq!(sender.management_status("POST", "/maintenance/exit", "s-1"), 200);
+    }
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+}
+
 /// Guards against calls to an endpoint in maintenance after the operator has repeated the command, discovery
 /// has removed the endpoint and listed it again, or the process has been killed.
 #[test]
--- a/crates/message-sender/tests/support/sender_process.rs
+++ b/crates/message-sender/tests/support/sender_process.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -56,6 +58,7 @@
     pub configuration: PathBuf,
     /// The lines of its log.
     pub log: Receiver<String>,
+    is_log_closed: Arc<AtomicBool>,
 }
 
 impl SenderProcess {
@@ -83,14 +86,26 @@
         let text = configuration(options, discovery.address, known_endpoints).to_string();
         std::fs::write(&path, text).unwrap();
         let mut child = spawn(state, &path, options.max_descriptors);
-        let log = read_log(child.stderr.take().unwrap());
+        let is_log_closed = Arc::new(AtomicBool::new(false));
+        let log = read_log(child.stderr.take().unwrap(), is_log_closed.clone());
         let placeholder = "127.0.0.1:0".parse().unwrap();
-        let mut sender =
-            Self { child, address: placeholder, management: placeholder, configuration: path, log };
+        let mut sender = Self {
+            child,
+            address: placeholder,
+            management: placeholder,
+            configuration: path,
+            log,
+            is_log_closed,
+        };
         sender.management = sender.await_logged_address("management=");
         sender
     }
 
+    /// Stops reading the log: its pipe is closed after the next line.
+    pub fn close_log(&self) {
+        self.is_log_closed.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the process serves clients.
     pub fn await_ready(&mut self) {
         self.address = self.await_logged_address("listen=");
@@ -195,14 +210,17 @@
         .expect("the sender could not be started")
 }
 
-/// Reads the log until it ends, so that the sender never blocks on a full pipe.
-fn read_log(stderr: ChildStderr) -> Receiver<String> {
+/// Reads the log until it ends, so that the sender never blocks on a full pipe, or until it is to be closed.
+fn read_log(stderr: ChildStderr, is_closed: Arc<AtomicBool>) -> Receiver<String> {
     let (line_sender, lines) = channel();
     thread::spawn(move || {
         for line in BufReader::new(stderr).lines().map_while(Result::ok) {
             eprintln!("{line}");
             // The log is read on even when the test has dropped the receiver.
             let _ = line_sender.send(line);
+            if is_closed.load(Ordering::Relaxed) {
+                return;
+            }
         }
     });
     lines
