Keep the predecessor alive in the test of the list that it knows when it takes the work back

Cause: a predecessor without clients and attempts ends at its next look, which may come before it notices the death; the test left it neither. The sender behaved as designed.

Change: a client's request that is still being received keeps it, as in the older test of the same kind. What the test checks is the same.

--- a/crates/message-sender/tests/attempts_at_handovers.rs
+++ b/crates/message-sender/tests/attempts_at_handovers.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -144,6 +145,9 @@
         assert_eq!(predecessor.submit(&format!("m{number}"), 20_000, "x"), ACCEPTED);
     }
     rejecting.next_call();
+    // A request that is still being received keeps the predecessor alive after the handover.
+    let mut client = predecessor.connect();
+    client.write_all(b"POST /notice HTTP/1.1\r\n").unwrap();
     thread::sleep(SETTLING_TIME);
     hand_over_to_a_dying_successor(&predecessor, &state);
     predecessor.await_log(&["taking the work back"]);
