--- a/crates/message-sender/src/event.rs
+++ b/crates/message-sender/src/event.rs
@@ -1,13 +1,12 @@
 //! Events that socket tasks report to the event loop.
 
-use delivery_control::{EndpointId, MessageId, Micros};
+use delivery_control::{AttemptId, EndpointId, MessageId, Micros};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::delivery::AttemptResult;
 use crate::endpoint_list::EndpointList;
 use crate::submission::{Submission, SubmissionReply};
-use delivery_control::AttemptId;
 
 /// The end of an attempt. It is also sent over the relay between two processes, in this form.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
--- a/crates/message-sender/src/event_loop/attempts.rs
+++ b/crates/message-sender/src/event_loop/attempts.rs
@@ -2,7 +2,9 @@
 
 use std::rc::Rc;
 
-use delivery_control::{AttemptEnd, AttemptOutcome, AttemptStarting, EndpointId, Event, MessageId, Micros};
+use delivery_control::{
+    AttemptEnd, AttemptId, AttemptOutcome, AttemptStarting, EndpointId, Event, MessageId, Micros,
+};
 use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -14,7 +16,6 @@
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::journal::AttemptStart;
 use crate::time::{duration, micros};
-use delivery_control::AttemptId;
 
 /// The time limits that the controller sets for an attempt.
 #[derive(Debug, Clone, Copy)]
@@ -37,7 +38,7 @@
     ) {
         let AttemptId { message_id, attempt } = attempt_id;
         let Some(call) = self.prepare_call(now, attempt_id, endpoint, limits) else {
-            self.report_not_sent(attempt_id, endpoint);
+            self.report_end_without_call(attempt_id, endpoint, false);
             return;
         };
         self.record_attempt(now, message_id);
@@ -94,16 +95,23 @@
         }
     }
 
-    /// Reports to the controller that an attempt was not sent because no call could be built for it.
-    fn report_not_sent(&mut self, attempt_id: AttemptId, endpoint: EndpointId) {
-        let AttemptId { message_id: id, attempt } = attempt_id;
+    /// Reports to the controller the end of an attempt that no call carries. `was_started` tells whether the
+    /// attempt may have taken effect.
+    pub(super) fn report_end_without_call(
+        &mut self,
+        attempt_id: AttemptId,
+        endpoint: EndpointId,
+        was_started: bool,
+    ) {
+        let AttemptId { message_id, attempt } = attempt_id;
+        let outcome = if was_started { AttemptOutcome::Reset } else { AttemptOutcome::NotSent };
         self.events.push(Event::AttemptEnded(AttemptEnd {
-            id,
+            id: message_id,
             attempt,
             endpoint,
-            outcome: AttemptOutcome::NotSent,
+            outcome,
             elapsed: 0,
-            was_started: false,
+            was_started,
             is_final: false,
             retry_after: 0,
             load_report: None,
--- a/crates/message-sender/src/event_loop/events.rs
+++ b/crates/message-sender/src/event_loop/events.rs
@@ -1,6 +1,6 @@
 //! Handles events from socket tasks and reports them to the controller.
 
-use delivery_control::{AttemptEnd, Event, Invariant, MessageId};
+use delivery_control::{AttemptEnd, AttemptId, Event, Invariant, MessageId};
 
 use super::completion::final_outcome;
 use super::EventLoop;
@@ -8,7 +8,6 @@
 use crate::endpoint_registry::RegistryUpdate;
 use crate::event::{FinishedAttempt, SenderEvent};
 use crate::invariants::ViolationSubject;
-use delivery_control::AttemptId;
 
 impl EventLoop {
     /// Handles an event that a socket task reported.
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 
 use delivery_control::{
-    AttemptEnd, AttemptId, AttemptOutcome, AttemptReconciliation, Controller, EndpointId, Event, Invariant,
-    MaintenanceCommand, MessageId, MessageSubmission, SettingsError,
+    AttemptId, AttemptReconciliation, Controller, EndpointId, Event, Invariant, MaintenanceCommand,
+    MessageId, MessageSubmission, SettingsError,
 };
 
 use super::audit::{ambiguous_attempt, first_ambiguous, GuardRegistration};
@@ -18,7 +18,7 @@
 use crate::handover::relay::RemoteAttempt;
 use crate::handover::HandoverState;
 use crate::invariants::ViolationSubject;
-use crate::journal::{AcceptedMessage, AttemptHistory, Body, ClockReading, JournalEntry};
+use crate::journal::{AcceptedMessage, AttemptHistory, Body, ClockReading, Journal, JournalEntry};
 use crate::machine_clock::MachineTime;
 use crate::notice::{Notice, NoticeResult};
 
@@ -59,6 +59,11 @@
     }
 }
 
+/// The clock of a journal, continued from the last reading in it.
+fn resumed_clock(journal: &Journal) -> JournalClock {
+    JournalClock::resume(journal.clock_reading(), MachineTime::now().as_ref())
+}
+
 impl EventLoop {
     /// Creates an event loop that continues from the journal alone: with the open messages, pending notices and
     /// drained endpoints that earlier processes recorded. `cached_list` is the endpoint list that was stored
@@ -71,7 +76,7 @@
         let initial = InitialState {
             controller: Controller::new(config.settings.clone(), seed)?,
             registry: EndpointRegistry::new(config.names.clone(), config.settings.kinds.clone()),
-            clock: JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref()),
+            clock: resumed_clock(&config.journal),
             timers: Timers::default(),
         };
         let mut event_loop = Self::assemble(config, initial);
@@ -93,7 +98,7 @@
         state: HandoverState,
     ) -> Result<(Self, Vec<RemoteAttempt>), SettingsError> {
         let HandoverState { now, controller, registry, timers, in_flight, .. } = state;
-        let mut clock = JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref());
+        let mut clock = resumed_clock(&config.journal);
         clock.restore(now);
         let initial = InitialState {
             controller: controller.restore(config.settings.clone(), seed)?,
@@ -121,8 +126,7 @@
         changes: Option<EndpointList>,
     ) -> Result<Self, SettingsError> {
         let RetainedState { controller, registry, mut clock } = retained;
-        let journal_clock = JournalClock::resume(config.journal.clock_reading(), MachineTime::now().as_ref());
-        clock.restore(journal_clock.now());
+        clock.restore(resumed_clock(&config.journal).now());
         let initial = InitialState {
             controller: controller.without_messages().restore(config.settings.clone(), seed)?,
             registry,
@@ -220,21 +224,10 @@
     /// Ends an attempt that the predecessor's controller has in flight although no call carries it. The journal
     /// knows whether it may have taken effect.
     fn end_lost_attempt(&mut self, attempt_id: AttemptId) {
-        let AttemptId { message_id, attempt } = attempt_id;
+        let message_id = attempt_id.message_id;
         self.invariants.report(Invariant::AttemptHasCall, ViolationSubject::Message(message_id));
         let was_started = self.journal.borrow().has_attempt_started(message_id);
-        let outcome = if was_started { AttemptOutcome::Reset } else { AttemptOutcome::NotSent };
-        self.events.push(Event::AttemptEnded(AttemptEnd {
-            id: message_id,
-            attempt,
-            endpoint: UNKNOWN_ENDPOINT,
-            outcome,
-            elapsed: 0,
-            was_started,
-            is_final: false,
-            retry_after: 0,
-            load_report: None,
-        }));
+        self.report_end_without_call(attempt_id, UNKNOWN_ENDPOINT, was_started);
     }
 
     /// Withdraws messages that the predecessor's controller holds although they have ended.
--- a/crates/message-sender/src/event_loop/tests.rs
+++ b/crates/message-sender/src/event_loop/tests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use delivery_control::{AttemptOutcome, DestinationId, LoadReport};
+use delivery_control::{AttemptId, AttemptOutcome, DestinationId, LoadReport};
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::time::{advance, Instant};
 use tracing::subscriber::DefaultGuard;
@@ -19,7 +19,6 @@
 use crate::in_flight::InFlightAttempts;
 use crate::journal::ClockReading;
 use crate::machine_clock::MachineTime;
-use delivery_control::AttemptId;
 
 /// Captures what is logged on the current test's thread.
 #[derive(Clone, Default)]
--- a/crates/message-sender/src/event_loop/turn.rs
+++ b/crates/message-sender/src/event_loop/turn.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use delivery_control::{Action, BacklogReport, Event, MessageId, Micros};
+use delivery_control::{Action, AttemptId, BacklogReport, Event, MessageId, Micros};
 
 use super::attempts::AttemptLimits;
 use super::EventLoop;
 use crate::notice::NoticeResult;
-use delivery_control::AttemptId;
 
 impl EventLoop {
     /// Runs a turn of the controller. Clients learn whether their message was accepted before any action
--- a/crates/message-sender/src/handover/relay/mod.rs
+++ b/crates/message-sender/src/handover/relay/mod.rs
@@ -4,6 +4,7 @@
 mod predecessor;
 mod successor;
 
+use delivery_control::AttemptId;
 use serde::{Deserialize, Serialize};
 
 pub use self::predecessor::{Predecessor, RelayEnd};
@@ -11,7 +12,6 @@
 use super::protocol::Frame;
 use crate::event::FinishedAttempt;
 use crate::submission::{Submission, SubmissionReply};
-use delivery_control::AttemptId;
 
 /// Capacity of each queue of frames: those that the predecessor has read and not handled yet, and those that
 /// the successor has yet to write.
--- a/crates/message-sender/src/handover/relay/successor.rs
+++ b/crates/message-sender/src/handover/relay/successor.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use delivery_control::AttemptOutcome;
+use delivery_control::{AttemptId, AttemptOutcome};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{PredecessorFrame, SuccessorFrame, FRAME_QUEUE_CAPACITY};
@@ -13,7 +13,6 @@
 use crate::handover::protocol::{read_frame, write_frame};
 use crate::handover::stream::{HandoverStream, HandoverWriter};
 use crate::submission::{Submission, SubmissionReply};
-use delivery_control::AttemptId;
 
 /// An attempt that the predecessor has in flight.
 pub struct RemoteAttempt {
--- a/crates/message-sender/src/handover/state.rs
+++ b/crates/message-sender/src/handover/state.rs
@@ -1,11 +1,10 @@
 //! The state that a predecessor hands over.
 
-use delivery_control::{Controller, Micros};
+use delivery_control::{AttemptId, Controller, Micros};
 use deployment_config::Names;
 use serde::{Deserialize, Serialize};
 
 use crate::endpoint_registry::RegistrySnapshot;
-use delivery_control::AttemptId;
 
 /// The state of a sender between two turns, apart from its journal. The field names are part of the protocol:
 /// renaming a field requires a new [`PROTOCOL_VERSION`](super::protocol::PROTOCOL_VERSION).
