--- a/review/standins-2/src/bin/case6.rs
+++ b/review/standins-2/src/bin/case6.rs
@@ -52,7 +52,11 @@
         })?;
         let discovery = Discovery::start(record, vec![Entry::new("s-1", address, 7)])?;
         let mut site = Site::new(record)?;
-        site.configure(discovery.address, &discovery.list(), &settings(2, &format!("[{CARD_NOTICE},{CARD_PAYMENT}]")))?;
+        site.configure(
+            discovery.address,
+            &discovery.list(),
+            &settings(2, &format!("[{CARD_NOTICE},{CARD_PAYMENT}]")),
+        )?;
         let _sender = site.start(discovery.address, None)?;
         site.wait_ready(Duration::from_secs(10))?;
         let mut accepted = 0;
@@ -68,7 +72,10 @@
         }
         let runs = runs.lock().unwrap();
         let twice = runs.values().filter(|times| **times > 1).count();
-        record.line(format!("{accepted} payments taken on, {} run, {twice} of them more than once", runs.len()));
+        record.line(format!(
+            "{accepted} payments taken on, {} run, {twice} of them more than once",
+            runs.len()
+        ));
         Ok(if twice > 0 { Verdict::Broken } else { Verdict::Held })
     });
 }
--- a/review/standins-2/src/discovery.rs
+++ b/review/standins-2/src/discovery.rs
@@ -26,7 +26,16 @@
 impl Entry {
     pub fn new(name: &str, address: SocketAddr, group: u32) -> Self {
         let name = name.to_owned();
-        Self { name, address, zone: "dc1", kind: "shop-agents", group, status: "up", weight: 50.0, changed: 1 }
+        Self {
+            name,
+            address,
+            zone: "dc1",
+            kind: "shop-agents",
+            group,
+            status: "up",
+            weight: 50.0,
+            changed: 1,
+        }
     }
 
     fn json(&self) -> String {
--- a/review/standins-2/src/endpoint.rs
+++ b/review/standins-2/src/endpoint.rs
@@ -46,7 +46,14 @@
     Ok(address)
 }
 
-fn serve(name: &str, record: &Record, connection: u64, stream: TcpStream, handler: &Handler, calls: &AtomicU64) {
+fn serve(
+    name: &str,
+    record: &Record,
+    connection: u64,
+    stream: TcpStream,
+    handler: &Handler,
+    calls: &AtomicU64,
+) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -66,7 +73,8 @@
             arrived: Instant::now(),
             body: message.body,
         };
-        record.line(format!("endpoint {name}: call {} of {} on connection {connection}", call.number, call.id));
+        record
+            .line(format!("endpoint {name}: call {} of {} on connection {connection}", call.number, call.id));
         if !handler(&call, &mut writer) {
             return;
         }
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod endpoint;
 pub mod http;
+pub mod proxy;
 pub mod record;
 pub mod sender;
 
--- a/review/standins-2/src/sender.rs
+++ b/review/standins-2/src/sender.rs
@@ -69,7 +69,8 @@
     /// Prepares a temporary folder and reads the run command from the deploy file.
     pub fn new(record: &Record) -> Result<Self, String> {
         let run = run_command(Path::new("deploy/balancer.toml"))?;
-        let unique = format!("review-{}-{:?}", std::process::id(), Instant::now()).replace(|c: char| !c.is_alphanumeric(), "");
+        let unique = format!("review-{}-{:?}", std::process::id(), Instant::now())
+            .replace(|c: char| !c.is_alphanumeric(), "");
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(folder.join("state")).map_err(|error| error.to_string())?;
         Ok(Self { folder, listen: free_address(), run, record: record.clone(), starts: 0 })
@@ -92,7 +93,11 @@
     }
 
     /// Starts a process; `management` is its address for operators.
-    pub fn start(&mut self, discovery: SocketAddr, management: Option<SocketAddr>) -> Result<Process, String> {
+    pub fn start(
+        &mut self,
+        discovery: SocketAddr,
+        management: Option<SocketAddr>,
+    ) -> Result<Process, String> {
         self.starts += 1;
         let name = format!("sender {}", self.starts);
         let log = File::create(self.log(self.starts)).map_err(|error| error.to_string())?;
@@ -122,7 +127,9 @@
         let started = Instant::now();
         while started.elapsed() < limit {
             let request = "GET /healthz HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n";
-            if client::exchange(self.listen, request, Duration::from_millis(400)).is_ok_and(|answer| answer.status() == 200) {
+            if client::exchange(self.listen, request, Duration::from_millis(400))
+                .is_ok_and(|answer| answer.status() == 200)
+            {
                 self.record.line("sender: ready");
                 return Ok(());
             }
