Record what was written and received per exchange, and require proof of "never processed"

Cause: the outcome was worked out after the exchange from counters of the connection, which finish_exchange had already reset for the next request. 0 bytes written turned Error into ConnectFailed, and whatever was not known to be written counted as never processed.

Change: an Exchange holds what was written and received. The attempt keeps it, and nothing resets it. An outcome that proves that a message was not processed needs an IncompleteRequest, which exists only for a request that was never passed to a connection, or whose connection was stopped before the last byte. Otherwise the message may have been processed. A connection on which nothing was written stays with its attempt until it has been stopped.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -15,17 +15,17 @@
 use super::failure_log::FailureLog;
 use super::idle_lifetime::ReuseOutcome;
 use super::pool::ConnectionPool;
-use super::request::PreparedRequest;
-use super::response::{interpret, is_delivered};
+use super::progress::{AttemptFailure, AttemptProgress};
+use super::response::interpret;
 use super::send_restrictions::{SendRestriction, SendRestrictions};
-use crate::http_connection::{Connection, ResponseRemainder, SendError};
+use crate::http_connection::{Connection, Exchange, ResponseRemainder, SendError};
 use crate::metrics::DeliveryCounters;
 use crate::time::duration;
 use crate::transient::is_local_shortage;
 
 /// Maximum length of a response body that is read, in bytes. The body is not used, but must be read before
 /// its connection can carry another request.
-const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
+pub(super) const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
 /// Idle connections are closed after this share of the time for which endpoints keep them: an attempt that
 /// is sent while the endpoint closes the connection would end as a reset.
 const IDLE_TIME_SHARE: f64 = 0.7;
@@ -50,47 +50,6 @@
     attempts_written: Rc<Cell<u64>>,
 }
 
-/// The progress of an attempt. It remains available after the attempt is cancelled or has timed out.
-struct AttemptProgress {
-    request: PreparedRequest,
-    connection: Option<Connection>,
-    /// Whether the first byte of the request may have been sent.
-    request_started: bool,
-}
-
-impl AttemptProgress {
-    fn new(call: &Call) -> Self {
-        Self { request: PreparedRequest::new(call), connection: None, request_started: false }
-    }
-
-    /// Whether the last byte of the request has been written. An endpoint does not process a message before
-    /// it has received that byte.
-    fn is_request_written(&self) -> bool {
-        let request_length = self.request.wire_length();
-        self.connection.as_ref().is_some_and(|connection| connection.bytes_written() >= request_length)
-    }
-
-    /// Whether the status line of the response says that the message was delivered. An endpoint may send it
-    /// before the request has been written in full.
-    fn is_delivered(&self) -> bool {
-        let Some(connection) = &self.connection else { return false };
-        connection.bytes_written() > 0 && connection.response_status().is_some_and(is_delivered)
-    }
-
-    /// Corrects the outcome of an attempt without a usable response by what was written and received.
-    fn corrected_outcome(&self, outcome: AttemptOutcome) -> AttemptOutcome {
-        match outcome {
-            AttemptOutcome::NotSent => outcome,
-            // The status holds even if the rest of the response is corrupt.
-            _ if self.is_delivered() => AttemptOutcome::Delivered,
-            _ if self.is_request_written() => outcome,
-            // The endpoint has not received the last byte, without which it does not process the message.
-            AttemptOutcome::Cancelled => AttemptOutcome::NotSent,
-            _ => AttemptOutcome::ConnectFailed,
-        }
-    }
-}
-
 impl DeliveryClient {
     /// Creates a client that keeps up to `max_idle_connections`.
     pub fn new(limits: &Limits, max_idle_connections: usize, counters: DeliveryCounters) -> Rc<Self> {
@@ -111,7 +70,7 @@
     pub async fn call(self: Rc<Self>, call: Call, cancelled: oneshot::Receiver<()>) -> AttemptResult {
         let mut progress = AttemptProgress::new(&call);
         let result = self.run_to_end(&call, &mut progress, cancelled).await;
-        AttemptResult { request_started: progress.request_started, ..result }
+        AttemptResult { request_started: progress.request_started(), ..result }
     }
 
     /// Periodically closes expired connections, removes other expired state and logs failures. Never
@@ -171,31 +130,29 @@
         let ended = tokio::select! {
             biased;
             // A dropped sender cancels the attempt too: nobody is left to receive the outcome.
-            _ = cancelled => Err(AttemptOutcome::Cancelled),
+            _ = cancelled => Err(AttemptFailure::Cancelled),
             ended = self.attempt(call, progress) => ended,
-            () = sleep(call.timeout) => Err(AttemptOutcome::Timeout),
+            () = sleep(call.timeout) => Err(AttemptFailure::TimedOut),
         };
         match ended {
             Ok(result) => result,
-            Err(outcome) => self.abort(progress, outcome).await.into(),
+            Err(failure) => self.abort(progress, failure).await.into(),
         }
     }
 
     /// Closes the connection of an attempt that ended without a usable response, and determines the outcome
     /// from what was written and received.
-    async fn abort(&self, progress: &mut AttemptProgress, outcome: AttemptOutcome) -> AttemptOutcome {
+    async fn abort(&self, progress: &mut AttemptProgress, failure: AttemptFailure) -> AttemptOutcome {
         if let Some(connection) = &mut progress.connection {
             connection.stop().await;
         }
-        let is_request_written = progress.is_request_written();
-        let outcome = progress.corrected_outcome(outcome);
         // Dropping the connection closes the socket.
         if let Some(connection) = progress.connection.take() {
-            if is_request_written && !connection.has_response() {
+            if progress.lacks_response() {
                 self.failure_log.record(NO_RESPONSE.to_owned(), connection.is_reused());
             }
         }
-        outcome
+        progress.outcome(failure)
     }
 
     /// Sends the request and interprets its response. `Err` if there is no usable response.
@@ -203,7 +160,7 @@
         self: &Rc<Self>,
         call: &Call,
         progress: &mut AttemptProgress,
-    ) -> Result<AttemptResult, AttemptOutcome> {
+    ) -> Result<AttemptResult, AttemptFailure> {
         let response = self.exchange(call, progress).await?;
         let result = interpret(response.status(), response.headers());
         if result.outcome != AttemptOutcome::Delivered {
@@ -216,24 +173,25 @@
     }
 
     /// Sends the request on an idle or a new connection and returns the head of its response. Any failure
-    /// after the request has started is `Err(Reset)`.
+    /// after the request has started is `Err(Broken)`.
     async fn exchange(
         &self,
         call: &Call,
         progress: &mut AttemptProgress,
-    ) -> Result<Response<Incoming>, AttemptOutcome> {
+    ) -> Result<Response<Incoming>, AttemptFailure> {
         loop {
             let (connection, idle_for) = match self.pool.take(call.target()) {
                 Some(pooled) => (pooled.connection, Some(pooled.idle_for)),
                 None => (self.connect(call.address).await?, None),
             };
-            let connection = progress.connection.insert(connection);
+            progress.connection = Some(connection);
             if !self.may_start(call) || !(call.on_phase)(AttemptPhase::Starting) {
-                return Err(AttemptOutcome::NotSent);
+                return Err(AttemptFailure::NotStarted);
             }
-            progress.request_started = true;
-            connection.count_when_written(progress.request.wire_length(), &self.attempts_written);
-            let sent = connection.send(progress.request.to_request()).await;
+            let exchange = progress.begin_exchange(&self.attempts_written);
+            let request = progress.request().to_request();
+            let Some(connection) = &mut progress.connection else { return Err(AttemptFailure::Broken) };
+            let sent = connection.send(request, &exchange).await;
             match sent {
                 Ok(response) => {
                     self.record_reuse(idle_for, ReuseOutcome::Alive);
@@ -243,35 +201,36 @@
                 // was written: try another connection.
                 Err(SendError::NotSent) if idle_for.is_some() => {
                     (call.on_phase)(AttemptPhase::NotStarted);
-                    progress.request_started = false;
                     self.discard_connection(call.target(), progress).await;
                 }
                 Err(error) => {
-                    self.record_send_error(connection, idle_for, &error);
-                    return Err(AttemptOutcome::Reset);
+                    self.record_send_error(&exchange, idle_for, &error);
+                    return Err(AttemptFailure::Broken);
                 }
             }
         }
     }
 
-    /// Closes the connection on which nothing of an attempt was written.
+    /// Closes the connection on which nothing of an attempt was written. It stays with the attempt until it
+    /// has been stopped: the attempt may be cancelled meanwhile.
     async fn discard_connection(&self, target: Target, progress: &mut AttemptProgress) {
-        let Some(connection) = progress.connection.take() else { return };
+        let Some(connection) = &mut progress.connection else { return };
         if connection.has_excess_data() {
             self.pool.record_excess_data(target);
         }
-        connection.close().await;
+        connection.stop().await;
+        progress.revoke_exchange();
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptOutcome> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptFailure> {
         match timeout(self.connect_timeout, Connection::open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
             // A local shortage says nothing about the endpoint, which must not be ejected because of it.
             Ok(Err(error)) if is_local_shortage(&error) => {
                 self.failure_log.record(error.to_string(), false);
-                Err(AttemptOutcome::NotSent)
+                Err(AttemptFailure::NotStarted)
             }
-            Ok(Err(_)) | Err(_) => Err(AttemptOutcome::ConnectFailed),
+            Ok(Err(_)) | Err(_) => Err(AttemptFailure::NotConnected),
         }
     }
 
@@ -294,9 +253,9 @@
         self.restrictions.find(call.endpoint, call.decided_at, call.route)
     }
 
-    fn record_send_error(&self, connection: &Connection, idle_for: Option<Duration>, error: &SendError) {
+    fn record_send_error(&self, exchange: &Exchange, idle_for: Option<Duration>, error: &SendError) {
         // Any byte of a response, even of a corrupt one, shows that the connection was alive.
-        let reuse = if connection.has_response() { ReuseOutcome::Alive } else { ReuseOutcome::Reset };
+        let reuse = if exchange.has_response() { ReuseOutcome::Alive } else { ReuseOutcome::Reset };
         self.record_reuse(idle_for, reuse);
         self.failure_log.record(error.to_string(), idle_for.is_some());
     }
@@ -315,11 +274,13 @@
         progress: &mut AttemptProgress,
         result: AttemptResult,
         response: Response<Incoming>,
-    ) -> Result<AttemptResult, AttemptOutcome> {
-        let Some(connection) = progress.connection.as_mut() else { return Err(AttemptOutcome::Error) };
+    ) -> Result<AttemptResult, AttemptFailure> {
+        let Some(connection) = progress.connection.as_mut() else {
+            return Err(AttemptFailure::IncompleteResponse);
+        };
         let remainder = connection.read_remainder(response.into_body(), MAX_RESPONSE_BODY_BYTES).await;
         if remainder == ResponseRemainder::Incomplete {
-            return Err(AttemptOutcome::Error);
+            return Err(AttemptFailure::IncompleteResponse);
         }
         self.restrictions.record_retry_after(call.route, result.retry_after);
         if is_connection_rejected(connection, remainder, &result) {
--- a/crates/message-sender/src/delivery/client/tests.rs
+++ b/crates/message-sender/src/delivery/client/tests.rs
@@ -1,6 +1,7 @@
 //! Tests that send attempts to endpoints on the loopback interface.
 
 mod excess_data;
+mod outcomes;
 
 use std::cell::Cell;
 use std::future::Future;
--- a/crates/message-sender/src/delivery/mod.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -6,6 +6,7 @@
 mod failure_log;
 mod idle_lifetime;
 mod pool;
+mod progress;
 mod request;
 mod response;
 mod saturation;
--- a/crates/message-sender/src/delivery/request/tests.rs
+++ b/crates/message-sender/src/delivery/request/tests.rs
@@ -1,6 +1,7 @@
 //! Tests for the computed length of requests on the wire.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 
 use super::PreparedRequest;
 use crate::delivery::attempt::{Call, Route};
-use crate::http_connection::Connection;
+use crate::http_connection::{Connection, Exchange};
 
 const BODY: &[u8] = b"the message";
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -51,10 +52,11 @@
     let request = PreparedRequest::new(&call_to(address, idempotency_key));
     let mut connection = Connection::open(address).await.unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    let (received, sent) = tokio::join!(receive(stream), connection.send(request.to_request()));
+    let exchange = Exchange::new(request.wire_length(), &Rc::default());
+    let (received, sent) = tokio::join!(receive(stream), connection.send(request.to_request(), &exchange));
     assert!(sent.is_ok());
     assert_eq!(request.wire_length(), received);
-    assert_eq!(request.wire_length(), connection.bytes_written());
+    assert_eq!(request.wire_length(), exchange.bytes_written());
 }
 
 /// Guards against a request that counts as written in full too early or never, because its computed length
--- a/crates/message-sender/src/discovery/client.rs
+++ b/crates/message-sender/src/discovery/client.rs
@@ -1,6 +1,7 @@
 //! The HTTP client for discovery.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -127,7 +128,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), DiscoveryError> {
         if let Some(mut connection) = self.connection.take() {
-            match connection.send(request.clone()).await {
+            match connection.send(request.clone(), &Rc::default()).await {
                 Err(SendError::NotSent) if connection.has_excess_data() => self.record_excess_data(),
                 Err(SendError::NotSent) => {}
                 sent => return Ok((connection, sent?)),
@@ -136,7 +137,7 @@
         let opened = Connection::open(self.address).await;
         let mut connection =
             opened.map_err(|source| DiscoveryError::Connect { address: self.address, source })?;
-        let response = connection.send(request).await?;
+        let response = connection.send(request, &Rc::default()).await?;
         Ok((connection, response))
     }
 }
--- a/crates/message-sender/src/http_connection/byte_counter.rs
+++ b/crates/message-sender/src/http_connection/byte_counter.rs
@@ -1,58 +1,43 @@
-//! Counts the written bytes of the current request, reads the status line of its response, and notices data that
-//! belongs to no response.
+//! Assigns the bytes of a connection to its exchanges, and notices data that belongs to no response.
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
+use super::exchange::Exchange;
 use super::socket_state::SocketState;
-use super::status_line::StatusLineParser;
 use crate::instrumented_stream::StreamObserver;
-use crate::metrics::increment;
 
-/// A counter to increment once a request has been written in full.
-struct CompletionTrigger {
-    /// Length of the whole request, in bytes.
-    request_length: u64,
-    counter: Rc<Cell<u64>>,
-}
-
-/// Observes what was written and read on a connection since its last request began.
+/// Observes what is written and read on a connection, and records it in the current exchange.
 #[derive(Default)]
 pub struct ByteCounter {
     /// Number of requests that have begun.
     requests: Cell<u64>,
-    /// Whether the last response has ended and no further request has begun.
-    is_idle: Cell<bool>,
+    /// The exchange that has begun and not ended, if any.
+    exchange: RefCell<Option<Rc<Exchange>>>,
     /// Whether data has arrived that belongs to no response.
     has_excess_data: Cell<bool>,
-    /// Number of bytes of the request that the kernel has accepted.
-    written: Cell<u64>,
-    /// Set before a request is sent; removed when it fires.
-    completion_trigger: RefCell<Option<CompletionTrigger>>,
-    status_line: RefCell<StatusLineParser>,
-    /// Notified when a byte of the response has arrived.
-    response_started: Notify,
 }
 
 impl ByteCounter {
-    /// Starts over for the next request. A completion trigger that has not fired yet remains set.
-    pub fn begin_request(&self) {
+    /// Begins the next exchange.
+    pub fn begin_exchange(&self, exchange: Rc<Exchange>) {
         self.requests.set(self.requests.get() + 1);
-        self.is_idle.set(false);
-        self.written.set(0);
-        self.status_line.take();
+        self.exchange.replace(Some(exchange));
     }
 
-    /// Records that a response has ended. The counts of its exchange must not be taken for those of the next
-    /// request, which may be cancelled before it is sent.
+    /// Records that a response has ended. What arrives before the next exchange begins belongs to no response.
     pub fn end_exchange(&self) {
-        self.is_idle.set(true);
-        self.written.set(0);
-        self.status_line.take();
+        self.exchange.take();
+    }
+
+    /// Records that nothing more will be written of the current request.
+    pub fn stop_exchange(&self) {
+        if let Some(exchange) = &*self.exchange.borrow() {
+            exchange.stop();
+        }
     }
 
     /// Whether the connection has carried another request before the current one.
@@ -70,60 +55,36 @@
         self.has_excess_data.set(true);
     }
 
-    /// Sets a trigger that increments `counter` once `request_length` bytes of the next request are written.
-    pub fn count_when_written(&self, request_length: u64, counter: Rc<Cell<u64>>) {
-        self.completion_trigger.replace(Some(CompletionTrigger { request_length, counter }));
-    }
-
-    /// Number of bytes of the request that the kernel has accepted.
-    pub fn bytes_written(&self) -> u64 {
-        self.written.get()
+    /// Whether an exchange has begun whose status is not known yet.
+    pub fn awaits_status(&self) -> bool {
+        self.exchange.borrow().as_ref().is_some_and(|exchange| exchange.response_status().is_none())
     }
 
-    /// Whether any byte of the response has arrived.
-    pub fn has_response(&self) -> bool {
-        self.status_line.borrow().has_started()
-    }
-
-    /// The status of the response, once its status line is complete.
-    pub fn response_status(&self) -> Option<u16> {
-        self.status_line.borrow().status()
-    }
-
-    /// Waits until a byte of the response has arrived.
-    pub async fn wait_for_response_start(&self) {
-        while !self.has_response() {
-            self.response_started.notified().await;
-        }
+    /// Whether a byte of the current request was written.
+    fn has_written(&self) -> bool {
+        self.exchange.borrow().as_ref().is_some_and(|exchange| exchange.bytes_written() > 0)
     }
 }
 
 impl StreamObserver for ByteCounter {
     fn read(&self, bytes: &[u8]) {
-        if self.is_idle.get() {
-            self.has_excess_data.set(self.has_excess_data.get() || !bytes.is_empty());
-            return;
-        }
-        let mut status_line = self.status_line.borrow_mut();
-        status_line.read(bytes);
-        if status_line.has_started() {
-            self.response_started.notify_one();
+        match &*self.exchange.borrow() {
+            Some(exchange) => exchange.record_read(bytes),
+            None if bytes.is_empty() => {}
+            None => self.mark_excess_data(),
         }
     }
 
     fn written(&self, bytes: usize) {
-        let written = self.written.get() + bytes as u64;
-        self.written.set(written);
-        let is_complete = |trigger: &mut CompletionTrigger| written >= trigger.request_length;
-        if let Some(trigger) = self.completion_trigger.borrow_mut().take_if(is_complete) {
-            increment(&trigger.counter);
+        if let Some(exchange) = &*self.exchange.borrow() {
+            exchange.record_written(bytes);
         }
     }
 
     /// Allows the first byte of a request on a used connection only if nothing has arrived since the last
     /// response: data that is there before the request would be read as the response to it.
     fn before_write(&self, stream: &TcpStream) -> io::Result<()> {
-        if self.written.get() > 0 || !self.is_reused() {
+        if self.has_written() || !self.is_reused() {
             return Ok(());
         }
         match SocketState::of(stream) {
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -1,6 +1,5 @@
 //! An HTTP/1.1 client connection on an instrumented stream.
 
-use std::cell::Cell;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::byte_counter::ByteCounter;
+use super::exchange::Exchange;
 use super::socket_state::SocketState;
 use crate::http_body::discard;
 use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
@@ -96,29 +96,27 @@
         Ok(Self { sender, task, stream, byte_counter })
     }
 
-    /// Increments `counter` once `request_length` bytes of the next request are written.
-    pub fn count_when_written(&self, request_length: u64, counter: &Rc<Cell<u64>>) {
-        self.byte_counter.count_when_written(request_length, counter.clone());
-    }
-
-    /// Sends one request and returns the head of its response. Never retries. On a used connection nothing is
-    /// written if anything has arrived before the first byte.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.byte_counter.begin_request();
-        let byte_counter = self.byte_counter.clone();
+    /// Sends one request, whose exchange is recorded in `exchange`, and returns the head of its response. Never
+    /// retries. On a used connection nothing is written if anything has arrived before the first byte.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        exchange: &Rc<Exchange>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.byte_counter.begin_exchange(exchange.clone());
         let sent = tokio::select! {
             biased;
             sent = self.sender.try_send_request(request) => sent,
-            () = head_timeout(&byte_counter) => return Err(SendError::HeadTimeout),
+            () = head_timeout(exchange) => return Err(SendError::HeadTimeout),
         };
         match sent {
-            Ok(_) if byte_counter.bytes_written() == 0 => {
+            Ok(_) if exchange.bytes_written() == 0 => {
                 // It arrived before the request, so it is the response to none.
-                byte_counter.mark_excess_data();
+                self.byte_counter.mark_excess_data();
                 Err(SendError::NotSent)
             }
             Ok(response) => Ok(response),
-            Err(_) if byte_counter.bytes_written() == 0 => Err(SendError::NotSent),
+            Err(_) if exchange.bytes_written() == 0 => Err(SendError::NotSent),
             Err(error) => Err(SendError::Broken(error.into_error())),
         }
     }
@@ -185,22 +183,6 @@
         self.byte_counter.is_reused()
     }
 
-    /// Number of bytes of the last request that were written.
-    pub fn bytes_written(&self) -> u64 {
-        self.byte_counter.bytes_written()
-    }
-
-    /// Whether any byte of the response to the last request has arrived.
-    pub fn has_response(&self) -> bool {
-        self.byte_counter.has_response()
-    }
-
-    /// The status of the response, known once its status line has arrived, even if the rest cannot be
-    /// parsed.
-    pub fn response_status(&self) -> Option<u16> {
-        self.byte_counter.response_status()
-    }
-
     /// Ends the exchange on this connection and reads what has arrived of its response, so that the status is
     /// known even if the process was suspended or busy when it arrived. The socket stays open.
     pub async fn stop(&mut self) {
@@ -209,6 +191,7 @@
             // The only possible error is that the task was aborted.
             let _ = (&mut self.task).await;
         }
+        self.byte_counter.stop_exchange();
         self.read_arrived_status();
     }
 
@@ -217,15 +200,15 @@
         let socket = SockRef::from(&*self.stream);
         let mut buffer = [0; STATUS_READ_BYTES];
         for _ in 0..MAX_STATUS_READS {
+            if !self.byte_counter.awaits_status() {
+                return;
+            }
             match (&*socket).read(&mut buffer) {
                 Ok(bytes) if bytes > 0 => self.byte_counter.read(&buffer[..bytes]),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Nothing has arrived, or the connection has ended.
                 Ok(_) | Err(_) => return,
             }
-            if self.response_status().is_some() {
-                return;
-            }
         }
     }
 
@@ -243,7 +226,7 @@
 }
 
 /// Completes once `RESPONSE_HEAD_TIMEOUT` has passed since a response started.
-async fn head_timeout(byte_counter: &ByteCounter) {
-    byte_counter.wait_for_response_start().await;
+async fn head_timeout(exchange: &Exchange) {
+    exchange.wait_for_response_start().await;
     sleep(RESPONSE_HEAD_TIMEOUT).await;
 }
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -7,10 +7,12 @@
 
 mod byte_counter;
 mod connection;
+mod exchange;
 mod socket_state;
 mod status_line;
 
 pub use self::connection::{Connection, IdleState, ResponseRemainder, SendError};
+pub use self::exchange::{Exchange, IncompleteRequest};
 
 use std::time::Duration;
 
--- a/crates/message-sender/tests/malformed_answers.rs
+++ b/crates/message-sender/tests/malformed_answers.rs
@@ -107,3 +107,18 @@
     sender.await_metric("passed.notice", 2);
     assert!(environment.discovery.notices.try_recv().is_err());
 }
+
+/// Guards against a payment that runs twice: an error with a chunked body of more than 64 KiB was taken as proof
+/// that the call was never sent.
+#[test]
+fn an_error_with_an_oversized_body_is_ambiguous() {
+    let chunk = format!("3800\r\n{}\r\n", "e".repeat(0x3800));
+    let answer =
+        format!("HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n", chunk.repeat(5));
+    let environment = with_non_idempotent_messages(vec![Reply::Raw(answer.leak()), OK]);
+    let sender = environment.start_sender();
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    environment.endpoint.next_call();
+    assert_eq!(environment.discovery.next_notice()["result"], "dead");
+    assert!(environment.endpoint.has_no_call());
+}
