Recognize second copies of responses that cross the next request on their connection

Cause: the look at the socket before a write sees only what has arrived. A second copy that is on its way was read as the response to the request that it crossed, and the connection stayed off by one from then on.

Change: on a used connection, a 200 that comes far sooner than its endpoint has ever delivered is discarded, and the attempt waits for the response after it (its status and headers are read with httparse, so that a Retry-After applies). Where time cannot tell (endpoints that are fast or little known, responses other than 200, discovery), a connection rests for 10 ms before its next request. Empty lines before a status line are skipped, as the HTTP library does.

The test of discovery's list that arrives before a poll now lets the connection rest first, so that the list still arrives between the choice of the connection and the write.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -136,13 +136,18 @@
         };
         match ended {
             Ok(result) => result,
-            Err(failure) => self.abort(progress, failure).await.into(),
+            Err(failure) => self.abort(call.endpoint, progress, failure).await.into(),
         }
     }
 
     /// Closes the connection of an attempt that ended without a usable response, and determines the outcome
     /// from what was written and received.
-    async fn abort(&self, progress: &mut AttemptProgress, failure: AttemptFailure) -> AttemptOutcome {
+    async fn abort(
+        &self,
+        endpoint: EndpointId,
+        progress: &mut AttemptProgress,
+        failure: AttemptFailure,
+    ) -> AttemptOutcome {
         if let Some(connection) = &mut progress.connection {
             connection.stop().await;
         }
@@ -152,6 +157,10 @@
                 self.failure_log.record(NO_RESPONSE.to_owned(), connection.is_reused());
             }
         }
+        if let (AttemptFailure::TimedOut, Some(time)) = (failure, progress.unreplaced_response_time()) {
+            // Otherwise each response of an endpoint that has become faster would be discarded.
+            self.pool.record_response_time(endpoint, time);
+        }
         progress.outcome(failure)
     }
 
@@ -166,12 +175,45 @@
         if result.outcome != AttemptOutcome::Delivered {
             return self.finish_undelivered(call, progress, result, response).await;
         }
+        if progress.has_premature_response() {
+            drop(response);
+            return self.receive_delayed_response(call, progress).await;
+        }
+        if let Some(response_time) = progress.response_time() {
+            self.pool.record_response_time(call.endpoint, response_time);
+        }
         if let Some(connection) = progress.connection.take().filter(|_| self.may_finish_delivered()) {
             tokio::task::spawn_local(self.clone().finish_delivered(call.target(), connection, response));
         }
         Ok(result)
     }
 
+    /// Discards a response to an earlier request on the connection, and waits for the head of the response to
+    /// this one. The connection is not used again. Unless the message was delivered, it may have been processed:
+    /// only a response that was received in full proves that it was not.
+    async fn receive_delayed_response(
+        &self,
+        call: &Call,
+        progress: &mut AttemptProgress,
+    ) -> Result<AttemptResult, AttemptFailure> {
+        tracing::info!(call_id = ?call.call_id, endpoint = call.endpoint, "discarded an earlier response");
+        self.pool.record_excess_data(call.target());
+        let exchange = progress.discard_response().ok_or(AttemptFailure::DelayedResponse)?;
+        let connection = progress.connection.as_mut().ok_or(AttemptFailure::DelayedResponse)?;
+        connection.stop().await;
+        if exchange.is_request_written() {
+            connection.wait_for_delayed_head(&exchange).await;
+        }
+        let head = exchange.delayed_head().ok_or(AttemptFailure::DelayedResponse)?;
+        progress.connection = None;
+        let result = interpret(head.status, &head.headers);
+        self.restrictions.record_retry_after(call.route, result.retry_after);
+        if result.outcome == AttemptOutcome::Delivered {
+            return Ok(result);
+        }
+        Ok(without_proof(result))
+    }
+
     /// Sends the request on an idle or a new connection and returns the head of its response. Any failure
     /// after the request has started is `Err(Broken)`.
     async fn exchange(
@@ -180,15 +222,13 @@
         progress: &mut AttemptProgress,
     ) -> Result<Response<Incoming>, AttemptFailure> {
         loop {
-            let (connection, idle_for) = match self.pool.take(call.target()) {
-                Some(pooled) => (pooled.connection, Some(pooled.idle_for)),
-                None => (self.connect(call.address).await?, None),
-            };
-            progress.connection = Some(connection);
+            let idle_for = self.take_connection(call, progress).await?;
             if !self.may_start(call) || !(call.on_phase)(AttemptPhase::Starting) {
                 return Err(AttemptFailure::NotStarted);
             }
-            let exchange = progress.begin_exchange(&self.attempts_written);
+            let min_response_time = idle_for.and_then(|_| self.pool.min_response_time(call.endpoint));
+            let exchange =
+                progress.begin_exchange(&self.attempts_written, min_response_time.unwrap_or_default());
             let request = progress.request().to_request();
             let Some(connection) = &mut progress.connection else { return Err(AttemptFailure::Broken) };
             let sent = connection.send(request, &exchange).await;
@@ -211,6 +251,22 @@
         }
     }
 
+    /// Takes an idle connection and lets it rest, or opens a new one. Returns how long it was idle, or `None` if
+    /// it is new.
+    async fn take_connection(
+        &self,
+        call: &Call,
+        progress: &mut AttemptProgress,
+    ) -> Result<Option<Duration>, AttemptFailure> {
+        let Some(pooled) = self.pool.take(call.target()) else {
+            progress.connection = Some(self.connect(call.address).await?);
+            return Ok(None);
+        };
+        progress.connection = Some(pooled.connection);
+        sleep(pooled.remaining_rest).await;
+        Ok(Some(pooled.idle_for))
+    }
+
     /// Closes the connection on which nothing of an attempt was written. It stays with the attempt until it
     /// has been stopped: the attempt may be cancelled meanwhile.
     async fn discard_connection(&self, target: Target, progress: &mut AttemptProgress) {
@@ -291,10 +347,8 @@
             (ResponseRemainder::Complete, Some(connection)) => self.put_idle(call.target(), connection),
             (ResponseRemainder::ExcessData, Some(connection)) => {
                 connection.close().await;
-                // The response's length may be wrong, so the message may have been processed. The
-                // Retry-After applies anyway.
-                let retry_after = result.retry_after;
-                return Ok(AttemptResult { retry_after, ..AttemptOutcome::Error.into() });
+                // The response's length may be wrong.
+                return Ok(without_proof(result));
             }
             // The connection has ended.
             _ => {}
@@ -331,6 +385,11 @@
     }
 }
 
+/// The result of a response that is no proof that the message was not processed. Its Retry-After applies anyway.
+fn without_proof(result: AttemptResult) -> AttemptResult {
+    AttemptResult { retry_after: result.retry_after, ..AttemptOutcome::Error.into() }
+}
+
 /// Whether an endpoint has rejected a new connection for lack of capacity. A rejection because of a rate
 /// limit or a closed destination would have carried more details and kept the connection. This rejection
 /// indicates neither of them, so it must neither slow down other attempts nor count as an outage.
--- a/crates/message-sender/src/delivery/client/tests.rs
+++ b/crates/message-sender/src/delivery/client/tests.rs
@@ -1,5 +1,6 @@
 //! Tests that send attempts to endpoints on the loopback interface.
 
+mod delayed_responses;
 mod excess_data;
 mod outcomes;
 
--- /dev/null
+++ b/crates/message-sender/src/delivery/client/tests/delayed_responses.rs
@@ -0,0 +1,220 @@
+//! Responses to earlier requests that cross the next request on their connection.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use delivery_control::AttemptOutcome;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use super::{
+    bind, call_to, client, client_with, outcome, receive, run_local_before_idle_timeout,
+    wait_for_idle_connection, ENDPOINT, OK_RESPONSE, RATE_LIMIT_REJECTION, SECOND_US,
+};
+use crate::delivery::attempt::{Call, Target};
+use crate::delivery::client::DeliveryClient;
+use crate::http_connection::{Connection, IdleState, REUSE_DELAY};
+use crate::metrics::DeliveryCounters;
+
+const ERROR_RESPONSE: &str = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+/// Response time of an endpoint whose second copies of responses are recognized by their time.
+const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(200);
+/// Number of deliveries after which the response time of an endpoint is known.
+const DELIVERIES: usize = 16;
+/// Time from a response to its second copy.
+const COPY_DELAY: Duration = Duration::from_millis(2);
+
+/// How an endpoint responds to the request that a second copy of an earlier response crosses.
+#[derive(Debug, Clone, Copy)]
+enum Response {
+    /// With this text.
+    Sent(&'static str),
+    /// It closes the connection.
+    Closed,
+    /// Not at all.
+    Missing,
+}
+
+/// Starts an endpoint that delivers the first message. It sends a second copy of that response once the next
+/// request arrives, as if they had crossed on the network, and responds to that request after `response_time`.
+async fn start_endpoint_with_crossing_copy(response: Response, response_time: Duration) -> SocketAddr {
+    let (listener, address) = bind().await;
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        receive(&mut stream).await;
+        stream.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
+        receive(&mut stream).await;
+        stream.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
+        sleep(response_time).await;
+        match response {
+            // Fails if the sender has closed the connection.
+            Response::Sent(text) => stream.write_all(text.as_bytes()).await.unwrap_or_default(),
+            Response::Closed => return,
+            Response::Missing => {}
+        }
+        receive(&mut stream).await;
+    });
+    address
+}
+
+/// A client with an idle connection to an endpoint that is known to be slow.
+async fn client_of_slow_endpoint(address: SocketAddr) -> Rc<DeliveryClient> {
+    let client = client();
+    assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered);
+    wait_for_idle_connection(&client).await;
+    // The endpoint of the test has not waited before its first response.
+    client.pool.forget_response_times();
+    for _ in 0..DELIVERIES {
+        client.pool.record_response_time(ENDPOINT, SLOW_RESPONSE_TIME);
+    }
+    client
+}
+
+/// Guards against a message that counts as delivered although its endpoint answered 500 or not at all: a second
+/// copy of an earlier response crossed the request on the network, and was read as the response to it.
+#[tokio::test]
+async fn a_second_copy_that_crosses_a_request_is_not_its_response() {
+    let rows = [
+        (Response::Sent(OK_RESPONSE), AttemptOutcome::Delivered),
+        (Response::Sent(ERROR_RESPONSE), AttemptOutcome::Error),
+        // Only the head of this response was received, so it is no proof that the message was not processed.
+        (Response::Sent(RATE_LIMIT_REJECTION), AttemptOutcome::Error),
+        (Response::Sent("noise\r\n\r\n"), AttemptOutcome::Error),
+        (Response::Closed, AttemptOutcome::Error),
+        (Response::Missing, AttemptOutcome::Timeout),
+    ];
+    let test = async {
+        for (response, expected) in rows {
+            let address = start_endpoint_with_crossing_copy(response, SLOW_RESPONSE_TIME).await;
+            let client = client_of_slow_endpoint(address).await;
+            let timeout = 3 * SLOW_RESPONSE_TIME;
+            let (_cancel_sender, cancelled) = oneshot::channel();
+            let result = client.clone().call(Call { timeout, ..call_to(address) }, cancelled).await;
+            assert_eq!(result.outcome, expected, "{response:?}");
+            assert!(client.pool.is_empty(), "the connection is kept although its responses are delayed");
+        }
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Guards against a Retry-After that is missed because the rejection follows a second copy of an earlier response.
+#[tokio::test]
+async fn a_rejection_after_a_second_copy_has_its_retry_after() {
+    let test = async {
+        let rejection = "HTTP/1.1 429 Wait\r\nX-Come-Back-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+        let address = start_endpoint_with_crossing_copy(Response::Sent(rejection), COPY_DELAY).await;
+        let client = client_of_slow_endpoint(address).await;
+        let (_cancel_sender, cancelled) = oneshot::channel();
+        let result = client.clone().call(call_to(address), cancelled).await;
+        assert_eq!((result.outcome, result.retry_after), (AttemptOutcome::Error, 5 * SECOND_US));
+        assert_eq!(outcome(&client, address).await, AttemptOutcome::NotSent);
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Guards against a message that counts as delivered because its attempt is cancelled after a second copy of an
+/// earlier response has arrived.
+#[tokio::test]
+async fn a_call_that_is_cancelled_after_a_second_copy_is_not_delivered() {
+    let test = async {
+        let address = start_endpoint_with_crossing_copy(Response::Missing, SLOW_RESPONSE_TIME).await;
+        let client = client_of_slow_endpoint(address).await;
+        let (cancel_sender, cancelled) = oneshot::channel();
+        let cancellation = async {
+            sleep(SLOW_RESPONSE_TIME / 2).await;
+            drop(cancel_sender);
+        };
+        let (result, ()) = tokio::join!(client.clone().call(call_to(address), cancelled), cancellation);
+        assert_eq!(result.outcome, AttemptOutcome::Cancelled);
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Guards against discarding each response of an endpoint that has become faster.
+#[tokio::test]
+async fn an_endpoint_that_becomes_faster_loses_one_response() {
+    let test = async {
+        let address = start_endpoint_with_crossing_copy(Response::Missing, SLOW_RESPONSE_TIME).await;
+        let client = client_of_slow_endpoint(address).await;
+        assert!(client.pool.min_response_time(ENDPOINT).is_some());
+        let call = Call { timeout: SLOW_RESPONSE_TIME, ..call_to(address) };
+        let (_cancel_sender, cancelled) = oneshot::channel();
+        assert_eq!(client.clone().call(call, cancelled).await.outcome, AttemptOutcome::Timeout);
+        assert_eq!(client.pool.min_response_time(ENDPOINT), None);
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Starts an endpoint that answers the first call with `first`, a second copy of which follows shortly after,
+/// and calls on further connections with `further`.
+async fn start_endpoint_with_late_copy(first: &'static str, further: &'static str) -> SocketAddr {
+    let (listener, address) = bind().await;
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        receive(&mut stream).await;
+        stream.write_all(first.as_bytes()).await.unwrap();
+        sleep(COPY_DELAY).await;
+        stream.write_all(first.as_bytes()).await.unwrap();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            receive(&mut stream).await;
+            stream.write_all(further.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against a second copy that is read as the response to a request that was sent right after the first
+/// copy: its endpoint may answer so soon that the time does not tell, or rejects messages.
+#[tokio::test]
+async fn a_second_copy_shortly_after_a_response_is_not_the_response_to_the_next_request() {
+    let rows = [
+        (OK_RESPONSE, AttemptOutcome::Delivered, ERROR_RESPONSE, AttemptOutcome::Error),
+        (RATE_LIMIT_REJECTION, AttemptOutcome::Rejected, OK_RESPONSE, AttemptOutcome::Delivered),
+    ];
+    let test = async {
+        for (first, first_outcome, further, further_outcome) in rows {
+            let address = start_endpoint_with_late_copy(first, further).await;
+            let counters = DeliveryCounters::default();
+            let client = client_with(counters.clone());
+            assert_eq!(outcome(&client, address).await, first_outcome);
+            wait_for_idle_connection(&client).await;
+            assert_eq!(outcome(&client, address).await, further_outcome);
+            assert_eq!(counters.excess_data.get(), 1);
+        }
+    };
+    run_local_before_idle_timeout(test).await;
+}
+
+async fn open_connection(target: Target) -> Connection {
+    let connection = Connection::open(target.address).await.unwrap();
+    while connection.idle_state() != IdleState::Reusable {
+        tokio::task::yield_now().await;
+    }
+    connection
+}
+
+/// Guards against a rest that slow endpoints pay for although they need none, and against one for which an idle
+/// connection that has rested is passed over.
+#[tokio::test]
+async fn only_connections_to_fast_endpoints_rest_and_rested_ones_are_used_first() {
+    let test = async {
+        let (_listener, address) = bind().await;
+        let target = Target { endpoint: ENDPOINT, address };
+        let client = client();
+        client.put_idle(target, open_connection(target).await);
+        assert!(!client.pool.take(target).unwrap().remaining_rest.is_zero());
+        client.put_idle(target, open_connection(target).await);
+        sleep(2 * REUSE_DELAY).await;
+        client.put_idle(target, open_connection(target).await);
+        let rested = client.pool.take(target).unwrap();
+        assert!(rested.remaining_rest.is_zero() && rested.idle_for >= REUSE_DELAY);
+        for _ in 0..DELIVERIES {
+            client.pool.record_response_time(ENDPOINT, SLOW_RESPONSE_TIME);
+        }
+        client.put_idle(target, open_connection(target).await);
+        assert!(client.pool.take(target).unwrap().remaining_rest.is_zero());
+    };
+    run_local_before_idle_timeout(test).await;
+}
--- a/crates/message-sender/src/delivery/mod.rs
+++ b/crates/message-sender/src/delivery/mod.rs
@@ -9,6 +9,7 @@
 mod progress;
 mod request;
 mod response;
+mod response_times;
 mod saturation;
 mod send_restrictions;
 
--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -11,8 +11,10 @@
 use super::attempt::Target;
 use super::excess_data::ExcessDataTracker;
 use super::idle_lifetime::{IdleLifetimeEstimator, ReuseOutcome};
+use super::response::is_delivered;
+use super::response_times::ResponseTimes;
 use super::saturation::SaturationTracker;
-use crate::http_connection::{Connection, IdleState};
+use crate::http_connection::{Connection, IdleState, REUSE_DELAY};
 
 struct IdleConnection {
     connection: Connection,
@@ -20,12 +22,27 @@
     idle_since: Instant,
 }
 
+impl IdleConnection {
+    /// Time for which the connection must rest before its next request. `min_response_time` is the time before
+    /// which its endpoint cannot have delivered a message, if it is known: data that arrives sooner is then
+    /// recognized, unless it follows a response that said that a message was not delivered.
+    fn remaining_rest(&self, min_response_time: Option<Duration>) -> Duration {
+        let is_recognizable = self.connection.last_status().is_none_or(is_delivered);
+        if is_recognizable && min_response_time.is_some() {
+            return Duration::ZERO;
+        }
+        REUSE_DELAY.saturating_sub(self.idle_since.elapsed())
+    }
+}
+
 /// A connection taken from the pool.
 pub struct PooledConnection {
     /// The connection, ready for a request.
     pub connection: Connection,
     /// How long the connection was idle.
     pub idle_for: Duration,
+    /// Time to wait before the request.
+    pub remaining_rest: Duration,
 }
 
 /// Keeps idle connections to all endpoints, ordered from the longest idle one, and limits their number and
@@ -41,6 +58,7 @@
     lifetime_estimator: RefCell<IdleLifetimeEstimator>,
     saturation: RefCell<SaturationTracker>,
     excess_data: ExcessDataTracker,
+    response_times: ResponseTimes,
 }
 
 impl ConnectionPool {
@@ -55,28 +73,39 @@
             lifetime_estimator: RefCell::default(),
             saturation: RefCell::default(),
             excess_data: ExcessDataTracker::new(excess_data),
+            response_times: ResponseTimes::default(),
         }
     }
 
-    /// Takes the most recently used connection to the target, so that the others can reach the maximum idle
-    /// time. Closes unusable connections to the target's endpoint that it finds before that one.
+    /// Takes the most recently used connection to the target that need not rest, so that the others can reach
+    /// the maximum idle time. Closes unusable connections to the target's endpoint that it finds before that
+    /// one.
     pub fn take(&self, target: Target) -> Option<PooledConnection> {
+        let min_response_time = self.min_response_time(target.endpoint);
         loop {
-            let candidate = self.remove_latest(target.endpoint)?;
+            let candidate = self.remove_latest(target.endpoint, min_response_time)?;
+            let remaining_rest = candidate.remaining_rest(min_response_time);
             let idle_for = candidate.idle_since.elapsed();
             if candidate.connection.has_excess_data() {
                 self.record_excess_data(candidate.target);
             }
             if self.is_usable(&candidate, idle_for, target) {
-                return Some(PooledConnection { connection: candidate.connection, idle_for });
+                return Some(PooledConnection { connection: candidate.connection, idle_for, remaining_rest });
             }
         }
     }
 
-    /// Removes the most recently used connection to an endpoint.
-    fn remove_latest(&self, endpoint: EndpointId) -> Option<IdleConnection> {
+    /// Removes the most recently used connection to an endpoint that need not rest, or the one that has rested
+    /// longest.
+    fn remove_latest(
+        &self,
+        endpoint: EndpointId,
+        min_response_time: Option<Duration>,
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
-        let index = idle.iter().rposition(|idle| idle.target.endpoint == endpoint)?;
+        let is_rested = |idle: &IdleConnection| idle.remaining_rest(min_response_time).is_zero();
+        let rested = idle.iter().rposition(|idle| idle.target.endpoint == endpoint && is_rested(idle));
+        let index = rested.or_else(|| idle.iter().position(|idle| idle.target.endpoint == endpoint))?;
         idle.remove(index)
     }
 
@@ -155,6 +184,16 @@
         self.excess_data.record(target);
     }
 
+    /// Records the response time of a message that an endpoint has delivered.
+    pub fn record_response_time(&self, endpoint: EndpointId, response_time: Duration) {
+        self.response_times.record(endpoint, response_time);
+    }
+
+    /// Time before which an endpoint cannot have delivered a message, if it is known.
+    pub fn min_response_time(&self, endpoint: EndpointId) -> Option<Duration> {
+        self.response_times.min_response_time(endpoint)
+    }
+
     /// Raises the idle time that saturation has reduced, according to the time `elapsed` since the last
     /// call.
     pub fn recover_idle_time(&self, elapsed: Duration) {
@@ -179,10 +218,12 @@
         }
     }
 
-    /// Forgets endpoints whose saturation has expired, and those that have sent no excess data for long.
+    /// Forgets endpoints whose saturation has expired, those that have sent no excess data for long, and those
+    /// to which no connection can be idle any more.
     pub fn expire_endpoints(&self) {
         self.saturation.borrow_mut().expire();
         self.excess_data.expire();
+        self.response_times.expire(self.max_idle_time);
     }
 }
 
@@ -200,6 +241,11 @@
 
 #[cfg(test)]
 impl ConnectionPool {
+    /// Forgets the response times of all endpoints.
+    pub fn forget_response_times(&self) {
+        self.response_times.expire(Duration::ZERO);
+    }
+
     /// Number of idle connections.
     pub fn len(&self) -> usize {
         self.idle.borrow().len()
--- a/crates/message-sender/src/delivery/progress.rs
+++ b/crates/message-sender/src/delivery/progress.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use delivery_control::AttemptOutcome;
 
@@ -25,6 +26,8 @@
     Broken,
     /// The response was not received in full.
     IncompleteResponse,
+    /// A response to an earlier request on the connection was received, and none to this one.
+    DelayedResponse,
 }
 
 impl AttemptFailure {
@@ -33,7 +36,7 @@
         match self {
             Self::Cancelled => AttemptOutcome::Cancelled,
             Self::TimedOut => AttemptOutcome::Timeout,
-            Self::IncompleteResponse => AttemptOutcome::Error,
+            Self::IncompleteResponse | Self::DelayedResponse => AttemptOutcome::Error,
             Self::Broken | Self::NotStarted | Self::NotConnected => AttemptOutcome::Reset,
         }
     }
@@ -43,9 +46,11 @@
     fn outcome_if_not_processed(self, _: IncompleteRequest) -> AttemptOutcome {
         match self {
             Self::NotStarted | Self::Cancelled => AttemptOutcome::NotSent,
-            Self::NotConnected | Self::TimedOut | Self::Broken | Self::IncompleteResponse => {
-                AttemptOutcome::ConnectFailed
-            }
+            Self::NotConnected
+            | Self::TimedOut
+            | Self::Broken
+            | Self::IncompleteResponse
+            | Self::DelayedResponse => AttemptOutcome::ConnectFailed,
         }
     }
 }
@@ -57,12 +62,23 @@
     pub connection: Option<Connection>,
     /// The exchange of the request, once its first byte may have been sent. Kept when the connection is gone.
     exchange: Option<Rc<Exchange>>,
+    /// Time after the request before which its endpoint cannot have delivered the message. Zero on a new
+    /// connection, where every response belongs to this request.
+    min_response_time: Duration,
+    /// Response time of a response that was discarded, because it was shorter than that.
+    discarded_response_time: Option<Duration>,
 }
 
 impl AttemptProgress {
     /// The progress of an attempt that has not started.
     pub fn new(call: &Call) -> Self {
-        Self { request: PreparedRequest::new(call), connection: None, exchange: None }
+        Self {
+            request: PreparedRequest::new(call),
+            connection: None,
+            exchange: None,
+            min_response_time: Duration::ZERO,
+            discarded_response_time: None,
+        }
     }
 
     /// The request of the attempt.
@@ -71,8 +87,14 @@
     }
 
     /// Records that the first byte of the request may be sent from now on. Increments `written_requests` once
-    /// its last byte was written.
-    pub fn begin_exchange(&mut self, written_requests: &Rc<Cell<u64>>) -> Rc<Exchange> {
+    /// its last byte was written. A delivery sooner than `min_response_time` after that belongs to an earlier
+    /// request on the connection.
+    pub fn begin_exchange(
+        &mut self,
+        written_requests: &Rc<Cell<u64>>,
+        min_response_time: Duration,
+    ) -> Rc<Exchange> {
+        self.min_response_time = min_response_time;
         let exchange = Exchange::new(self.request.wire_length(), written_requests);
         self.exchange.insert(exchange).clone()
     }
@@ -96,6 +118,31 @@
             .is_some_and(|exchange| exchange.is_request_written() && !exchange.has_response())
     }
 
+    /// Time from the request to its response, if the response has arrived.
+    pub fn response_time(&self) -> Option<Duration> {
+        self.exchange.as_ref()?.response_time()
+    }
+
+    /// Whether a response, if it says that the message was delivered, belongs to an earlier request.
+    pub fn has_premature_response(&self) -> bool {
+        self.response_time().is_some_and(|time| time < self.min_response_time)
+    }
+
+    /// Discards a response to an earlier request. Returns the exchange, whose response is awaited now.
+    pub fn discard_response(&mut self) -> Option<Rc<Exchange>> {
+        let exchange = self.exchange.clone()?;
+        self.discarded_response_time = exchange.response_time();
+        exchange.discard_response(self.min_response_time);
+        Some(exchange)
+    }
+
+    /// Response time of a discarded response that no other has followed. It may have belonged to this request
+    /// after all.
+    pub fn unreplaced_response_time(&self) -> Option<Duration> {
+        let has_response = self.exchange.as_ref().is_some_and(|exchange| exchange.has_response());
+        self.discarded_response_time.filter(|_| !has_response)
+    }
+
     /// The outcome of an attempt that ended without a usable response. Its connection must have been stopped.
     /// Unless the request is proven to be incomplete, the message may have been processed.
     pub fn outcome(&self, failure: AttemptFailure) -> AttemptOutcome {
@@ -104,7 +151,8 @@
         };
         // The status holds even if the rest of the response is corrupt. An endpoint may send it before the
         // request has been written in full.
-        if exchange.bytes_written() > 0 && exchange.response_status().is_some_and(is_delivered) {
+        let is_delivered = exchange.response_status().is_some_and(is_delivered);
+        if is_delivered && exchange.bytes_written() > 0 && !self.has_premature_response() {
             return AttemptOutcome::Delivered;
         }
         match exchange.incomplete_request() {
--- a/crates/message-sender/src/discovery/client.rs
+++ b/crates/message-sender/src/discovery/client.rs
@@ -10,11 +10,11 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::error::DiscoveryError;
 use crate::http_body::read_to_end;
-use crate::http_connection::{Connection, ResponseRemainder, SendError, EXCESS_DATA_MEMORY};
+use crate::http_connection::{Connection, ResponseRemainder, SendError, EXCESS_DATA_MEMORY, REUSE_DELAY};
 
 /// Longest response body that is read, in bytes: a list of 3,200 endpoints is a third of it.
 const MAX_RESPONSE_BYTES: usize = 3 * 1024 * 1024;
@@ -25,11 +25,17 @@
 /// A client that keeps one connection to discovery and opens a new one after any failure.
 pub struct DiscoveryClient {
     address: SocketAddr,
-    connection: Option<Connection>,
+    connection: Option<IdleConnection>,
     /// When discovery last sent data that belonged to no response, if it has.
     excess_data_at: Option<Instant>,
 }
 
+/// A connection that has carried a request.
+struct IdleConnection {
+    connection: Connection,
+    idle_since: Instant,
+}
+
 /// A response that was read completely.
 pub struct DiscoveryResponse {
     status: StatusCode,
@@ -116,18 +122,20 @@
             .map_err(DiscoveryError::Body)?;
         let remainder = connection.finish_exchange().await;
         if remainder == ResponseRemainder::Complete && !self.avoids_reuse() {
-            self.connection = Some(connection);
+            self.connection = Some(IdleConnection { connection, idle_since: Instant::now() });
         }
         Ok(DiscoveryResponse { status, body })
     }
 
-    /// Sends a request on the open connection, or on a new one if there is none or nothing can be written to
-    /// it. The connection is taken out of the client, so that any failure or timeout closes it.
+    /// Sends a request on the open connection after a rest, or on a new one if there is none or nothing can be
+    /// written to it. Discovery may answer at once, so its responses cannot be told by their time from data that
+    /// follows an earlier response. The connection is taken out of the client, so that any failure or timeout closes it.
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), DiscoveryError> {
-        if let Some(mut connection) = self.connection.take() {
+        if let Some(IdleConnection { mut connection, idle_since }) = self.connection.take() {
+            sleep_until(idle_since + REUSE_DELAY).await;
             match connection.send(request.clone(), &Rc::default()).await {
                 Err(SendError::NotSent) if connection.has_excess_data() => self.record_excess_data(),
                 Err(SendError::NotSent) => {}
--- a/crates/message-sender/src/discovery/tests/client.rs
+++ b/crates/message-sender/src/discovery/tests/client.rs
@@ -5,14 +5,19 @@
 use std::pin::pin;
 use std::sync::mpsc;
 use std::task::{Context, Waker};
+use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
+use tokio::time::sleep;
 
 use crate::discovery::client::DiscoveryClient;
 use crate::discovery::poll::Poll;
 use crate::endpoint_list::EndpointList;
+use crate::http_connection::REUSE_DELAY;
 
 /// Guards against a new connection after each 503 response: its handshake would load an overloaded discovery
 /// even more.
@@ -70,6 +75,7 @@
             }
         });
         assert_eq!(Poll::new_watch(None).send(&mut client).await.unwrap().version, 5);
+        sleep(REUSE_DELAY).await;
         {
             let poll = Poll::new_watch(Some(5));
             let mut sent = pin!(poll.send(&mut client));
@@ -100,3 +106,31 @@
     assert!(!Poll::new_watch(Some(5)).is_stale(&list(list_response(6))));
     assert!(!Poll::new_watch(None).is_stale(&known));
 }
+
+/// Guards against a second acknowledgement that is taken for that of the next notices, which discovery has not
+/// taken yet: it arrives shortly after the first one.
+#[tokio::test]
+async fn an_acknowledgement_shortly_after_another_is_not_that_of_the_next_notices() {
+    const ACKNOWLEDGEMENT: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+    const COPY_DELAY: Duration = Duration::from_millis(2);
+    const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut client = DiscoveryClient::new(listener.local_addr().unwrap());
+        tokio::task::spawn_local(async move {
+            let (mut first, _) = listener.accept().await.unwrap();
+            assert!(first.read(&mut [0; 4096]).await.unwrap() > 0);
+            first.write_all(ACKNOWLEDGEMENT).await.unwrap();
+            sleep(COPY_DELAY).await;
+            first.write_all(ACKNOWLEDGEMENT).await.unwrap();
+            let (mut second, _) = listener.accept().await.unwrap();
+            assert!(second.read(&mut [0; 4096]).await.unwrap() > 0);
+            second.write_all(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        });
+        let acknowledged = client.post("/status", Bytes::new(), RESPONSE_TIMEOUT).await.unwrap();
+        assert!(acknowledged.into_body(StatusCode::NO_CONTENT).is_ok());
+        let rejected = client.post("/status", Bytes::new(), RESPONSE_TIMEOUT).await.unwrap();
+        assert!(rejected.into_body(StatusCode::NO_CONTENT).is_err());
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/message-sender/src/http_connection/byte_counter.rs
+++ b/crates/message-sender/src/http_connection/byte_counter.rs
@@ -17,6 +17,8 @@
     requests: Cell<u64>,
     /// The exchange that has begun and not ended, if any.
     exchange: RefCell<Option<Rc<Exchange>>>,
+    /// The status of the last response that has ended, if it is known.
+    last_status: Cell<Option<u16>>,
     /// Whether data has arrived that belongs to no response.
     has_excess_data: Cell<bool>,
 }
@@ -30,7 +32,14 @@
 
     /// Records that a response has ended. What arrives before the next exchange begins belongs to no response.
     pub fn end_exchange(&self) {
-        self.exchange.take();
+        if let Some(exchange) = self.exchange.take() {
+            self.last_status.set(exchange.response_status());
+        }
+    }
+
+    /// The status of the last response that has ended, if it is known.
+    pub fn last_status(&self) -> Option<u16> {
+        self.last_status.get()
     }
 
     /// Records that nothing more will be written of the current request.
@@ -55,9 +64,9 @@
         self.has_excess_data.set(true);
     }
 
-    /// Whether an exchange has begun whose status is not known yet.
-    pub fn awaits_status(&self) -> bool {
-        self.exchange.borrow().as_ref().is_some_and(|exchange| exchange.response_status().is_none())
+    /// Whether an exchange has begun whose status line has not arrived yet.
+    pub fn awaits_status_line(&self) -> bool {
+        self.exchange.borrow().as_ref().is_some_and(|exchange| !exchange.is_status_line_complete())
     }
 
     /// Whether a byte of the current request was written.
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -20,14 +20,15 @@
 use super::exchange::Exchange;
 use super::socket_state::SocketState;
 use crate::http_body::discard;
-use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
+use crate::instrumented_stream::{should_retry_io, InstrumentedStream, StreamObserver};
 
 /// Maximum size of the connection's buffers in bytes. It limits the head of a response, which could
 /// otherwise be endless.
 const MAX_BUFFER_BYTES: usize = 16 * 1024;
-/// Size of the buffer that the rest of a status line is read into when an exchange is stopped, in bytes.
-const STATUS_READ_BYTES: usize = 1024;
-/// Maximum number of reads of that rest; interim responses may precede it.
+/// Size of the buffer that responses are read into past the HTTP library, in bytes.
+const READ_BYTES: usize = 4 * 1024;
+/// Maximum number of reads of the rest of a status line when an exchange is stopped; interim responses may
+/// precede it.
 const MAX_STATUS_READS: usize = 16;
 /// Maximum time from the first byte of a response to the end of its head.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -178,6 +179,11 @@
         self.byte_counter.has_excess_data()
     }
 
+    /// The status of the last response that has ended, if it is known.
+    pub fn last_status(&self) -> Option<u16> {
+        self.byte_counter.last_status()
+    }
+
     /// Whether the connection has carried another request before the current one.
     pub fn is_reused(&self) -> bool {
         self.byte_counter.is_reused()
@@ -198,13 +204,12 @@
     /// Reads up to the end of the status line, as far as it has arrived.
     fn read_arrived_status(&self) {
         let socket = SockRef::from(&*self.stream);
-        let mut buffer = [0; STATUS_READ_BYTES];
         for _ in 0..MAX_STATUS_READS {
-            if !self.byte_counter.awaits_status() {
+            if !self.byte_counter.awaits_status_line() {
                 return;
             }
-            match (&*socket).read(&mut buffer) {
-                Ok(bytes) if bytes > 0 => self.byte_counter.read(&buffer[..bytes]),
+            match self.record_read(|buffer| (&*socket).read(buffer)) {
+                Ok(bytes) if bytes > 0 => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Nothing has arrived, or the connection has ended.
                 Ok(_) | Err(_) => return,
@@ -212,6 +217,30 @@
         }
     }
 
+    /// Reads once from the socket, past the HTTP library, and records what was read. Returns its length.
+    fn record_read(&self, read: impl FnOnce(&mut [u8]) -> io::Result<usize>) -> io::Result<usize> {
+        let mut buffer = [0; READ_BYTES];
+        let bytes = read(&mut buffer)?;
+        self.byte_counter.read(&buffer[..bytes]);
+        Ok(bytes)
+    }
+
+    /// Waits until the head of the response after a discarded one has arrived or the connection has ended. The
+    /// connection must have been stopped.
+    pub async fn wait_for_delayed_head(&self, exchange: &Exchange) {
+        while exchange.awaits_delayed_head() {
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            match self.record_read(|buffer| self.stream.try_read(buffer)) {
+                Ok(bytes) if bytes > 0 => {}
+                Err(error) if should_retry_io(&error) => {}
+                // The connection has ended.
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
+
     /// Closes the socket before returning, so that anything that is sent afterwards follows the
     /// connection's close.
     pub async fn close(mut self) {
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -7,6 +7,7 @@
 
 mod byte_counter;
 mod connection;
+mod delayed_response;
 mod exchange;
 mod socket_state;
 mod status_line;
@@ -16,5 +17,8 @@
 
 use std::time::Duration;
 
+/// Time that a connection rests after a response before it carries the next request, where the response to that
+/// request cannot be told from data that follows the last one.
+pub const REUSE_DELAY: Duration = Duration::from_millis(10);
 /// Time for which no connection to a peer is reused after it has sent data on an idle connection.
 pub const EXCESS_DATA_MEMORY: Duration = Duration::from_secs(5);
--- a/crates/message-sender/src/http_connection/status_line.rs
+++ b/crates/message-sender/src/http_connection/status_line.rs
@@ -4,8 +4,8 @@
 /// Number of bytes stored of each line: no more than `HTTP/1.1 200 ` is needed. Further bytes are discarded.
 const MAX_STORED_BYTES: usize = 13;
 
-/// Parses bytes up to the end of the final response's status line. Interim responses (1xx) before it are
-/// skipped.
+/// Parses bytes up to the end of the final response's status line. Interim responses (1xx) and empty lines
+/// before it are skipped, as the HTTP library does.
 #[derive(Debug, Default)]
 pub struct StatusLineParser {
     state: State,
@@ -15,7 +15,7 @@
 
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 enum State {
-    /// No byte has arrived.
+    /// No byte has arrived but for empty lines.
     #[default]
     Empty,
     /// In a status line.
@@ -27,9 +27,9 @@
 }
 
 impl StatusLineParser {
-    /// Whether any byte of a response has arrived.
-    pub fn has_started(&self) -> bool {
-        self.state != State::Empty
+    /// Whether the status line is complete, even if it is malformed.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, State::Done(_))
     }
 
     /// The status, if the status line is complete and well-formed.
@@ -45,7 +45,8 @@
         for byte in bytes {
             match (self.state, byte) {
                 (State::Done(_), _) => return,
-                (State::Empty | State::StatusLine, b'\n') => self.end_status_line(),
+                (State::Empty, b'\r' | b'\n') => {}
+                (State::StatusLine, b'\n') => self.end_status_line(),
                 (State::InterimHead, b'\n') => self.end_interim_line(),
                 (State::Empty | State::StatusLine, byte) => {
                     self.state = State::StatusLine;
--- a/crates/message-sender/src/http_connection/status_line/tests.rs
+++ b/crates/message-sender/src/http_connection/status_line/tests.rs
@@ -36,3 +36,11 @@
     assert_eq!(parsed_status(interim), Some(200));
     assert_eq!(parsed_status(b"HTTP/1.1 100 Continue\r\n\r\n"), None);
 }
+
+/// Guards against a response that counts as malformed because of empty lines before it, which the HTTP library
+/// accepts.
+#[test]
+fn empty_lines_before_a_response_are_skipped() {
+    assert_eq!(parsed_status(b"\r\n\n\r\nHTTP/1.1 200 OK\r\n"), Some(200));
+    assert_eq!(parsed_status(b"\r\n"), None);
+}
