Discard noise that crosses a request, and decide on premature data where it is read

Seen by callers: noise that an endpoint sends straight after a response, and that crosses the next request, made the outcome of that attempt unknown although its endpoint answered: a payment was reported dead.

Cause: only a well-formed 200 that came too soon was recognized, after the HTTP library had parsed it. Noise breaks the library's parser, and the response after it was not looked for.

Change: the exchange decides on all data as it is read. On a used connection whose endpoint's response time is known, a 200 or noise that comes too soon is premature; another status is the response. If the library then reports the premature 200 or fails, the attempt waits for the response after it. This replaces the separate step that discarded a response.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -1,5 +1,7 @@
 //! Runs each attempt from its start to its result, on a pooled or a new connection.
 
+mod responses;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
+use self::responses::{failure_of_send, is_premature};
 use super::attempt::{AttemptPhase, AttemptResult, Call, Target};
 use super::failure_log::FailureLog;
 use super::idle_lifetime::ReuseOutcome;
@@ -18,14 +21,11 @@
 use super::progress::{AttemptFailure, AttemptProgress};
 use super::response::interpret;
 use super::send_restrictions::{SendRestriction, SendRestrictions};
-use crate::http_connection::{Connection, Exchange, ResponseRemainder, SendError};
+use crate::http_connection::{Connection, Exchange, SendError};
 use crate::metrics::DeliveryCounters;
 use crate::time::duration;
 use crate::transient::is_local_shortage;
 
-/// Maximum length of a response body that is read, in bytes. The body is not used, but must be read before
-/// its connection can carry another request.
-pub(super) const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
 /// Idle connections are closed after this share of the time for which endpoints keep them: an attempt that
 /// is sent while the endpoint closes the connection would end as a reset.
 const IDLE_TIME_SHARE: f64 = 0.7;
@@ -157,9 +157,10 @@
                 self.failure_log.record(NO_RESPONSE.to_owned(), connection.is_reused());
             }
         }
-        if let (AttemptFailure::TimedOut, Some(time)) = (failure, progress.unreplaced_response_time()) {
+        let unreplaced = progress.exchange().and_then(|exchange| exchange.unreplaced_response_time());
+        if let (AttemptFailure::TimedOut, Some(response_time)) = (failure, unreplaced) {
             // Otherwise each response of an endpoint that has become faster would be discarded.
-            self.pool.record_response_time(endpoint, time);
+            self.pool.record_response_time(endpoint, response_time);
         }
         progress.outcome(failure)
     }
@@ -170,16 +171,19 @@
         call: &Call,
         progress: &mut AttemptProgress,
     ) -> Result<AttemptResult, AttemptFailure> {
-        let response = self.exchange(call, progress).await?;
+        let response = match self.exchange(call, progress).await {
+            Ok(response) => response,
+            // Boxed, so that each attempt does not hold the state of this rare case.
+            Err(AttemptFailure::DelayedResponse) => {
+                return Box::pin(self.receive_delayed_response(call, progress)).await;
+            }
+            Err(failure) => return Err(failure),
+        };
         let result = interpret(response.status(), response.headers());
         if result.outcome != AttemptOutcome::Delivered {
             return self.finish_undelivered(call, progress, result, response).await;
         }
-        if progress.has_premature_response() {
-            drop(response);
-            return self.receive_delayed_response(call, progress).await;
-        }
-        if let Some(response_time) = progress.response_time() {
+        if let Some(response_time) = progress.exchange().and_then(|exchange| exchange.response_time()) {
             self.pool.record_response_time(call.endpoint, response_time);
         }
         if let Some(connection) = progress.connection.take().filter(|_| self.may_finish_delivered()) {
@@ -188,32 +192,6 @@
         Ok(result)
     }
 
-    /// Discards a response to an earlier request on the connection, and waits for the head of the response to
-    /// this one. The connection is not used again. Unless the message was delivered, it may have been processed:
-    /// only a response that was received in full proves that it was not.
-    async fn receive_delayed_response(
-        &self,
-        call: &Call,
-        progress: &mut AttemptProgress,
-    ) -> Result<AttemptResult, AttemptFailure> {
-        tracing::info!(call_id = ?call.call_id, endpoint = call.endpoint, "discarded an earlier response");
-        self.pool.record_excess_data(call.target());
-        let exchange = progress.discard_response().ok_or(AttemptFailure::DelayedResponse)?;
-        let connection = progress.connection.as_mut().ok_or(AttemptFailure::DelayedResponse)?;
-        connection.stop().await;
-        if exchange.is_request_written() {
-            connection.wait_for_delayed_head(&exchange).await;
-        }
-        let head = exchange.delayed_head().ok_or(AttemptFailure::DelayedResponse)?;
-        progress.connection = None;
-        let result = interpret(head.status, &head.headers);
-        self.restrictions.record_retry_after(call.route, result.retry_after);
-        if result.outcome == AttemptOutcome::Delivered {
-            return Ok(result);
-        }
-        Ok(without_proof(result))
-    }
-
     /// Sends the request on an idle or a new connection and returns the head of its response. Any failure
     /// after the request has started is `Err(Broken)`.
     async fn exchange(
@@ -227,14 +205,16 @@
                 return Err(AttemptFailure::NotStarted);
             }
             let min_response_time = idle_for.and_then(|_| self.pool.min_response_time(call.endpoint));
-            let exchange =
-                progress.begin_exchange(&self.attempts_written, min_response_time.unwrap_or_default());
+            let exchange = progress.begin_exchange(&self.attempts_written, min_response_time);
             let request = progress.request().to_request();
             let Some(connection) = &mut progress.connection else { return Err(AttemptFailure::Broken) };
             let sent = connection.send(request, &exchange).await;
             match sent {
                 Ok(response) => {
                     self.record_reuse(idle_for, ReuseOutcome::Alive);
+                    if is_premature(&response, &exchange) {
+                        return Err(AttemptFailure::DelayedResponse);
+                    }
                     return Ok(response);
                 }
                 // The endpoint had closed an idle connection, or had sent excess data on it, before any byte
@@ -245,7 +225,7 @@
                 }
                 Err(error) => {
                     self.record_send_error(&exchange, idle_for, &error);
-                    return Err(AttemptFailure::Broken);
+                    return Err(failure_of_send(&exchange));
                 }
             }
         }
@@ -311,7 +291,7 @@
 
     fn record_send_error(&self, exchange: &Exchange, idle_for: Option<Duration>, error: &SendError) {
         // Any byte of a response, even of a corrupt one, shows that the connection was alive.
-        let reuse = if exchange.has_response() { ReuseOutcome::Alive } else { ReuseOutcome::Reset };
+        let reuse = if exchange.has_received() { ReuseOutcome::Alive } else { ReuseOutcome::Reset };
         self.record_reuse(idle_for, reuse);
         self.failure_log.record(error.to_string(), idle_for.is_some());
     }
@@ -321,88 +301,6 @@
             self.pool.record_reuse(idle_for, outcome);
         }
     }
-
-    /// Reads the response to an undelivered message to its end. A response that says that the message was
-    /// not processed counts only if it arrives in full: a corrupt one proves nothing.
-    async fn finish_undelivered(
-        &self,
-        call: &Call,
-        progress: &mut AttemptProgress,
-        result: AttemptResult,
-        response: Response<Incoming>,
-    ) -> Result<AttemptResult, AttemptFailure> {
-        let Some(connection) = progress.connection.as_mut() else {
-            return Err(AttemptFailure::IncompleteResponse);
-        };
-        let remainder = connection.read_remainder(response.into_body(), MAX_RESPONSE_BODY_BYTES).await;
-        if remainder == ResponseRemainder::Incomplete {
-            return Err(AttemptFailure::IncompleteResponse);
-        }
-        self.restrictions.record_retry_after(call.route, result.retry_after);
-        if is_connection_rejected(connection, remainder, &result) {
-            self.pool.record_saturation(call.endpoint);
-            return Ok(AttemptOutcome::NotSent.into());
-        }
-        match (remainder, progress.connection.take()) {
-            (ResponseRemainder::Complete, Some(connection)) => self.put_idle(call.target(), connection),
-            (ResponseRemainder::ExcessData, Some(connection)) => {
-                connection.close().await;
-                // The response's length may be wrong.
-                return Ok(without_proof(result));
-            }
-            // The connection has ended.
-            _ => {}
-        }
-        Ok(result)
-    }
-
-    /// Reads the rest of the response to a delivered message and keeps the connection for the next attempt.
-    async fn finish_delivered(
-        self: Rc<Self>,
-        target: Target,
-        mut connection: Connection,
-        response: Response<Incoming>,
-    ) {
-        let remainder = {
-            let _pending_read = self.pool.begin_read();
-            connection.read_remainder(response.into_body(), MAX_RESPONSE_BODY_BYTES).await
-        };
-        if remainder == ResponseRemainder::Complete {
-            self.put_idle(target, connection);
-        }
-    }
-
-    /// Whether one more response may be read after its attempt has ended. May close idle connections to
-    /// free a descriptor for it.
-    fn may_finish_delivered(&self) -> bool {
-        self.pool.free_capacity_for_read() && !self.restrictions.is_suspended()
-    }
-
-    fn put_idle(&self, target: Target, connection: Connection) {
-        if !self.restrictions.is_suspended() {
-            self.pool.put(target, connection);
-        }
-    }
-}
-
-/// The result of a response that is no proof that the message was not processed. Its Retry-After applies anyway.
-fn without_proof(result: AttemptResult) -> AttemptResult {
-    AttemptResult { retry_after: result.retry_after, ..AttemptOutcome::Error.into() }
-}
-
-/// Whether an endpoint has rejected a new connection for lack of capacity. A rejection because of a rate
-/// limit or a closed destination would have carried more details and kept the connection. This rejection
-/// indicates neither of them, so it must neither slow down other attempts nor count as an outage.
-fn is_connection_rejected(
-    connection: &Connection,
-    remainder: ResponseRemainder,
-    result: &AttemptResult,
-) -> bool {
-    remainder == ResponseRemainder::CompleteAndClosed
-        && result.outcome == AttemptOutcome::Rejected
-        && result.retry_after == 0
-        && result.load_report.is_none()
-        && !connection.is_reused()
 }
 
 #[cfg(test)]
--- a/crates/message-sender/src/delivery/client/tests/delayed_responses.rs
+++ b/crates/message-sender/src/delivery/client/tests/delayed_responses.rs
@@ -37,16 +37,20 @@
     Missing,
 }
 
-/// Starts an endpoint that delivers the first message. It sends a second copy of that response once the next
-/// request arrives, as if they had crossed on the network, and responds to that request after `response_time`.
-async fn start_endpoint_with_crossing_copy(response: Response, response_time: Duration) -> SocketAddr {
+/// Starts an endpoint that delivers the first message. It sends `data` once the next request arrives, as if they had
+/// crossed on the network, and responds to that request after `response_time`.
+async fn start_endpoint_with_crossing_data(
+    data: &'static str,
+    response: Response,
+    response_time: Duration,
+) -> SocketAddr {
     let (listener, address) = bind().await;
     tokio::task::spawn_local(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         receive(&mut stream).await;
         stream.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
         receive(&mut stream).await;
-        stream.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
+        stream.write_all(data.as_bytes()).await.unwrap();
         sleep(response_time).await;
         match response {
             // Fails if the sender has closed the connection.
@@ -59,6 +63,11 @@
     address
 }
 
+/// Starts an endpoint whose crossing data is a second copy of its first response.
+async fn start_endpoint_with_crossing_copy(response: Response, response_time: Duration) -> SocketAddr {
+    start_endpoint_with_crossing_data(OK_RESPONSE, response, response_time).await
+}
+
 /// A client with an idle connection to an endpoint that is known to be slow.
 async fn client_of_slow_endpoint(address: SocketAddr) -> Rc<DeliveryClient> {
     let client = client();
@@ -99,6 +108,21 @@
     run_local_before_idle_timeout(Box::pin(test)).await;
 }
 
+/// Guards against a message whose outcome is unknown although its endpoint has answered: noise after an earlier
+/// response crossed the request on the network.
+#[tokio::test]
+async fn noise_that_crosses_a_request_hides_no_response() {
+    let test = async {
+        for noise in ["noise", "noise\r\n\r\n", "\r\n"] {
+            let response = Response::Sent(OK_RESPONSE);
+            let address = start_endpoint_with_crossing_data(noise, response, SLOW_RESPONSE_TIME).await;
+            let client = client_of_slow_endpoint(address).await;
+            assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered, "{noise:?}");
+        }
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
 /// Guards against a Retry-After that is missed because the rejection follows a second copy of an earlier response.
 #[tokio::test]
 async fn a_rejection_after_a_second_copy_has_its_retry_after() {
--- a/crates/message-sender/src/delivery/client/tests/outcomes.rs
+++ b/crates/message-sender/src/delivery/client/tests/outcomes.rs
@@ -11,7 +11,7 @@
 
 use super::{bind, call_to, client, outcome, receive, run_local_before_idle_timeout, UNBUFFERED_BODY_BYTES};
 use crate::delivery::attempt::Call;
-use crate::delivery::client::MAX_RESPONSE_BODY_BYTES;
+use crate::delivery::client::responses::MAX_RESPONSE_BODY_BYTES;
 
 /// Statuses of the protocol, with the outcome of a complete response.
 const STATUSES: [(u16, AttemptOutcome); 6] = [
--- a/crates/message-sender/src/delivery/progress.rs
+++ b/crates/message-sender/src/delivery/progress.rs
@@ -8,8 +8,8 @@
 
 use super::attempt::Call;
 use super::request::PreparedRequest;
-use super::response::is_delivered;
-use crate::http_connection::{Connection, Exchange, IncompleteRequest};
+use super::response::{is_delivered, DELIVERED};
+use crate::http_connection::{Connection, EarliestResponse, Exchange, IncompleteRequest};
 
 /// Why an attempt ended without a usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +26,8 @@
     Broken,
     /// The response was not received in full.
     IncompleteResponse,
-    /// A response to an earlier request on the connection was received, and none to this one.
+    /// Data that belongs to an earlier request on the connection was received instead of the response, or before
+    /// it.
     DelayedResponse,
 }
 
@@ -62,23 +63,12 @@
     pub connection: Option<Connection>,
     /// The exchange of the request, once its first byte may have been sent. Kept when the connection is gone.
     exchange: Option<Rc<Exchange>>,
-    /// Time after the request before which its endpoint cannot have delivered the message. Zero on a new
-    /// connection, where every response belongs to this request.
-    min_response_time: Duration,
-    /// Response time of a response that was discarded, because it was shorter than that.
-    discarded_response_time: Option<Duration>,
 }
 
 impl AttemptProgress {
     /// The progress of an attempt that has not started.
     pub fn new(call: &Call) -> Self {
-        Self {
-            request: PreparedRequest::new(call),
-            connection: None,
-            exchange: None,
-            min_response_time: Duration::ZERO,
-            discarded_response_time: None,
-        }
+        Self { request: PreparedRequest::new(call), connection: None, exchange: None }
     }
 
     /// The request of the attempt.
@@ -92,13 +82,19 @@
     pub fn begin_exchange(
         &mut self,
         written_requests: &Rc<Cell<u64>>,
-        min_response_time: Duration,
+        min_response_time: Option<Duration>,
     ) -> Rc<Exchange> {
-        self.min_response_time = min_response_time;
-        let exchange = Exchange::new(self.request.wire_length(), written_requests);
+        let earliest_response =
+            min_response_time.map(|response_time| EarliestResponse { status: DELIVERED, response_time });
+        let exchange = Exchange::new(self.request.wire_length(), written_requests, earliest_response);
         self.exchange.insert(exchange).clone()
     }
 
+    /// The exchange of the request, once its first byte may have been sent.
+    pub fn exchange(&self) -> Option<Rc<Exchange>> {
+        self.exchange.clone()
+    }
+
     /// Closes the connection and forgets the exchange that was begun on it, in which nothing was written. The
     /// connection must have been stopped.
     pub fn revoke_exchange(&mut self) {
@@ -115,32 +111,7 @@
     pub fn lacks_response(&self) -> bool {
         self.exchange
             .as_ref()
-            .is_some_and(|exchange| exchange.is_request_written() && !exchange.has_response())
-    }
-
-    /// Time from the request to its response, if the response has arrived.
-    pub fn response_time(&self) -> Option<Duration> {
-        self.exchange.as_ref()?.response_time()
-    }
-
-    /// Whether a response, if it says that the message was delivered, belongs to an earlier request.
-    pub fn has_premature_response(&self) -> bool {
-        self.response_time().is_some_and(|time| time < self.min_response_time)
-    }
-
-    /// Discards a response to an earlier request. Returns the exchange, whose response is awaited now.
-    pub fn discard_response(&mut self) -> Option<Rc<Exchange>> {
-        let exchange = self.exchange.clone()?;
-        self.discarded_response_time = exchange.response_time();
-        exchange.discard_response(self.min_response_time);
-        Some(exchange)
-    }
-
-    /// Response time of a discarded response that no other has followed. It may have belonged to this request
-    /// after all.
-    pub fn unreplaced_response_time(&self) -> Option<Duration> {
-        let has_response = self.exchange.as_ref().is_some_and(|exchange| exchange.has_response());
-        self.discarded_response_time.filter(|_| !has_response)
+            .is_some_and(|exchange| exchange.is_request_written() && !exchange.has_received())
     }
 
     /// The outcome of an attempt that ended without a usable response. Its connection must have been stopped.
@@ -152,7 +123,7 @@
         // The status holds even if the rest of the response is corrupt. An endpoint may send it before the
         // request has been written in full.
         let is_delivered = exchange.response_status().is_some_and(is_delivered);
-        if is_delivered && exchange.bytes_written() > 0 && !self.has_premature_response() {
+        if is_delivered && exchange.bytes_written() > 0 {
             return AttemptOutcome::Delivered;
         }
         match exchange.incomplete_request() {
--- a/crates/message-sender/src/delivery/request/tests.rs
+++ b/crates/message-sender/src/delivery/request/tests.rs
@@ -52,7 +52,7 @@
     let request = PreparedRequest::new(&call_to(address, idempotency_key));
     let mut connection = Connection::open(address).await.unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    let exchange = Exchange::new(request.wire_length(), &Rc::default());
+    let exchange = Exchange::new(request.wire_length(), &Rc::default(), None);
     let (received, sent) = tokio::join!(receive(stream), connection.send(request.to_request(), &exchange));
     assert!(sent.is_ok());
     assert_eq!(request.wire_length(), received);
--- a/crates/message-sender/src/delivery/response.rs
+++ b/crates/message-sender/src/delivery/response.rs
@@ -17,9 +17,12 @@
 const MAX_RETRY_AFTER_MS: f64 = 1e9;
 const MICROS_PER_MILLI: f64 = 1e3;
 
+/// The status that says that the message was delivered.
+pub const DELIVERED: u16 = StatusCode::OK.as_u16();
+
 /// Whether the status alone says that the message was delivered.
 pub fn is_delivered(status: u16) -> bool {
-    status == StatusCode::OK.as_u16()
+    status == DELIVERED
 }
 
 /// The result that a response indicates. A status that is not in the protocol's table counts as an error:
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -225,7 +225,7 @@
         Ok(bytes)
     }
 
-    /// Waits until the head of the response after a discarded one has arrived or the connection has ended. The
+    /// Waits until the head of the response after premature data has arrived or the connection has ended. The
     /// connection must have been stopped.
     pub async fn wait_for_delayed_head(&self, exchange: &Exchange) {
         while exchange.awaits_delayed_head() {
--- a/crates/message-sender/src/http_connection/exchange.rs
+++ b/crates/message-sender/src/http_connection/exchange.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::delayed_response::{DelayedResponse, HeadState, ResponseHead};
+use super::response_head::{HeadCollector, HeadState, ResponseHead};
 use super::status_line::StatusLineParser;
 use crate::metrics::increment;
 
@@ -22,6 +22,16 @@
     }
 }
 
+/// The time before which a response with a certain status cannot be the response to a request. On a connection that
+/// has carried other requests, such a response and data that is none belong to an earlier request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EarliestResponse {
+    /// The status.
+    pub status: u16,
+    /// Time from the last byte of the request.
+    pub response_time: Duration,
+}
+
 /// What was written of a request and received of its response. Each exchange has a record of its own, which its
 /// connection updates only until the exchange has ended: nothing that happens later can change it.
 #[derive(Default)]
@@ -36,11 +46,17 @@
     request_written_at: Cell<Option<Instant>>,
     /// Whether the connection has been stopped, so that it writes no more of the request.
     is_stopped: Cell<bool>,
-    /// The response that is awaited, if one to an earlier request has arrived in its place.
-    delayed_response: RefCell<Option<DelayedResponse>>,
-    /// Whether any byte of the response has arrived.
-    has_response: Cell<bool>,
+    /// The earliest response with a certain status, if it is known.
+    earliest_response: Option<EarliestResponse>,
+    /// Whether data has arrived that belongs to no response to this request.
+    has_premature_data: Cell<bool>,
+    /// Response time of a response that was too early, if there was one.
+    premature_response_time: Cell<Option<Duration>>,
+    /// Whether any byte has arrived.
+    has_received: Cell<bool>,
     status_line: RefCell<StatusLineParser>,
+    /// The head of the response, if it follows premature data: the HTTP library cannot find it then.
+    head: RefCell<HeadCollector>,
     /// When the status line arrived, if it has.
     status_received_at: Cell<Option<Instant>>,
     /// Notified when a byte of the response has arrived.
@@ -49,10 +65,15 @@
 
 impl Exchange {
     /// Creates the record for a request of `request_length` bytes. Increments `written_requests` once they were
-    /// written.
-    pub fn new(request_length: u64, written_requests: &Rc<Cell<u64>>) -> Rc<Self> {
+    /// written. `earliest_response` is `None` on a new connection, where everything belongs to this request.
+    pub fn new(
+        request_length: u64,
+        written_requests: &Rc<Cell<u64>>,
+        earliest_response: Option<EarliestResponse>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             request_length: Some(request_length),
+            earliest_response,
             written_requests: written_requests.clone(),
             ..Self::default()
         })
@@ -75,9 +96,9 @@
         is_incomplete.then_some(IncompleteRequest(()))
     }
 
-    /// Whether any byte of the response has arrived.
-    pub fn has_response(&self) -> bool {
-        self.has_response.get()
+    /// Whether any byte has arrived since the request began.
+    pub fn has_received(&self) -> bool {
+        self.has_received.get()
     }
 
     /// The status of the response, known once its status line has arrived, even if the rest cannot be parsed.
@@ -94,57 +115,81 @@
     /// before the request was written in full, and `None` if it has not arrived.
     pub fn response_time(&self) -> Option<Duration> {
         let received_at = self.status_received_at.get()?;
-        let written_at = self.request_written_at.get().unwrap_or(received_at);
-        Some(received_at.saturating_duration_since(written_at))
+        Some(self.time_since_request(received_at))
+    }
+
+    fn time_since_request(&self, at: Instant) -> Duration {
+        let written_at = self.request_written_at.get();
+        written_at.map_or(Duration::ZERO, |written_at| at.saturating_duration_since(written_at))
     }
 
-    /// Discards the response, because it belongs to an earlier request on the connection, and its further copies
-    /// that arrive before `min_response_time` has passed since the last byte of the request.
-    pub fn discard_response(&self, min_response_time: Duration) {
-        let earlier_status = self.response_status();
-        self.has_response.set(false);
-        self.status_line.take();
-        self.status_received_at.set(None);
-        let written_at = self.request_written_at.get().unwrap_or_else(Instant::now);
-        let delayed_response = DelayedResponse::new(earlier_status, written_at + min_response_time);
-        self.delayed_response.replace(Some(delayed_response));
+    /// Whether data has arrived that belongs to no response to this request.
+    pub fn has_premature_data(&self) -> bool {
+        self.has_premature_data.get()
     }
 
-    /// The head of the response after a discarded one, if it has arrived and is well-formed.
+    /// Response time of a response that was too early and that no other has followed. It may have belonged to this
+    /// request after all.
+    pub fn unreplaced_response_time(&self) -> Option<Duration> {
+        self.premature_response_time.get().filter(|_| !self.is_status_line_complete())
+    }
+
+    /// The head of the response after premature data, if it has arrived and is well-formed.
     pub fn delayed_head(&self) -> Option<ResponseHead> {
-        match self.delayed_response.borrow().as_ref()?.head() {
+        match self.head.borrow().state() {
             HeadState::Complete(head) => Some(head),
             HeadState::Partial | HeadState::Malformed => None,
         }
     }
 
-    /// Whether the response after a discarded one is still awaited.
+    /// Whether the head of the response after premature data has not arrived in full.
     pub(super) fn awaits_delayed_head(&self) -> bool {
-        let delayed_response = self.delayed_response.borrow();
-        delayed_response.as_ref().is_some_and(|response| response.head() == HeadState::Partial)
+        self.head.borrow().state() == HeadState::Partial
     }
 
-    /// Waits until a byte of the response has arrived.
+    /// Waits until any byte has arrived.
     pub async fn wait_for_response_start(&self) {
-        while !self.has_response() {
+        while !self.has_received() {
             self.response_started.notified().await;
         }
     }
 
-    /// Records bytes of the response.
+    /// Records what has arrived since the request began.
     pub(super) fn record_read(&self, bytes: &[u8]) {
-        if self.delayed_response.borrow_mut().as_mut().is_some_and(|response| !response.read(bytes)) {
+        if bytes.is_empty() {
+            return;
+        }
+        if !self.has_received.replace(true) {
+            self.response_started.notify_one();
+        }
+        if self.is_premature(bytes) {
+            self.has_premature_data.set(true);
             return;
         }
+        if self.has_premature_data() {
+            self.head.borrow_mut().read(bytes);
+        }
         let mut status_line = self.status_line.borrow_mut();
         let was_complete = status_line.is_complete();
         status_line.read(bytes);
         if status_line.is_complete() && !was_complete {
             self.status_received_at.set(Some(Instant::now()));
         }
-        if !bytes.is_empty() && !self.has_response.replace(true) {
-            self.response_started.notify_one();
+    }
+
+    /// Whether data belongs to an earlier request: it is no response, or one that is too early.
+    fn is_premature(&self, bytes: &[u8]) -> bool {
+        let Some(earliest) = self.earliest_response else { return false };
+        let response_time = self.time_since_request(Instant::now());
+        if self.status_line.borrow().has_started() || response_time >= earliest.response_time {
+            return false;
+        }
+        let mut status_line = StatusLineParser::default();
+        status_line.read(bytes);
+        if status_line.status() == Some(earliest.status) {
+            self.premature_response_time.set(Some(response_time));
         }
+        status_line.status().is_none_or(|status| status == earliest.status)
     }
 
     /// Records that the kernel has accepted `bytes` more bytes of the request.
@@ -162,3 +207,6 @@
         self.is_stopped.set(true);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/message-sender/src/http_connection/exchange/tests.rs
@@ -0,0 +1,65 @@
+//! Tests for data that belongs to an earlier request on the connection.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::advance;
+
+use super::{EarliestResponse, Exchange};
+
+const COPY: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const REJECTION: &[u8] = b"HTTP/1.1 429 Wait\r\nX-Come-Back-Ms: 250\r\nContent-Length: 0\r\n\r\n";
+const REQUEST_LENGTH: u64 = 100;
+const EARLIEST: EarliestResponse = EarliestResponse { status: 200, response_time: Duration::from_millis(25) };
+
+fn written_exchange(earliest_response: Option<EarliestResponse>) -> Rc<Exchange> {
+    let exchange = Exchange::new(REQUEST_LENGTH, &Rc::default(), earliest_response);
+    exchange.record_written(REQUEST_LENGTH as usize);
+    exchange
+}
+
+/// Guards against copies of an earlier response, parts of one, or noise that are read as the response.
+#[tokio::test(start_paused = true)]
+async fn early_deliveries_and_noise_are_premature() {
+    let exchange = written_exchange(Some(EARLIEST));
+    for part in [COPY, b"a part of a body".as_slice(), COPY.repeat(100).as_slice(), b"\r\n"] {
+        exchange.record_read(part);
+        assert!(exchange.has_premature_data() && exchange.response_status().is_none());
+    }
+    assert!(exchange.awaits_delayed_head());
+    assert_eq!(exchange.unreplaced_response_time(), Some(Duration::ZERO));
+    advance(EARLIEST.response_time).await;
+    exchange.record_read(COPY);
+    assert_eq!(exchange.response_status(), Some(200));
+    assert_eq!(exchange.delayed_head().unwrap().status, 200);
+    assert_eq!(exchange.unreplaced_response_time(), None);
+}
+
+/// Guards against a rejection that is taken for premature: an endpoint can reject a message at once.
+#[tokio::test(start_paused = true)]
+async fn an_early_response_with_another_status_is_the_response() {
+    let exchange = written_exchange(Some(EARLIEST));
+    exchange.record_read(REJECTION);
+    assert_eq!((exchange.has_premature_data(), exchange.response_status()), (false, Some(429)));
+    let after_copy = written_exchange(Some(EARLIEST));
+    after_copy.record_read(COPY);
+    let (start, end) = REJECTION.split_at(30);
+    after_copy.record_read(start);
+    after_copy.record_read(end);
+    assert_eq!(after_copy.response_status(), Some(429));
+    assert_eq!(after_copy.delayed_head().unwrap().headers["x-come-back-ms"], "250");
+}
+
+/// Guards against a response on a new connection that is discarded because it is early, and against one that counts
+/// as the response although the request was not written in full.
+#[tokio::test(start_paused = true)]
+async fn only_responses_on_used_connections_are_premature() {
+    let exchange = written_exchange(None);
+    exchange.record_read(COPY);
+    assert_eq!((exchange.has_premature_data(), exchange.response_status()), (false, Some(200)));
+    let exchange = Exchange::new(REQUEST_LENGTH, &Rc::default(), Some(EARLIEST));
+    exchange.record_written(1);
+    advance(2 * EARLIEST.response_time).await;
+    exchange.record_read(COPY);
+    assert!(exchange.has_premature_data());
+}
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -7,13 +7,13 @@
 
 mod byte_counter;
 mod connection;
-mod delayed_response;
 mod exchange;
+mod response_head;
 mod socket_state;
 mod status_line;
 
 pub use self::connection::{Connection, IdleState, ResponseRemainder, SendError};
-pub use self::exchange::{Exchange, IncompleteRequest};
+pub use self::exchange::{EarliestResponse, Exchange, IncompleteRequest};
 
 use std::time::Duration;
 
--- a/crates/message-sender/src/http_connection/status_line.rs
+++ b/crates/message-sender/src/http_connection/status_line.rs
@@ -27,6 +27,11 @@
 }
 
 impl StatusLineParser {
+    /// Whether any byte of a status line has arrived.
+    pub fn has_started(&self) -> bool {
+        self.state != State::Empty
+    }
+
     /// Whether the status line is complete, even if it is malformed.
     pub fn is_complete(&self) -> bool {
         matches!(self.state, State::Done(_))
