--- a/crates/message-sender/tests/operator_api.rs
+++ b/crates/message-sender/tests/operator_api.rs
@@ -128,6 +128,24 @@
     assert_eq!(environment.endpoint.next_call().message_id(), "m1");
 }
 
+/// Guards against a process that stops at a log line, because its log goes to a pipe that stays open and is full.
+#[test]
+fn a_log_that_is_not_read_blocks_no_process() {
+    let environment = Environment::new(vec![OK]);
+    let sender = environment.start_sender();
+    sender.await_metric("known_endpoints", 1);
+    sender.pause_log();
+    let start = Instant::now();
+    while sender.metric("log_lines_lost") < 3 {
+        assert!(start.elapsed() < TIMEOUT, "no log line was lost");
+        // Each of these calls is logged.
+        assert_eq!(sender.management_status("POST", "/maintenance/enter", "s-1"), 200);
+        assert_eq!(sender.management_status("POST", "/maintenance/exit", "s-1"), 200);
+    }
+    assert_eq!(sender.submit("m1", 20_000, "x"), ACCEPTED);
+    assert_eq!(environment.endpoint.next_call().message_id(), "m1");
+}
+
 /// Guards against calls to an endpoint in maintenance after the operator has repeated the command, discovery
 /// has removed the endpoint and listed it again, or the process has been killed.
 #[test]
--- a/crates/message-sender/tests/support/sender_process.rs
+++ b/crates/message-sender/tests/support/sender_process.rs
@@ -16,6 +16,9 @@
 use super::discovery::Discovery;
 use super::TIMEOUT;
 
+/// Time between two checks whether the log is still paused.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A signal to a sender process.
 #[derive(Debug, Clone, Copy)]
 pub enum Signal {
@@ -59,6 +62,7 @@
     /// The lines of its log.
     pub log: Receiver<String>,
     is_log_closed: Arc<AtomicBool>,
+    is_log_paused: Arc<AtomicBool>,
 }
 
 impl SenderProcess {
@@ -87,7 +91,8 @@
         std::fs::write(&path, text).unwrap();
         let mut child = spawn(state, &path, options.max_descriptors);
         let is_log_closed = Arc::new(AtomicBool::new(false));
-        let log = read_log(child.stderr.take().unwrap(), is_log_closed.clone());
+        let is_log_paused = Arc::new(AtomicBool::new(false));
+        let log = read_log(child.stderr.take().unwrap(), is_log_closed.clone(), is_log_paused.clone());
         let placeholder = "127.0.0.1:0".parse().unwrap();
         let mut sender = Self {
             child,
@@ -96,6 +101,7 @@
             configuration: path,
             log,
             is_log_closed,
+            is_log_paused,
         };
         sender.management = sender.await_logged_address("management=");
         sender
@@ -106,6 +112,11 @@
         self.is_log_closed.store(true, Ordering::Relaxed);
     }
 
+    /// Stops reading the log after the next line: its pipe stays open and fills up.
+    pub fn pause_log(&self) {
+        self.is_log_paused.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the process serves clients.
     pub fn await_ready(&mut self) {
         self.address = self.await_logged_address("listen=");
@@ -210,14 +221,17 @@
         .expect("the sender could not be started")
 }
 
-/// Reads the log until it ends, so that the sender never blocks on a full pipe, or until it is to be closed.
-fn read_log(stderr: ChildStderr, is_closed: Arc<AtomicBool>) -> Receiver<String> {
+/// Reads the log until it ends, or until it is to be closed, unless it is paused.
+fn read_log(stderr: ChildStderr, is_closed: Arc<AtomicBool>, is_paused: Arc<AtomicBool>) -> Receiver<String> {
     let (line_sender, lines) = channel();
     thread::spawn(move || {
         for line in BufReader::new(stderr).lines().map_while(Result::ok) {
             eprintln!("{line}");
             // The log is read on even when the test has dropped the receiver.
             let _ = line_sender.send(line);
+            while is_paused.load(Ordering::Relaxed) {
+                thread::sleep(PAUSE_CHECK_INTERVAL);
+            }
             if is_closed.load(Ordering::Relaxed) {
                 return;
             }
