--- a/crates/message-sender/src/endpoint_registry/registry.rs
+++ b/crates/message-sender/src/endpoint_registry/registry.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -158,6 +158,14 @@
         self.drained.iter().filter_map(|name| self.ids.get(name))
     }
 
+    /// Marks all endpoints but these as no longer drained.
+    pub fn retain_drained(&mut self, names: &BTreeSet<String>) {
+        let restored: Vec<_> = self.drained.iter().filter(|name| !names.contains(*name)).cloned().collect();
+        for name in restored {
+            self.mark_restored(&name);
+        }
+    }
+
     /// Marks an endpoint as no longer drained and returns its id, which it loses if it is not registered.
     pub fn mark_restored(&mut self, name: &str) -> EndpointId {
         self.drained.remove(name);
--- a/crates/message-sender/src/event_loop/recovery.rs
+++ b/crates/message-sender/src/event_loop/recovery.rs
@@ -143,16 +143,21 @@
         Ok(event_loop)
     }
 
-    /// Makes the controller drain exactly the endpoints that the journal holds as drained by operators.
+    /// Makes the registry and the controller drain exactly the endpoints that the journal holds as drained by
+    /// operators. A successor that has died may have restored some that this process knew as drained.
     fn synchronize_drained_endpoints(&mut self) {
         let names = self.journal.borrow().drained_endpoints().clone();
         let recorded: BTreeSet<_> = names.iter().map(|name| self.registry.mark_drained(name)).collect();
+        let known: BTreeSet<_> = self.registry.drained_ids().collect();
+        self.registry.retain_drained(&names);
         let drained: BTreeSet<_> = self.controller.drained_endpoints().collect();
         for endpoint in recorded.difference(&drained) {
             self.command_controller(*endpoint, MaintenanceCommand::Drain);
         }
         for endpoint in drained.difference(&recorded) {
-            self.invariants.report(Invariant::DrainedByOperator, ViolationSubject::Endpoint(*endpoint));
+            if !known.contains(endpoint) {
+                self.invariants.report(Invariant::DrainedByOperator, ViolationSubject::Endpoint(*endpoint));
+            }
             self.command_controller(*endpoint, MaintenanceCommand::Restore);
         }
     }
--- a/crates/message-sender/tests/drained_endpoints.rs
+++ b/crates/message-sender/tests/drained_endpoints.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 
@@ -99,3 +100,22 @@
     assert!(fixture.second.has_no_call(), "a drained endpoint was called");
     assert_eq!(successor.metric("invariant_violations"), 1);
 }
+
+/// Guards against an endpoint that stays marked as drained, and a violation that is none, because a successor
+/// restored the endpoint before it died.
+#[test]
+fn an_endpoint_that_a_dead_successor_restored_is_in_service() {
+    let fixture = Fixture::new();
+    let predecessor = fixture.start_sender();
+    predecessor.await_metric("known_endpoints", 2);
+    assert_eq!(predecessor.management_status("POST", "/maintenance/enter", "s-1"), 200);
+    assert_eq!(predecessor.management_status("POST", "/maintenance/enter", "s-2"), 200);
+    // A request that is still being received keeps the predecessor alive after the handover.
+    let mut client = predecessor.connect();
+    client.write_all(b"POST /notice HTTP/1.1\r\n").unwrap();
+    let successor = fixture.start_sender();
+    assert_eq!(successor.management_status("POST", "/maintenance/exit", "s-1"), 200);
+    successor.kill();
+    predecessor.await_log(&["taking the work back"]);
+    fixture.assert_only_the_second_is_drained(&predecessor);
+}
