Start no timer for a connection that need not rest

Cause: an empty sleep registers a timer, which each reuse of a connection paid since the rest was added.

Change: sleep only if there is a rest left.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -243,7 +243,10 @@
             return Ok(None);
         };
         progress.connection = Some(pooled.connection);
-        sleep(pooled.remaining_rest).await;
+        // Even an empty sleep would cost a timer.
+        if !pooled.remaining_rest.is_zero() {
+            sleep(pooled.remaining_rest).await;
+        }
         Ok(Some(pooled.idle_for))
     }
 
