Soak: network delays, odd bodies, copies from discovery, moving clients, memory, process group

- Each seed draws network delays of 0, 0.5, 2 or 10 ms with jitter for endpoints, discovery and clients.
Half of the seeds have endpoints that take 45 to 60 ms.
- Kinds: second copies from discovery, bodies of up to 70 KiB for each status, clients that move between senders, peers that stop within large bodies.
Excess data crosses requests over a network with a delay; there it follows within 5 ms, as later data cannot be told from a response by any sender (docs/incidents/crossing-responses.md).
- The memory of each process is checked against its limit.
The planted excess is reported.
It had asked for a call within 3 s: seed 2015 was red with both endpoints ejected and a slow start of one call in 4.4 s, which that bound allows.

--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -12,6 +12,7 @@
 
 use crate::exchange::{exchange, Exchange, SendStyle, RESPONSE_TIMEOUT};
 use crate::history::{ConnectionUse, History, Message, SubmitResult};
+use crate::network::NetworkDelay;
 use crate::settings::{Class, DESTINATIONS};
 
 /// Longest pause within a request that is sent in pieces, in milliseconds.
@@ -20,6 +21,13 @@
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay with which a close may be noticed by the peer.
 const PEER_TOLERANCE: Duration = Duration::from_millis(300);
+/// Maximum length of a body by the protocol, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Pause between two peers with incomplete or invalid requests, in milliseconds.
+const PEER_PAUSE_MS: std::ops::Range<u64> = 50..250;
+/// Pause between two peers with large requests, in milliseconds: those that wait use less than a third of the
+/// descriptors of a sender.
+const LARGE_REQUEST_PAUSE_MS: std::ops::Range<u64> = 35..60;
 /// Size of large invalid requests, in bytes.
 const GARBAGE_BYTES: usize = 200_000;
 /// Time after which an accepted message has most likely ended, so that it can be submitted again under the
@@ -45,8 +53,12 @@
     pub churn: AtomicBool,
     /// Peers send incomplete requests.
     pub stall: AtomicBool,
+    /// Peers send most of a large request.
+    pub stall_in_bodies: AtomicBool,
     /// Peers send invalid requests.
     pub garbage: AtomicBool,
+    /// Clients submit to any sender.
+    pub moves: AtomicBool,
     /// All clients and peers stop.
     pub stop: AtomicBool,
 }
@@ -59,15 +71,29 @@
     }
 }
 
+/// Parameters of a client.
+pub struct ClientSetup {
+    /// Index of the sender that it submits to.
+    pub sender: usize,
+    /// Number of the client among the clients of its sender.
+    pub number: usize,
+    /// Addresses of all senders.
+    pub addresses: Vec<SocketAddr>,
+    /// Switches that faults set.
+    pub load_control: Arc<LoadControl>,
+    /// History for its messages.
+    pub history: Arc<History>,
+    /// Delay of the network to the senders.
+    pub network_delay: NetworkDelay,
+    /// Seed of its random choices.
+    pub seed: u64,
+}
+
 /// A client that uses one connection at a time.
 pub struct Client {
-    /// Index of the sender that it submits to.
+    setup: ClientSetup,
+    /// Index of the sender that it submits to at present.
     sender: usize,
-    /// Number of the client among the clients of its sender.
-    number: usize,
-    address: SocketAddr,
-    load_control: Arc<LoadControl>,
-    history: Arc<History>,
     /// Connection that is kept for the next request.
     connection: Option<BufReader<TcpStream>>,
     /// Number of messages submitted so far.
@@ -80,33 +106,23 @@
 }
 
 impl Client {
-    /// Creates a client of this sender.
+    /// Creates a client.
     #[must_use]
-    pub fn new(
-        sender: usize,
-        number: usize,
-        address: SocketAddr,
-        load_control: Arc<LoadControl>,
-        history: Arc<History>,
-        seed: u64,
-    ) -> Self {
+    pub fn new(setup: ClientSetup) -> Self {
         Self {
-            sender,
-            number,
-            address,
-            load_control,
-            history,
+            sender: setup.sender,
+            random: fastrand::Rng::with_seed(setup.seed),
+            setup,
             connection: None,
             submitted: 0,
             ordered: 0,
             replayable: None,
-            random: fastrand::Rng::with_seed(seed),
         }
     }
 
     /// Submits messages until the load stops.
     pub async fn run(mut self) {
-        while !self.load_control.is_stopped() {
+        while !self.setup.load_control.is_stopped() {
             self.submit_next().await;
             self.replay().await;
             sleep(Duration::from_millis(self.random.u64(20..90))).await;
@@ -115,11 +131,13 @@
 
     async fn submit_next(&mut self) {
         let class = Class::ALL[self.random.usize(0..Class::ALL.len())];
-        let id = format!("m-{}-{}-{}", self.sender, self.number, self.submitted);
+        let (home, number) = (self.setup.sender, self.setup.number);
+        let id = format!("m-{home}-{number}-{}", self.submitted);
+        self.choose_sender(class);
         self.submitted += 1;
         let order = (class == Class::Ordered).then(|| {
             self.ordered += 1;
-            (format!("k-{}-{}", self.sender, self.number), self.ordered)
+            (format!("k-{home}-{number}"), self.ordered)
         });
         let destination = if class == Class::Ordered { 1 } else { self.random.u64(1..=DESTINATIONS) };
         let budget = Duration::from_millis(self.random.u64(3_000..8_000));
@@ -135,16 +153,32 @@
             result: None,
             is_replayed: false,
         };
-        self.history.records().messages.insert(id.clone(), message);
+        self.setup.history.records().messages.insert(id.clone(), message);
         let result = self.submit(&id, &text).await;
-        if let Some(message) = self.history.records().messages.get_mut(&id) {
+        if let Some(message) = self.setup.history.records().messages.get_mut(&id) {
             message.result = Some((result, Instant::now()));
         }
-        if class == Class::Once && result == SubmitResult::Accepted && self.replayable.is_none() {
+        let is_home = self.sender == self.setup.sender;
+        if class == Class::Once && result == SubmitResult::Accepted && is_home && self.replayable.is_none() {
             self.replayable = Some((id, text, Instant::now()));
         }
     }
 
+    /// Chooses the sender for the next message. While clients move, it is any sender; messages with an order key go
+    /// to the same one.
+    fn choose_sender(&mut self, class: Class) {
+        let moves = self.setup.load_control.moves.load(Ordering::Relaxed) && class != Class::Ordered;
+        let sender = if moves { self.random.usize(0..self.setup.addresses.len()) } else { self.setup.sender };
+        self.move_to(sender);
+    }
+
+    fn move_to(&mut self, sender: usize) {
+        if sender != self.sender {
+            self.connection = None;
+            self.sender = sender;
+        }
+    }
+
     /// Submits on the kept connection or on a new one. If the kept connection ends without a response, the
     /// request is sent once more on a new one.
     async fn submit(&mut self, id: &str, text: &str) -> SubmitResult {
@@ -155,7 +189,7 @@
                 result => return result,
             }
         }
-        match timeout(RESPONSE_TIMEOUT, TcpStream::connect(self.address)).await {
+        match timeout(RESPONSE_TIMEOUT, TcpStream::connect(self.setup.addresses[self.sender])).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
                 self.exchange(id, BufReader::new(stream), text, ConnectionUse::Fresh, style).await
@@ -173,14 +207,17 @@
         style: SendStyle,
     ) -> SubmitResult {
         self.record_submission_time(id, style);
-        match exchange(self.sender, connection, text, connection_use, style).await {
+        sleep(self.setup.network_delay.draw_one_way()).await;
+        let ended = exchange(self.sender, connection, text, connection_use, style).await;
+        sleep(self.setup.network_delay.draw_one_way()).await;
+        match ended {
             Exchange::Response(response, connection) => {
                 self.connection = connection;
                 SubmitResult::of(response.status())
             }
             Exchange::Abandoned => SubmitResult::Abandoned,
             Exchange::Ended(ended) => {
-                self.history.records().ended_requests.push((id.to_owned(), ended));
+                self.setup.history.records().ended_requests.push((id.to_owned(), ended));
                 SubmitResult::Closed
             }
         }
@@ -188,7 +225,7 @@
 
     /// Records the time at which the last byte of a request is written, from which the time left counts.
     fn record_submission_time(&self, id: &str, style: SendStyle) {
-        if let Some(message) = self.history.records().messages.get_mut(id) {
+        if let Some(message) = self.setup.history.records().messages.get_mut(id) {
             if !message.is_replayed {
                 message.submitted_at = Instant::now() + style.pause.unwrap_or_default();
             }
@@ -197,7 +234,7 @@
 
     /// Draws how the next request is sent, from what is switched on.
     fn draw_style(&mut self) -> SendStyle {
-        let control = self.load_control.clone();
+        let control = self.setup.load_control.clone();
         let mut draw = |flag: &AtomicBool, chance: f64, longest_ms: u64| {
             let is_drawn = flag.load(Ordering::Relaxed) && self.random.f64() < chance;
             is_drawn.then(|| Duration::from_millis(self.random.u64(0..longest_ms)))
@@ -215,12 +252,13 @@
             return;
         }
         let Some((id, text, _)) = self.replayable.take() else { return };
-        if !self.load_control.replay.load(Ordering::Relaxed) {
+        if !self.setup.load_control.replay.load(Ordering::Relaxed) {
             return;
         }
-        if let Some(message) = self.history.records().messages.get_mut(&id) {
+        if let Some(message) = self.setup.history.records().messages.get_mut(&id) {
             message.is_replayed = true;
         }
+        self.move_to(self.setup.sender);
         self.submit(&id, &text).await;
     }
 }
@@ -257,8 +295,12 @@
 ) {
     let mut random = fastrand::Rng::with_seed(seed);
     while !load_control.is_stopped() {
-        sleep(Duration::from_millis(random.u64(50..250))).await;
-        let text = if load_control.stall.load(Ordering::Relaxed) {
+        let stalls_in_bodies = load_control.stall_in_bodies.load(Ordering::Relaxed);
+        let pause_ms = if stalls_in_bodies { LARGE_REQUEST_PAUSE_MS } else { PEER_PAUSE_MS };
+        sleep(Duration::from_millis(random.u64(pause_ms))).await;
+        let text = if stalls_in_bodies {
+            large_request_without_end(&mut random)
+        } else if load_control.stall.load(Ordering::Relaxed) {
             stalled_request(&mut random)
         } else if load_control.garbage.load(Ordering::Relaxed) {
             garbage(&mut random)
@@ -289,6 +331,16 @@
     whole.as_bytes()[..random.usize(0..whole.len())].to_vec()
 }
 
+/// Returns a request with the longest body that the protocol permits, without its last bytes.
+fn large_request_without_end(random: &mut fastrand::Rng) -> Vec<u8> {
+    let head = format!(
+        "POST /keyed HTTP/1.1\r\nHost: x\r\nX-Call-Id: never\r\nX-Call-Class: keyed\r\nX-Budget-Ms: 5000\r\n\
+         Idempotency-Key: k\r\nX-Consignee: dest=1\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
+    );
+    let sent_bytes = random.usize(MAX_BODY_BYTES / 2..MAX_BODY_BYTES);
+    [head.into_bytes(), vec![b'x'; sent_bytes]].concat()
+}
+
 fn garbage(random: &mut fastrand::Rng) -> Vec<u8> {
     match random.usize(0..3) {
         0 => (0..random.usize(1..GARBAGE_BYTES)).map(|_| random.u8(..)).collect(),
--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -15,6 +15,7 @@
 use crate::endpoint::Endpoint;
 use crate::history::{History, NoticeResult, StatusUpdate};
 use crate::http::{read_message, HttpMessage};
+use crate::network::NetworkDelay;
 
 /// Longest time for which a request for the list waits for a change.
 const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -22,6 +23,10 @@
 const SILENCE: Duration = Duration::from_secs(30);
 /// Share of the posts of notices that are answered with an error, while that is switched on.
 const REFUSED_NOTICE_CHANCE: f64 = 0.3;
+/// Share of the responses that are followed by a second copy, while those are switched on.
+const COPY_CHANCE: f64 = 0.25;
+/// Time from a response to its second copy, in microseconds.
+const COPY_DELAY_US: std::ops::Range<u64> = 0..5_000;
 /// Probability that notices are acknowledged late, while that is switched on.
 const LATE_NOTICE_CHANCE: f64 = 0.3;
 /// How late notices are then acknowledged, in milliseconds.
@@ -80,6 +85,9 @@
     history: Arc<History>,
     /// Whether notices are acknowledged, but not recorded, as a planted defect.
     pub drops_notices: bool,
+    /// Whether second copies of some responses are sent.
+    pub sends_copies: AtomicBool,
+    network_delay: NetworkDelay,
     /// Whether some notices are acknowledged late.
     pub delays_notices: AtomicBool,
     /// Whether some notices are answered with an error.
@@ -90,7 +98,12 @@
 impl Discovery {
     /// Creates a service that lists all these endpoints as up.
     #[must_use]
-    pub fn new(endpoints: Vec<Arc<Endpoint>>, history: Arc<History>, drops_notices: bool) -> Arc<Self> {
+    pub fn new(
+        endpoints: Vec<Arc<Endpoint>>,
+        history: Arc<History>,
+        network_delay: NetworkDelay,
+        drops_notices: bool,
+    ) -> Arc<Self> {
         let list = List { version: 1, endpoints: vec![(1, Status::Up); endpoints.len()] };
         Arc::new(Self {
             endpoints,
@@ -98,6 +111,8 @@
             service_state: AtomicU8::new(ServiceState::Up as u8),
             history,
             drops_notices,
+            sends_copies: AtomicBool::new(false),
+            network_delay,
             delays_notices: AtomicBool::new(false),
             refuses_notices: AtomicBool::new(false),
             addresses: Mutex::default(),
@@ -165,6 +180,7 @@
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut stream).await {
+            sleep(self.network_delay.draw_one_way()).await;
             let response = if request.start_line.starts_with("POST") {
                 let response = self.take_notices(&request);
                 self.delay_notices().await;
@@ -172,12 +188,23 @@
             } else {
                 self.list_response(sender, &request).await
             };
-            if stream.get_mut().write_all(response.as_bytes()).await.is_err() {
+            sleep(self.network_delay.draw_one_way()).await;
+            if self.write(&response, stream.get_mut()).await.is_err() {
                 return;
             }
         }
     }
 
+    /// Writes a response, and a second copy of it if those are switched on.
+    async fn write(&self, response: &str, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_all(response.as_bytes()).await?;
+        if self.sends_copies.load(Ordering::Relaxed) && fastrand::f64() < COPY_CHANCE {
+            sleep(Duration::from_micros(fastrand::u64(COPY_DELAY_US))).await;
+            stream.write_all(response.as_bytes()).await?;
+        }
+        Ok(())
+    }
+
     async fn delay_notices(&self) {
         if self.delays_notices.load(Ordering::Relaxed) && fastrand::f64() < LATE_NOTICE_CHANCE {
             sleep(Duration::from_millis(fastrand::u64(LATE_NOTICE_MS))).await;
--- a/crates/fault-soak/src/endpoint.rs
+++ b/crates/fault-soak/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 
 use crate::history::{EndpointCall, History, Reply};
 use crate::http::{read_message, HttpMessage};
+use crate::network::NetworkDelay;
+use crate::response_bodies::{draw_body, PartedResponse};
 
 /// Time for which an endpoint that does not respond keeps the connection open.
 const HANG_TIME: Duration = Duration::from_secs(20);
@@ -19,10 +22,17 @@
 const PARTIAL_LINE: &[u8] = b"HTTP/1.1 20";
 /// Pause within a status line that is sent in pieces.
 const PIECES_PAUSE: Duration = Duration::from_millis(40);
+/// Time that a fast endpoint takes for a call, in milliseconds.
+pub const FAST_SERVICE_MS: Range<u64> = 2..30;
 /// How often an endpoint checks whether it accepts connections.
 const ACCEPT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Times after a response at which excess data is sent, in microseconds; 0 is in the same segment.
 const EXCESS_DELAYS_US: [u64; 5] = [0, 200, 1_000, 5_000, 50_000];
+/// Longest time after a response at which excess data is sent over a network with a delay. Later data can cross a
+/// request in a way that no sender can tell from a response.
+const MAX_CROSSING_EXCESS_DELAY: Duration = Duration::from_millis(5);
+/// Longest pause before the last part of a response, in milliseconds.
+const LONGEST_BODY_PAUSE_MS: u64 = 20;
 /// Number of responses that follow one response at the most.
 const MANY_RESPONSES: usize = 2_000;
 /// Time between two bytes of a response that is sent one byte at a time.
@@ -52,10 +62,12 @@
     Refusing,
     /// Calls are answered with success, an error or a rejection, and data follows the response.
     Excess,
+    /// Calls are answered with success, an error or a rejection, with bodies of up to 70 KiB.
+    Bodies,
 }
 
 impl Behaviour {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::Healthy,
         Self::Flaky,
         Self::Limited,
@@ -66,9 +78,33 @@
         Self::Odd,
         Self::Refusing,
         Self::Excess,
+        Self::Bodies,
     ];
 }
 
+/// Parameters of a new endpoint.
+pub struct EndpointSetup {
+    /// Index of the endpoint, which is part of its name.
+    pub index: usize,
+    /// Number of the destination that it belongs to.
+    pub destination: u64,
+    /// Behaviour without an active fault.
+    pub default_behaviour: Behaviour,
+    /// Delay of the network to the senders.
+    pub network_delay: NetworkDelay,
+    /// Time that it takes for a call, in milliseconds, unless its behaviour is slow.
+    pub service_ms: Range<u64>,
+}
+
+impl EndpointSetup {
+    /// Parameters of an endpoint without a network delay.
+    #[must_use]
+    pub fn near(index: usize, destination: u64, default_behaviour: Behaviour) -> Self {
+        let service_ms = FAST_SERVICE_MS;
+        Self { index, destination, default_behaviour, network_delay: NetworkDelay::default(), service_ms }
+    }
+}
+
 /// A simulated endpoint, which listens until the runtime of its tasks is shut down.
 pub struct Endpoint {
     /// Index of the endpoint, which is part of its name.
@@ -80,6 +116,8 @@
     behaviour: AtomicU8,
     /// Behaviour without an active fault.
     default_behaviour: Behaviour,
+    network_delay: NetworkDelay,
+    service_ms: Range<u64>,
     history: Arc<History>,
 }
 
@@ -89,16 +127,21 @@
     /// # Errors
     ///
     /// The listener cannot be opened.
-    pub async fn start(
-        index: usize,
-        destination: u64,
-        default_behaviour: Behaviour,
-        history: Arc<History>,
-    ) -> std::io::Result<Arc<Self>> {
+    pub async fn start(setup: EndpointSetup, history: Arc<History>) -> std::io::Result<Arc<Self>> {
+        let EndpointSetup { index, destination, default_behaviour, network_delay, service_ms } = setup;
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let behaviour = AtomicU8::new(default_behaviour as u8);
-        let endpoint = Arc::new(Self { index, destination, address, behaviour, default_behaviour, history });
+        let endpoint = Arc::new(Self {
+            index,
+            destination,
+            address,
+            behaviour,
+            default_behaviour,
+            network_delay,
+            service_ms,
+            history,
+        });
         tokio::spawn(endpoint.clone().accept(listener));
         Ok(endpoint)
     }
@@ -177,9 +220,10 @@
         }
         let service_time = match behaviour {
             Behaviour::Slow => Duration::from_millis(fastrand::u64(100..900)),
-            _ => Duration::from_millis(fastrand::u64(2..30)),
+            _ => Duration::from_millis(fastrand::u64(self.service_ms.clone())),
         };
-        if self.wait_for_end(number, stream, service_time).await {
+        let response_time = service_time + self.network_delay.draw_round_trip();
+        if self.wait_for_end(number, stream, response_time).await {
             return false;
         }
         match draw_reply(behaviour) {
@@ -212,6 +256,9 @@
         if behaviour == Behaviour::Excess {
             return self.write_with_excess_data(&text, stream).await.is_ok();
         }
+        if behaviour == Behaviour::Bodies {
+            return write_parts(stream.get_mut(), draw_body(&head_text(reply))).await.is_ok();
+        }
         if behaviour != Behaviour::Trickling {
             return stream.get_mut().write_all(text.as_bytes()).await.is_ok();
         }
@@ -224,8 +271,8 @@
         true
     }
 
-    /// Writes a response, and after it data that belongs to no response. The data is sent only if a look at the
-    /// socket, in the same step, finds no request waiting.
+    /// Writes a response, and after it data that belongs to no response. The data is sent only if no request has
+    /// reached the endpoint's end of the network by then.
     async fn write_with_excess_data(
         &self,
         text: &str,
@@ -238,15 +285,30 @@
             return stream.get_mut().write_all(&[text.as_bytes(), &data].concat()).await;
         }
         stream.get_mut().write_all(text.as_bytes()).await?;
-        sleep(Duration::from_micros(delay)).await;
-        let peeked = socket2::SockRef::from(stream.get_ref()).peek(&mut [MaybeUninit::uninit()]);
-        let is_quiet = peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
-        if is_quiet && stream.get_ref().try_write(&data).is_ok() {
+        if self.wait_until_excess_data_arrives(Duration::from_micros(delay), stream.get_ref()).await
+            && stream.get_ref().try_write(&data).is_ok()
+        {
             self.history.records().excess_sent += 1;
         }
         Ok(())
     }
 
+    /// Waits until data arrives at the sender that is sent `delay` after a response. Returns whether no request had
+    /// reached the endpoint when it was sent: one that a sender has written since half a round trip before the
+    /// data was sent is still on its way, and crosses the data.
+    async fn wait_until_excess_data_arrives(&self, delay: Duration, stream: &TcpStream) -> bool {
+        let round_trip = self.network_delay.draw_round_trip();
+        if round_trip.is_zero() {
+            sleep(delay).await;
+            return is_quiet(stream);
+        }
+        let delay = delay.min(MAX_CROSSING_EXCESS_DELAY);
+        sleep(delay.saturating_sub(round_trip)).await;
+        let was_quiet = is_quiet(stream) || delay < round_trip;
+        sleep(delay.min(round_trip)).await;
+        was_quiet
+    }
+
     /// Waits for the end of the connection, up to the limit; returns whether it has ended.
     async fn wait_for_end(&self, number: usize, stream: &mut BufReader<TcpStream>, limit: Duration) -> bool {
         let has_ended = match timeout(limit, stream.fill_buf()).await {
@@ -261,6 +323,22 @@
     }
 }
 
+/// Whether no data waits on a connection.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let peeked = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// Writes a response in two parts, with a pause between them or without.
+async fn write_parts(stream: &mut TcpStream, response: PartedResponse) -> std::io::Result<()> {
+    if fastrand::bool() || response.end.is_empty() {
+        return stream.write_all(&[response.start, response.end].concat()).await;
+    }
+    stream.write_all(&response.start).await?;
+    sleep(Duration::from_millis(fastrand::u64(0..LONGEST_BODY_PAUSE_MS))).await;
+    stream.write_all(&response.end).await
+}
+
 /// Writes a response with its first line in two pieces.
 async fn write_in_pieces(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
     let (first, second) = text.as_bytes().split_at(PARTIAL_LINE.len());
@@ -291,25 +369,29 @@
             Reply::Rejected { retry_after: Some(Duration::from_millis(fastrand::u64(150..700))) }
         }
         Behaviour::Limited if chance < 0.65 => Reply::Rejected { retry_after: None },
-        Behaviour::Excess if chance < 0.3 => Reply::Error,
-        Behaviour::Excess if chance < 0.5 => Reply::Rejected { retry_after: None },
+        Behaviour::Excess | Behaviour::Bodies if chance < 0.3 => Reply::Error,
+        Behaviour::Bodies if chance < 0.4 => Reply::NotProcessed,
+        Behaviour::Excess | Behaviour::Bodies if chance < 0.5 => Reply::Rejected { retry_after: None },
         Behaviour::Resetting | Behaviour::Refusing => Reply::Reset,
         _ => Reply::Delivered,
     }
 }
 
 fn response_text(reply: Reply) -> String {
+    let body = if reply == Reply::Delivered { "ok" } else { "" };
+    format!("{}Content-Length: {}\r\n\r\n{body}", head_text(reply), body.len())
+}
+
+/// Returns the head of a response without the headers about its body.
+fn head_text(reply: Reply) -> String {
     match reply {
-        Reply::Delivered => "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
-        Reply::Rejected { retry_after: Some(wait) } => format!(
-            "HTTP/1.1 429 Limited\r\nX-Come-Back-Ms: {}\r\nContent-Length: 0\r\n\r\n",
-            wait.as_millis()
-        ),
-        Reply::Rejected { retry_after: None } => {
-            "HTTP/1.1 503 Busy\r\nX-Load-Report: x0=0.0\r\nContent-Length: 0\r\n\r\n".to_owned()
+        Reply::Delivered => "HTTP/1.1 200 OK\r\n".to_owned(),
+        Reply::Rejected { retry_after: Some(wait) } => {
+            format!("HTTP/1.1 429 Limited\r\nX-Come-Back-Ms: {}\r\n", wait.as_millis())
         }
-        Reply::NotProcessed => "HTTP/1.1 504 Not processed\r\nContent-Length: 0\r\n\r\n".to_owned(),
-        Reply::Gone => "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n".to_owned(),
-        Reply::Error | Reply::Reset => "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        Reply::Rejected { retry_after: None } => "HTTP/1.1 503 Busy\r\nX-Load-Report: x0=0.0\r\n".to_owned(),
+        Reply::NotProcessed => "HTTP/1.1 504 Not processed\r\n".to_owned(),
+        Reply::Gone => "HTTP/1.1 410 Gone\r\n".to_owned(),
+        Reply::Error | Reply::Reset => "HTTP/1.1 500 Error\r\n".to_owned(),
     }
 }
--- a/crates/fault-soak/src/history.rs
+++ b/crates/fault-soak/src/history.rs
@@ -224,6 +224,8 @@
     /// Connections of peers that send incomplete or invalid requests: index of the sender, time of the
     /// connection attempt, and whether the sender answered or closed the connection in time.
     pub peers: Vec<(usize, Instant, bool)>,
+    /// Highest memory of the processes of each sender, in KiB, by the index of the sender.
+    pub peak_memory_kib: BTreeMap<usize, u64>,
     /// Failures of senders other than violated rules about messages.
     pub incidents: Vec<Incident>,
 }
--- a/crates/fault-soak/src/main.rs
+++ b/crates/fault-soak/src/main.rs
@@ -134,12 +134,14 @@
         submitted,
         calls,
         excess_sent,
+        peak_memory_kib,
         invariant_violations,
         longest_shutdown,
     } = report;
     let verdict = if violations.is_empty() { "passed" } else { "FAILED" };
     println!(
-        "seed {}: {verdict}, {accepted} of {submitted} accepted, {calls} calls, {excess_sent} with excess data, {} violations, \
+        "seed {}: {verdict}, {accepted} of {submitted} accepted, {calls} calls, {excess_sent} with excess data, \
+         {peak_memory_kib} KiB at most, {} violations, \
          {invariant_violations} invariant violations counted by the senders, longest shutdown {:.3} s, \
          kinds {:?}",
         plan.seed,
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -71,6 +71,7 @@
         self.check_retry_after();
         self.check_restarts();
         self.check_peers();
+        self.check_memory();
         self.violations
     }
 
--- a/crates/fault-soak/src/plan.rs
+++ b/crates/fault-soak/src/plan.rs
@@ -5,6 +5,8 @@
 
 use clap::ValueEnum;
 
+use crate::network::Network;
+
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, ValueEnum)]
 pub enum FaultKind {
@@ -74,6 +76,8 @@
     EndpointsRefuse,
     /// Endpoints send data after their responses, at once or up to 50 ms later, while no request waits.
     EndpointsExcess,
+    /// Endpoints answer with bodies of up to 70 KiB, in chunks or with a stated length.
+    EndpointsBodies,
     /// An endpoint is listed as draining or removed, and later as up again.
     EndpointsDrain,
     /// An operator drains two endpoints, restores one of them, and later the other.
@@ -84,6 +88,8 @@
     DiscoverySilent,
     /// Discovery restarts its version numbers at 1.
     DiscoveryReset,
+    /// Discovery sends second copies of some of its responses, up to 5 ms after them.
+    DiscoveryExcess,
     /// Discovery acknowledges some notices late.
     NoticesLate,
     /// Discovery answers some notices with an error.
@@ -94,6 +100,8 @@
     ClientsPieces,
     /// Some clients end their sending side after the request.
     ClientsHalfClose,
+    /// Clients submit to any sender, and come back to their own one afterwards.
+    ClientsMove,
     /// Further clients open connections that rest before their only request.
     ClientsRest,
     /// Peers hold more idle connections than a sender may have descriptors.
@@ -102,6 +110,8 @@
     CrowdChurns,
     /// Peers send incomplete requests and keep the connection open.
     PeersStall,
+    /// Peers stop before the last byte of large requests and keep the connection open.
+    PeersStallInBodies,
     /// Peers send large amounts of data that is no valid request.
     PeersGarbage,
     /// Clients submit accepted messages of class `Once` again under the same id, most of them after the
@@ -131,6 +141,8 @@
 pub struct Plan {
     /// Seed that the plan was drawn from.
     pub seed: u64,
+    /// Delays of the network.
+    pub network: Network,
     /// The faults in the order of their beginning.
     pub faults: Vec<Fault>,
 }
@@ -182,8 +194,8 @@
     /// Whether the fault may keep a sender from accepting connections at once.
     #[must_use]
     pub fn stalls_accepts(self) -> bool {
-        use FaultKind::{Accepts, PeersGarbage, PeersStall, Sockets};
-        self.is_crowd() || [Accepts, PeersGarbage, PeersStall, Sockets].contains(&self)
+        use FaultKind::{Accepts, PeersGarbage, PeersStall, PeersStallInBodies, Sockets};
+        self.is_crowd() || [Accepts, PeersGarbage, PeersStall, PeersStallInBodies, Sockets].contains(&self)
     }
 
     /// Whether the fault is an event of the processes of a sender, not a condition that is switched on and off.
@@ -248,7 +260,7 @@
             }
         }
         faults.sort_by_key(|fault| fault.start_offset);
-        Self { seed, faults }
+        Self { seed, network: Network::draw(seed), faults }
     }
 
     /// Returns the kinds of faults in the plan, each of them once.
@@ -264,7 +276,7 @@
     #[must_use]
     pub fn without(&self, kind: FaultKind) -> Self {
         let faults = self.faults.iter().filter(|fault| fault.kind != kind).cloned().collect();
-        Self { seed: self.seed, faults }
+        Self { faults, ..self.clone() }
     }
 }
 
@@ -295,6 +307,7 @@
 
 impl fmt::Display for Plan {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "  {}", self.network)?;
         for fault in &self.faults {
             writeln!(
                 formatter,
--- a/crates/fault-soak/src/planted.rs
+++ b/crates/fault-soak/src/planted.rs
@@ -13,6 +13,7 @@
 use crate::history::{
     ConnectionEnd, ConnectionUse, EndedRequest, EndpointCall, Records, Reply, StatusUpdate, SubmitResult,
 };
+use crate::memory::MEMORY_LIMIT_KIB;
 use crate::oracle::TOLERANCE;
 use crate::settings::{Class, IDEMPOTENCY_WINDOW_MS};
 
@@ -60,6 +61,8 @@
     SentRefused,
     /// A call goes to the wrong destination.
     OtherDestination,
+    /// A sender uses more memory than it may.
+    ExcessiveMemory,
 }
 
 impl PlantedDefect {
@@ -80,6 +83,9 @@
             Self::OtherOrder => reverse_order(records),
             Self::LateRepeat => repeat_after_window(records),
             Self::UnheededWait => call_before_retry_after(records),
+            Self::ExcessiveMemory => {
+                records.peak_memory_kib.insert(0, MEMORY_LIMIT_KIB + 1);
+            }
             Self::OtherDestination => {
                 if let Some(call) = records.calls.first_mut() {
                     call.destination += 1;
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -16,6 +16,7 @@
 
 use crate::history::{History, ProcessEvent};
 use crate::process::{fetch, signal_processes, watch_end, Process};
+use crate::process_group::ProcessGroup;
 use crate::settings::MAX_DESCRIPTORS;
 use crate::shim::{ControlFile, Failure, FailureRule, Syscall, ALWAYS, LIBRARY};
 
@@ -45,6 +46,7 @@
     folder: PathBuf,
     executable: PathBuf,
     pub(crate) processes: Mutex<Vec<Process>>,
+    process_group: Arc<ProcessGroup>,
     /// Held while processes are ended and started, so that concurrent faults of one sender do not interfere.
     pub(crate) lifecycle: Mutex<()>,
     next_management: AtomicU16,
@@ -65,8 +67,17 @@
     ///
     /// The folder or a file in it cannot be written.
     pub fn create(setup: SenderSetup) -> Result<Arc<Self>> {
-        let SenderSetup { index, address, folder, executable, history, seed, log_filter, configuration } =
-            setup;
+        let SenderSetup {
+            index,
+            address,
+            folder,
+            executable,
+            process_group,
+            history,
+            seed,
+            log_filter,
+            configuration,
+        } = setup;
         fs::create_dir_all(folder.join("state")).context("cannot create the state folder")?;
         let control =
             ControlFile::create(&folder.join("faults")).context("cannot create the control file")?;
@@ -78,6 +89,7 @@
             folder,
             executable,
             processes: Mutex::default(),
+            process_group,
             lifecycle: Mutex::default(),
             next_management: AtomicU16::new(MANAGEMENT_PORT),
             pauses: Default::default(),
@@ -130,7 +142,10 @@
         let port = self.next_management.fetch_add(1, Ordering::Relaxed);
         let management = SocketAddr::new(self.address.ip(), port);
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new("sh")
+        let mut command = Command::new("sh");
+        let child = self
+            .process_group
+            .add(&mut command)
             .args(["-c", &format!("ulimit -n {MAX_DESCRIPTORS} && LD_PRELOAD=$SHIM exec \"$0\"")])
             .arg(&self.executable)
             .env("SHIM", LIBRARY)
@@ -318,21 +333,6 @@
                 .record_incident(self.index, format!("the configuration file cannot be written: {error:#}"));
         }
     }
-
-    /// Reads a metric of the process that was started last.
-    pub async fn metric(&self, name: &str) -> Option<u64> {
-        let management = self.processes.lock().await.last()?.management;
-        let (_, text) = fetch(management, "/status/metrics").await?;
-        let prefix = format!("router.{name}:");
-        let line = text.lines().find_map(|line| line.strip_prefix(&prefix))?.to_owned();
-        line.split('|').next()?.parse().ok()
-    }
-
-    /// Returns the number of file descriptors that the process that was started last has open.
-    pub async fn open_descriptors(&self) -> Option<usize> {
-        let pid = self.processes.lock().await.last()?.pid.as_raw_nonzero();
-        Some(fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
-    }
 }
 
 /// Parameters of a new sender.
@@ -345,6 +345,8 @@
     pub folder: PathBuf,
     /// Path of the sender executable.
     pub executable: PathBuf,
+    /// Group of its processes.
+    pub process_group: Arc<ProcessGroup>,
     /// History for its process events and incidents.
     pub history: Arc<History>,
     /// Seed for the random choices of the library in its processes.
--- a/crates/fault-soak/src/settings.rs
+++ b/crates/fault-soak/src/settings.rs
@@ -8,10 +8,14 @@
 pub const IDEMPOTENCY_WINDOW_MS: u64 = 6_000;
 /// Time for which an endpoint that was listed as draining may still get new attempts, in milliseconds.
 pub const DRAIN_GRACE_MS: u64 = 300;
+/// Time within which an endpoint that comes back is warm, in milliseconds.
+pub const WARM_WITHIN_MS: u64 = 4_000;
 /// Longest time to the deadline of a message, in milliseconds.
 pub const DEADLINE_MS: u64 = 8_000;
 /// Limit of open file descriptors of a sender.
 pub const MAX_DESCRIPTORS: usize = 256;
+/// Memory limit of a sender, in MiB.
+pub const MEMORY_MB: u64 = 64;
 /// Number of calls that a sender may have in flight: the least that the platform gives, so that a call that is never
 /// ended shows.
 const MAX_CALLS: usize = 4;
@@ -76,7 +80,7 @@
     let classes: Vec<Value> = Class::ALL.iter().map(|class| class.settings()).collect();
     json!({
         "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": MAX_DESCRIPTORS, "disk_mb": 1.0},
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": MAX_DESCRIPTORS, "disk_mb": 1.0},
         "known": {"index": 0, "snapshot": true, "endpoints": endpoints},
         "settings": {
             "balancers": senders, "ordinal": 0, "kinds": ["big"], "zones": ["here"], "zone": "here",
@@ -87,7 +91,7 @@
             "limits": {"mostHeld": 250, "sendCap": 8, "cancel": true, "retryAfter": true,
                 "maxRetryAfterMs": 3000.0, "connectTimeoutMs": 1000.0, "connIdleMs": 5000.0},
             "rules": {"answerSlackMs": 20.0, "drainGraceMs": DRAIN_GRACE_MS as f64, "fallMs": 2000.0,
-                "overloadFactor": 2.0, "startCapacity": 0.18, "warmWithinMs": 4000.0, "orderPauseMs": 100.0},
+                "overloadFactor": 2.0, "startCapacity": 0.18, "warmWithinMs": WARM_WITHIN_MS as f64, "orderPauseMs": 100.0},
         },
     })
 }
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -1,6 +1,7 @@
 //! Runs the plan of one seed against real senders and reports the violations.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -9,25 +10,33 @@
 use anyhow::{Context, Result};
 use tokio::time::{sleep, sleep_until, Instant};
 
-use crate::client::{run_peers, Client, LoadControl};
+use crate::client::{run_peers, Client, ClientSetup, LoadControl};
 use crate::crowd::run_crowd;
 use crate::discovery::Discovery;
-use crate::endpoint::{Behaviour, Endpoint};
+use crate::endpoint::{Behaviour, Endpoint, EndpointSetup, FAST_SERVICE_MS};
 use crate::faults::Targets;
 use crate::history::{History, Message, Records, SubmitResult};
+use crate::memory::watch_memory;
+use crate::network::Network;
 use crate::oracle::Oracle;
 use crate::plan::{Plan, FAULTS_END};
 use crate::planted::PlantedDefect;
+use crate::process_group::ProcessGroup;
 use crate::resting_client::run_resting_clients;
 use crate::sender::{Sender, SenderSetup};
-use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION};
+use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION, WARM_WITHIN_MS};
 use crate::shim::{Failure, FailureRule, Syscall};
 use crate::violation::Violation;
 
+/// Time that endpoints take for a call in the seeds with slow endpoints, in milliseconds.
+const SLOW_SERVICE_MS: Range<u64> = 45..60;
 /// Number of clients of each sender.
 const CLIENTS: usize = 3;
+/// Time after the faults within which each sender must have called each destination again: the time in which
+/// endpoints warm up, and 5 s.
+const CALLED_AGAIN_WITHIN: Duration = Duration::from_millis(WARM_WITHIN_MS + 5_000);
 /// Time for which the load continues after the faults.
-const RECOVERY_TIME: Duration = Duration::from_secs(6);
+const RECOVERY_TIME: Duration = CALLED_AGAIN_WITHIN;
 /// Final part of the recovery time, in which messages must be accepted as before the faults.
 const RECOVERY_CHECK_TIME: Duration = Duration::from_secs(3);
 /// The destination whose endpoints reject most calls, so that senders may hold its messages back for seconds.
@@ -73,6 +82,8 @@
     pub calls: usize,
     /// Number of times that endpoints sent data after a response while no request waited.
     pub excess_sent: usize,
+    /// Highest memory of a sender process, in KiB.
+    pub peak_memory_kib: u64,
     /// Number of invariant violations that the senders counted themselves.
     pub invariant_violations: u64,
     /// Longest time from SIGTERM to the end of a process.
@@ -100,6 +111,7 @@
     history: Arc<History>,
     targets: Arc<Targets>,
     planted_defects: Vec<PlantedDefect>,
+    network: Network,
     seed: u64,
 }
 
@@ -108,9 +120,11 @@
         let history = Arc::new(History::default());
         history.records().accepts_may_stall = plan.faults.iter().any(|fault| fault.kind.stalls_accepts());
         history.records().is_crowded = plan.faults.iter().any(|fault| fault.kind.is_crowd());
-        let endpoints = start_endpoints(&history).await?;
+        let endpoints = start_endpoints(plan, &history).await?;
         let drops_notices = options.planted_defects.contains(&PlantedDefect::SwallowedNotices);
-        let discovery = Discovery::new(endpoints.clone(), history.clone(), drops_notices);
+        let discovery =
+            Discovery::new(endpoints.clone(), history.clone(), plan.network.discovery, drops_notices);
+        let process_group = Arc::new(ProcessGroup::start().context("cannot start a process group")?);
         let mut senders = Vec::new();
         for index in 0..options.senders {
             let address = Sender::address_of(run_index, index);
@@ -122,6 +136,7 @@
                 address,
                 folder: folder.join(&name),
                 executable: options.executable.clone(),
+                process_group: process_group.clone(),
                 history: history.clone(),
                 seed: plan.seed,
                 log_filter: options.log_filter.clone(),
@@ -130,7 +145,8 @@
         }
         let load_control = Arc::new(LoadControl::default());
         let targets = Arc::new(Targets { senders, endpoints, discovery, load_control });
-        Ok(Self { history, targets, planted_defects: options.planted_defects.clone(), seed: plan.seed })
+        let planted_defects = options.planted_defects.clone();
+        Ok(Self { history, targets, planted_defects, network: plan.network, seed: plan.seed })
     }
 
     async fn run(&self, plan: &Plan, start: Instant) -> Report {
@@ -138,6 +154,7 @@
             sender.start().await;
         }
         self.apply_runtime_defects();
+        let memory_watch = tokio::spawn(watch_memory(self.targets.senders.clone(), self.history.clone()));
         let load_start = Instant::now();
         let clients = self.spawn_clients();
         self.targets.run(plan).await;
@@ -149,10 +166,10 @@
         clients.join_all().await;
         sleep(Duration::from_millis(DEADLINE_MS) + FINAL_NOTICES_GRACE).await;
         self.check_senders(start).await;
+        memory_watch.abort();
         let invariant_violations = self.count_invariant_violations().await;
         self.terminate_all().await;
-        let check_from = faults_end + RECOVERY_TIME - RECOVERY_CHECK_TIME;
-        tokio::task::block_in_place(|| self.build_report(start, check_from, load_end, invariant_violations))
+        tokio::task::block_in_place(|| self.build_report(start, faults_end, load_end, invariant_violations))
     }
 
     async fn terminate_all(&self) {
@@ -180,11 +197,7 @@
         for sender in &self.targets.senders {
             let load_control = &self.targets.load_control;
             for number in 0..CLIENTS {
-                let seed = self.seed ^ ((sender.index * CLIENTS + number) as u64) << 32;
-                let history = self.history.clone();
-                let client =
-                    Client::new(sender.index, number, sender.address, load_control.clone(), history, seed);
-                clients.spawn(client.run());
+                clients.spawn(Client::new(self.client_setup(sender, number)).run());
             }
             let history = self.history.clone();
             clients.spawn(run_resting_clients(
@@ -200,6 +213,18 @@
         clients
     }
 
+    fn client_setup(&self, sender: &Sender, number: usize) -> ClientSetup {
+        ClientSetup {
+            sender: sender.index,
+            number,
+            addresses: self.targets.senders.iter().map(|sender| sender.address).collect(),
+            load_control: self.targets.load_control.clone(),
+            history: self.history.clone(),
+            network_delay: self.network.clients,
+            seed: self.seed ^ ((sender.index * CLIENTS + number) as u64) << 32,
+        }
+    }
+
     /// Checks after the faults that no sender leaked descriptors, logged too many lines or panicked.
     async fn check_senders(&self, start: Instant) {
         for sender in &self.targets.senders {
@@ -246,7 +271,7 @@
     fn build_report(
         &self,
         start: Instant,
-        check_from: Instant,
+        faults_end: Instant,
         load_end: Instant,
         invariant_violations: u64,
     ) -> Report {
@@ -254,9 +279,10 @@
         for defect in &self.planted_defects {
             defect.apply(&mut records);
         }
+        let check_from = faults_end + RECOVERY_TIME.saturating_sub(RECOVERY_CHECK_TIME);
         let mut violations = Oracle::new(&records, start).find_violations();
         violations.extend(check_recovery(&records, check_from, load_end));
-        violations.extend(check_destinations_are_called(&records, check_from, load_end));
+        violations.extend(check_destinations_are_called(&records, faults_end, load_end));
         let is_accepted =
             |message: &&Message| message.result.is_some_and(|(result, _)| result == SubmitResult::Accepted);
         Report {
@@ -265,6 +291,7 @@
             submitted: records.messages.len(),
             calls: records.calls.len(),
             excess_sent: records.excess_sent,
+            peak_memory_kib: records.peak_memory_kib.values().max().copied().unwrap_or_default(),
             invariant_violations,
             longest_shutdown: records.shutdown_times.iter().max().copied().unwrap_or_default(),
         }
@@ -279,7 +306,7 @@
     }
 }
 
-async fn start_endpoints(history: &Arc<History>) -> Result<Vec<Arc<Endpoint>>> {
+async fn start_endpoints(plan: &Plan, history: &Arc<History>) -> Result<Vec<Arc<Endpoint>>> {
     let mut endpoints = Vec::new();
     for destination in 1..=DESTINATIONS {
         let default_behaviour = match destination {
@@ -288,13 +315,29 @@
             _ => Behaviour::Limited,
         };
         for _ in 0..ENDPOINTS_PER_DESTINATION {
-            let index = endpoints.len();
-            endpoints.push(Endpoint::start(index, destination, default_behaviour, history.clone()).await?);
+            let setup = EndpointSetup {
+                index: endpoints.len(),
+                destination,
+                default_behaviour,
+                network_delay: plan.network.endpoints,
+                service_ms: service_ms(plan.seed),
+            };
+            endpoints.push(Endpoint::start(setup, history.clone()).await?);
         }
     }
     Ok(endpoints)
 }
 
+/// Returns the time that endpoints take for a call, in milliseconds. A sender recognizes second copies of responses by
+/// their time only where endpoints are slow.
+fn service_ms(seed: u64) -> Range<u64> {
+    if seed.is_multiple_of(2) {
+        FAST_SERVICE_MS
+    } else {
+        SLOW_SERVICE_MS
+    }
+}
+
 /// Checks that each sender accepts messages again between `from` and `to`, after the faults. Only messages to
 /// destination 1 count, as its endpoints are healthy without a fault.
 fn check_recovery(records: &Records, from: Instant, to: Instant) -> Vec<Violation> {
--- a/crates/fault-soak/tests/planted_mistakes.rs
+++ b/crates/fault-soak/tests/planted_mistakes.rs
@@ -80,10 +80,16 @@
         PlantedDefect::UnheededWait,
         PlantedDefect::SentRefused,
     ];
-    let rules = violated_rules(&[&planted_defects[..], &[PlantedDefect::OtherDestination]].concat(), 6).await;
-    for rule in
-        ["order", "repeated after idempotency window", "retry-after", "sent after refusal", "unexpected call"]
-    {
+    let others = [PlantedDefect::OtherDestination, PlantedDefect::ExcessiveMemory];
+    let rules = violated_rules(&[&planted_defects[..], &others].concat(), 6).await;
+    for rule in [
+        "order",
+        "repeated after idempotency window",
+        "retry-after",
+        "sent after refusal",
+        "unexpected call",
+        "memory",
+    ] {
         assert!(rules.contains(&rule), "{rule} in {rules:?}");
     }
 }
--- a/crates/fault-soak/tests/soak.rs
+++ b/crates/fault-soak/tests/soak.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fault_soak::network::NetworkDelay;
 use fault_soak::plan::{FaultKind, Plan};
 use fault_soak::sender::find_executable;
 use fault_soak::soak::{run_plan, Options};
@@ -29,7 +30,7 @@
         logs: None,
         planted_defects: Vec::new(),
     };
-    let report = run_plan(&plan, &options, (std::process::id() % 32) as u8 * 4 + 120 + run).await.unwrap();
+    let report = run_plan(&plan, &options, (std::process::id() % 25) as u8 * 5 + 120 + run).await.unwrap();
     let broken: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
     assert_eq!(broken, Vec::<String>::new());
     assert!(report.accepted > 1_000, "{} accepted", report.accepted);
@@ -89,6 +90,23 @@
     assert_no_rule_broken(CROWD_SEED, &kinds, 2).await;
 }
 
+/// The first seed whose plan has all of these kinds of faults, and a network delay to the endpoints.
+fn first_seed_with_all(kinds: &[FaultKind]) -> u64 {
+    let has_all =
+        |plan: Plan| plan.kinds().len() == kinds.len() && plan.network.endpoints != NetworkDelay::default();
+    (1..10_000).find(|seed| has_all(Plan::draw(*seed, kinds, kinds.len()))).unwrap()
+}
+
+/// Guards against responses that are read as those to other requests, or as proof that a message was not processed:
+/// endpoints and discovery send second copies, noise and large bodies over a network with a delay, while clients
+/// move between senders and peers stop within large requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_of_odd_responses_breaks_no_rule() {
+    use FaultKind::{ClientsMove, DiscoveryExcess, EndpointsBodies, EndpointsExcess, PeersStallInBodies};
+    let kinds = [ClientsMove, DiscoveryExcess, EndpointsBodies, EndpointsExcess, PeersStallInBodies];
+    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds, 4).await;
+}
+
 /// Guards against state that a handover passes on wrongly: upgrades, also with successors that die, while endpoints
 /// refuse connections and send data after their responses, operators drain and restore endpoints, and notices are
 /// refused.
@@ -96,7 +114,5 @@
 async fn seed_of_handovers_breaks_no_rule() {
     use FaultKind::{EndpointsExcess, EndpointsRefuse, NoticesRefused, OperatorsDrain, Upgrade, UpgradeDies};
     let kinds = [EndpointsExcess, EndpointsRefuse, NoticesRefused, OperatorsDrain, Upgrade, UpgradeDies];
-    let has_all_kinds = |seed: &u64| Plan::draw(*seed, &kinds, kinds.len()).kinds().len() == kinds.len();
-    let seed = (1..10_000).find(has_all_kinds).unwrap();
-    assert_no_rule_broken(seed, &kinds, 3).await;
+    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds, 3).await;
 }
--- a/crates/fault-soak/tests/support/mod.rs
+++ b/crates/fault-soak/tests/support/mod.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use fault_soak::discovery::Discovery;
-use fault_soak::endpoint::{Behaviour, Endpoint};
+use fault_soak::endpoint::{Behaviour, Endpoint, EndpointSetup};
 use fault_soak::history::{History, NoticeResult, Reply};
 use fault_soak::http::read_message;
+use fault_soak::network::NetworkDelay;
+use fault_soak::process_group::ProcessGroup;
 use fault_soak::sender::{find_executable, Sender, SenderSetup};
 use fault_soak::settings::{configuration, Class};
 use fault_soak::shim::{Failure, FailureRule, Syscall};
@@ -42,10 +44,11 @@
         let mut endpoints = Vec::new();
         for destination in 1..=3 {
             let index = endpoints.len();
-            let endpoint = Endpoint::start(index, destination, Behaviour::Healthy, history.clone());
+            let setup = EndpointSetup::near(index, destination, Behaviour::Healthy);
+            let endpoint = Endpoint::start(setup, history.clone());
             endpoints.push(endpoint.await.unwrap());
         }
-        let discovery = Discovery::new(endpoints.clone(), history.clone(), false);
+        let discovery = Discovery::new(endpoints.clone(), history.clone(), NetworkDelay::default(), false);
         let folder = tempfile::tempdir().unwrap();
         let run = (std::process::id() % 120) as u8;
         let address = Sender::address_of(run, usize::from(number));
@@ -55,6 +58,7 @@
             address,
             folder: folder.path().join("n0"),
             executable: find_executable().unwrap(),
+            process_group: Arc::new(ProcessGroup::start().unwrap()),
             history: history.clone(),
             seed: 1,
             log_filter: "info".to_owned(),
