--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -212,9 +212,8 @@
     }
 
     fn take_notices(&self, request: &HttpMessage) -> String {
-        if self.refuses_notices.load(Ordering::Relaxed) && fastrand::f64() < REFUSED_NOTICE_CHANCE {
-            return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned();
-        }
+        let is_refused =
+            self.refuses_notices.load(Ordering::Relaxed) && fastrand::f64() < REFUSED_NOTICE_CHANCE;
         let now = Instant::now();
         for line in request.body.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
             let Ok(notice) = serde_json::from_slice::<Value>(line) else {
@@ -223,10 +222,15 @@
             let result =
                 if notice["result"] == "dead" { NoticeResult::Failed } else { NoticeResult::Rejected };
             let call_id = notice["ref"].as_str().unwrap_or_default().to_owned();
-            if !self.drops_notices {
+            if is_refused {
+                self.history.records().refused_notices.entry(call_id).or_insert(now);
+            } else if !self.drops_notices {
                 self.history.records().notices.entry(call_id).or_default().push((result, now));
             }
         }
+        if is_refused {
+            return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned();
+        }
         "HTTP/1.1 204 No Content\r\n\r\n".to_owned()
     }
 
