Soak: exempt requests that fall within a suspension, not only those around its ends

Trace of sender 4: it is suspended for 2.5 s from 4.3 s on, the client writes half of its request at 5.605 s, SIGCONT of a series of signals continues the process at 6.24 s, and it closes the connection, which has rested for more than 2 s, without having read the request. The end of the suspension is recorded only 0.5 s later, so the check, which looked for events within the request's time, found none.

Change: a request is also exempt if a suspension is recorded that began before it and had not ended. Other requests are checked as before.

--- a/crates/fault-soak/src/lost_requests.rs
+++ b/crates/fault-soak/src/lost_requests.rs
@@ -39,13 +39,26 @@
         is_undisturbed || (is_complete && is_read)
     }
 
-    /// Whether processes of the sender were killed or suspended in this period.
+    /// Whether processes of the sender were killed, suspended or continued in this period, or were suspended
+    /// throughout it. Another fault may continue a suspended process before its suspension is recorded as over.
     fn is_interrupted(&self, sender: usize, from: Instant, to: Instant) -> bool {
-        let is_interruption =
-            |event| matches!(event, ProcessEvent::Killed | ProcessEvent::Paused | ProcessEvent::Resumed);
-        self.records.process_events.iter().any(|(index, event, at)| {
-            *index == sender && is_interruption(*event) && *at + TOLERANCE >= from && *at <= to + TOLERANCE
-        })
+        let mut is_paused = false;
+        for (_, event, at) in self.records.process_events.iter().filter(|(index, ..)| *index == sender) {
+            if *at > to + TOLERANCE {
+                break;
+            }
+            let is_interruption =
+                matches!(event, ProcessEvent::Killed | ProcessEvent::Paused | ProcessEvent::Resumed);
+            if is_interruption && *at + TOLERANCE >= from {
+                return true;
+            }
+            match event {
+                ProcessEvent::Paused => is_paused = true,
+                ProcessEvent::Resumed | ProcessEvent::Killed => is_paused = false,
+                ProcessEvent::Ending | ProcessEvent::Upgrading | ProcessEvent::Ready => {}
+            }
+        }
+        is_paused
     }
 
     /// Checks that no call is made after the message was ended by a notice, after its delivery, or after its
