Soak: plant a call in each long retry delay, so that the oracle has some to judge

Change: a call is planted in each delay over 400 ms, which is the shortest that the check can judge with its grace of 250 ms. The check and the assertion are as they were.

--- a/crates/fault-soak/src/planted.rs
+++ b/crates/fault-soak/src/planted.rs
@@ -193,12 +193,12 @@
     records.calls.push(EndpointCall { first_byte_at, arrived_at, ..call });
 }
 
-/// Adds calls 100 ms before the end of many retry delays. A single one might not be reported, as the oracle
-/// ignores calls around a restart.
+/// Adds calls 100 ms before the end of all retry delays that are long enough for them to be judged. A few might not
+/// be reported, as the oracle ignores calls around a restart.
 fn call_before_retry_after(records: &mut Records) {
-    let long_wait = Duration::from_millis(600);
+    let long_wait = Duration::from_millis(400);
     let mut early = Vec::new();
-    for call in records.calls.iter().step_by(2) {
+    for call in &records.calls {
         if let Some((Reply::Rejected { retry_after: Some(wait) }, at)) = call.reply {
             if wait > long_wait {
                 let at = at + wait - Duration::from_millis(100);
