--- a/crates/message-sender/src/delivery/response_times.rs
+++ b/crates/message-sender/src/delivery/response_times.rs
@@ -36,8 +36,8 @@
 }
 
 impl ResponseTimes {
-    /// Records the time from the last byte of a request to the first byte of a response that says that the
-    /// message was delivered.
+    /// Records the time from the last byte of a request to the end of a status line that says that the message was
+    /// delivered.
     pub fn record(&self, endpoint: EndpointId, response_time: Duration) {
         let recorded_at = Instant::now();
         let mut fastest = self.fastest.borrow_mut();
--- a/crates/message-sender/src/discovery/client.rs
+++ b/crates/message-sender/src/discovery/client.rs
@@ -129,7 +129,8 @@
 
     /// Sends a request on the open connection after a rest, or on a new one if there is none or nothing can be
     /// written to it. Discovery may answer at once, so its responses cannot be told by their time from data that
-    /// follows an earlier response. The connection is taken out of the client, so that any failure or timeout closes it.
+    /// follows an earlier response. The connection is taken out of the client, so that any failure or timeout
+    /// closes it.
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
