Soak: allow one more limit after each refused notice, and no end later than that

Cause: the check that was widened for refused notices let a message end at any time once its notice had been refused in time.

Change: each refusal before the limit gives the sender as long again (300 ms, the tolerance, and a disruption of its processes). What ends later is late again. The length of the largest body stood in two files and stands in the settings now.

--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -13,7 +13,7 @@
 use crate::exchange::{exchange, Exchange, SendStyle, RESPONSE_TIMEOUT};
 use crate::history::{ConnectionUse, History, Message, SubmitResult};
 use crate::network::NetworkDelay;
-use crate::settings::{Class, DESTINATIONS};
+use crate::settings::{Class, DESTINATIONS, MAX_BODY_BYTES};
 
 /// Longest pause within a request that is sent in pieces, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 900;
@@ -21,8 +21,6 @@
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay with which a close may be noticed by the peer.
 const PEER_TOLERANCE: Duration = Duration::from_millis(300);
-/// Maximum length of a body by the protocol, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Pause between two peers with incomplete or invalid requests, in milliseconds.
 const PEER_PAUSE_MS: std::ops::Range<u64> = 50..250;
 /// Pause between two peers with large requests, in milliseconds: those that wait use less than a third of the
--- a/crates/fault-soak/src/discovery.rs
+++ b/crates/fault-soak/src/discovery.rs
@@ -223,7 +223,7 @@
                 if notice["result"] == "dead" { NoticeResult::Failed } else { NoticeResult::Rejected };
             let call_id = notice["ref"].as_str().unwrap_or_default().to_owned();
             if is_refused {
-                self.history.records().refused_notices.entry(call_id).or_insert(now);
+                self.history.records().refused_notices.entry(call_id).or_default().push(now);
             } else if !self.drops_notices {
                 self.history.records().notices.entry(call_id).or_default().push((result, now));
             }
--- a/crates/fault-soak/src/history.rs
+++ b/crates/fault-soak/src/history.rs
@@ -213,9 +213,8 @@
     pub calls: Vec<EndpointCall>,
     /// Notices by call id, each with its result and the time at which it was acknowledged.
     pub notices: BTreeMap<String, Vec<(NoticeResult, Instant)>>,
-    /// Times at which notices were refused first, by call id. The protocol says that discovery takes each of them at
-    /// once.
-    pub refused_notices: BTreeMap<String, Instant>,
+    /// Times at which notices were refused, by call id. The protocol says that discovery takes each of them at once.
+    pub refused_notices: BTreeMap<String, Vec<Instant>>,
     /// Process events, each with the index of the sender and its time.
     pub process_events: Vec<(usize, ProcessEvent, Instant)>,
     /// Endpoint statuses that were sent to senders by discovery, in the order of sending.
--- a/crates/fault-soak/src/oracle.rs
+++ b/crates/fault-soak/src/oracle.rs
@@ -129,17 +129,15 @@
         self.records.notices.get(id)?.iter().map(|(_, at)| *at).min()
     }
 
-    /// Checks that an accepted message is delivered or ended by a notice in time. A notice that was refused first
-    /// counts from then on, as it was sent in time, but must be accepted in the end.
+    /// Checks that an accepted message is delivered or ended by a notice in time.
     fn check_end(&mut self, id: &str, message: &Message) {
         if message.result.is_none_or(|(result, _)| result != SubmitResult::Accepted) {
             return;
         }
-        let due = self.extend_due_time(message.sender, message.deadline() + END_GRACE) + TOLERANCE;
+        let due = self.due_with_refusals(id, message);
         let ended = self.delivered_at(id).into_iter().chain(self.notified_at(id)).min();
-        let refused_at = self.records.refused_notices.get(id).copied();
         match ended {
-            Some(at) if at <= due || refused_at.is_some_and(|refused_at| refused_at <= due) => {}
+            Some(at) if at <= due => {}
             Some(at) => {
                 let late = at - due;
                 self.report("late", format!("{late:?} after the limit: {}", self.describe(id, message)));
@@ -148,6 +146,19 @@
         }
     }
 
+    /// Returns the time by which a message must have ended. Each refusal of its notice before that time gives the sender
+    /// as long again to send the next one.
+    fn due_with_refusals(&self, id: &str, message: &Message) -> Instant {
+        let limit_after = |at: Instant| self.extend_due_time(message.sender, at + END_GRACE) + TOLERANCE;
+        let mut due = limit_after(message.deadline());
+        for refused_at in self.records.refused_notices.get(id).into_iter().flatten() {
+            if *refused_at <= due {
+                due = due.max(limit_after(*refused_at));
+            }
+        }
+        due
+    }
+
     /// Returns the due time, extended to allow for disruptions of the sender that begin before it.
     fn extend_due_time(&self, sender: usize, due: Instant) -> Instant {
         let mut due = due;
--- a/crates/fault-soak/src/response_bodies.rs
+++ b/crates/fault-soak/src/response_bodies.rs
@@ -1,7 +1,7 @@
 //! Responses whose bodies are unusual: as long as the protocol permits, longer, or in chunks of all kinds.
 
-/// Maximum length of a body by the protocol, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
+use crate::settings::MAX_BODY_BYTES;
+
 /// Lengths of bodies that are drawn.
 const LENGTHS: [usize; 5] = [0, 1, MAX_BODY_BYTES, MAX_BODY_BYTES + 1, MAX_BODY_BYTES + 6 * 1024];
 /// Number of body bytes in one chunk.
--- a/crates/fault-soak/src/settings.rs
+++ b/crates/fault-soak/src/settings.rs
@@ -16,6 +16,8 @@
 pub const MAX_DESCRIPTORS: usize = 256;
 /// Memory limit of a sender, in MiB.
 pub const MEMORY_MB: u64 = 64;
+/// Maximum length of a body by the protocol, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Number of calls that a sender may have in flight: the least that the platform gives, so that a call that is never
 /// ended shows.
 const MAX_CALLS: usize = 4;
