Failing tests: 200s of faster endpoints, and after a hold of the sender, are discarded

The shim can hold a process before or after system calls on sockets and readings of the clock now, at most once in 0.4 s.

--- a/crates/fault-soak/shim/fault_shim.c
+++ b/crates/fault-soak/shim/fault_shim.c
@@ -21,12 +21,16 @@
 
 /* Kinds of system calls, in the order of `Syscall` in `src/shim.rs`. */
 enum syscall { WRITE_FILE, TRUNCATE, RENAME, OPEN_FILE, UNLINK, READ_FILE, LOCK, ACCEPT, SOCKET, CONNECT, RECEIVE, SEND,
-               EPOLL_WAIT, SYSCALL_COUNT };
+               EPOLL_WAIT, CLOCK, SYSCALL_COUNT };
 
-/* How a call fails, as bits of `modes`; for each failing call, one of the bits that are set is drawn. */
-enum failure { NOT_DONE = 1, PARTIAL = 2, FALSE_FAILURE = 4, FALSE_SUCCESS = 8, DELAYED = 16 };
+/* How a call fails, as bits of `modes`; for each failing call, one of the bits that are set is drawn. A call that
+ * is held is done as usual, but the process is held up right before or right after it. */
+enum failure { NOT_DONE = 1, PARTIAL = 2, FALSE_FAILURE = 4, FALSE_SUCCESS = 8, DELAYED = 16, HELD_BEFORE = 32,
+               HELD_AFTER = 64 };
 /* Number of bits in `enum failure`. */
-#define FAILURE_COUNT 5
+#define FAILURE_COUNT 7
+/* Least time from one hold of the process to the next, in microseconds. */
+#define HOLD_INTERVAL_US 400000
 
 /* Maximum number of error numbers in a rule. */
 #define MAX_ERRNOS 4
@@ -37,7 +41,7 @@
     uint32_t rate; /* how many of RATE_SCALE calls fail */
     uint32_t modes; /* bits of `enum failure` */
     uint32_t errnos[MAX_ERRNOS]; /* error numbers, up to the first 0; EIO is used if there are none. For a delay,
-                                    the first is its time in milliseconds. */
+                                    the first is its time in milliseconds; for a hold, one of them is. */
     uint32_t injected; /* number of failures so far */
     uint32_t passes; /* number of calls that are done before the first one fails */
 };
@@ -74,6 +78,44 @@
     if (mapped != MAP_FAILED) control = mapped;
 }
 
+/* The function of this name that this library replaces. */
+#define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+static int next_clock_gettime(clockid_t clock, struct timespec *time) {
+    static int (*next)(clockid_t, struct timespec *);
+    if (!next) next = NEXT(clock_gettime);
+    return next(clock, time);
+}
+
+static int64_t monotonic_us(void) {
+    struct timespec now;
+    next_clock_gettime(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+/* Returns one of the numbers of a rule; 0 if it has none. */
+static uint32_t draw_errno(const struct failure_rule *rule) {
+    uint32_t errnos = 0;
+    while (errnos < MAX_ERRNOS && rule->errnos[errnos]) errnos++;
+    return errnos ? rule->errnos[draw_below(errnos)] : 0;
+}
+
+/* Holds the process up for one of the times of the rule. */
+static void hold(const struct failure_rule *rule) {
+    int saved = errno;
+    usleep(draw_errno(rule) * 1000);
+    errno = saved;
+}
+
+/* Whether the process may be held now: holds do not add up to more than one in the interval. */
+static int may_hold(void) {
+    static int64_t last_hold_us;
+    int64_t now = monotonic_us();
+    if (last_hold_us && now - last_hold_us < HOLD_INTERVAL_US) return 0;
+    last_hold_us = now;
+    return 1;
+}
+
 /* Draws whether this call fails, and how; returns 0 if it does not. */
 static uint32_t draw_failure(enum syscall call) {
     if (!control) return 0;
@@ -85,24 +127,31 @@
         return 0;
     }
     if (draw_below(RATE_SCALE) >= rule->rate) return 0;
-    rule->injected++;
     uint32_t mode;
     do mode = 1u << draw_below(FAILURE_COUNT); while (!(modes & mode));
+    if ((mode == HELD_BEFORE || mode == HELD_AFTER) && !may_hold()) return 0;
+    rule->injected++;
     if (mode == DELAYED) usleep(rule->errnos[0] * 1000);
+    if (mode == HELD_BEFORE) {
+        hold(rule);
+        return 0;
+    }
     return mode;
 }
 
+/* Holds the process up if this is how its call `fails`, after it was done; returns the result of the call. */
+static ssize_t finish(enum syscall call, uint32_t mode, ssize_t result) {
+    if (mode == HELD_AFTER) hold(&control->rules[call]);
+    return result;
+}
+
 /* Sets errno to one of the error numbers of the rule and returns -1. */
 static int fail(enum syscall call) {
-    uint32_t errnos = 0;
-    while (errnos < MAX_ERRNOS && control->rules[call].errnos[errnos]) errnos++;
-    errno = errnos ? (int)control->rules[call].errnos[draw_below(errnos)] : EIO;
+    uint32_t drawn = draw_errno(&control->rules[call]);
+    errno = drawn ? (int)drawn : EIO;
     return -1;
 }
 
-/* The function of this name that this library replaces. */
-#define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
-
 static mode_t descriptor_type(int descriptor) {
     struct stat status;
     int saved = errno;
@@ -138,10 +187,11 @@
 static ssize_t send_bytes(int descriptor, const void *bytes, size_t length, int flags) {
     static ssize_t (*next)(int, const void *, size_t, int);
     if (!next) next = NEXT(send);
-    switch (draw_failure(SEND)) {
+    uint32_t mode = draw_failure(SEND);
+    switch (mode) {
     case NOT_DONE: return fail(SEND);
     case PARTIAL: return next(descriptor, bytes, length > 1 ? 1 + draw_below((uint32_t)length - 1) : length, flags);
-    default: return next(descriptor, bytes, length, flags);
+    default: return finish(SEND, mode, next(descriptor, bytes, length, flags));
     }
 }
 
@@ -163,9 +213,11 @@
     static ssize_t (*next)(int, const struct iovec *, int);
     if (!next) next = NEXT(writev);
     if (descriptor_type(descriptor) == S_IFSOCK) {
-        switch (draw_failure(SEND)) {
+        uint32_t mode = draw_failure(SEND);
+        switch (mode) {
         case NOT_DONE: return fail(SEND);
         case PARTIAL: return next(descriptor, vectors, 1);
+        default: return finish(SEND, mode, next(descriptor, vectors, count));
         }
     }
     return next(descriptor, vectors, count);
@@ -174,10 +226,11 @@
 static ssize_t receive_bytes(int descriptor, void *bytes, size_t length, int flags) {
     static ssize_t (*next)(int, void *, size_t, int);
     if (!next) next = NEXT(recv);
-    switch (flags & MSG_PEEK ? 0 : draw_failure(RECEIVE)) {
+    uint32_t mode = flags & MSG_PEEK ? 0 : draw_failure(RECEIVE);
+    switch (mode) {
     case NOT_DONE: return fail(RECEIVE);
     case PARTIAL: return next(descriptor, bytes, length > 1 ? 1 + draw_below(length < 64 ? (uint32_t)length : 64) : length, flags);
-    default: return next(descriptor, bytes, length, flags);
+    default: return finish(RECEIVE, mode, next(descriptor, bytes, length, flags));
     }
 }
 
@@ -188,13 +241,15 @@
 ssize_t recvmsg(int descriptor, struct msghdr *message, int flags) {
     static ssize_t (*next)(int, struct msghdr *, int);
     if (!next) next = NEXT(recvmsg);
-    return draw_failure(RECEIVE) == NOT_DONE ? fail(RECEIVE) : next(descriptor, message, flags);
+    uint32_t mode = draw_failure(RECEIVE);
+    return mode == NOT_DONE ? fail(RECEIVE) : finish(RECEIVE, mode, next(descriptor, message, flags));
 }
 
 ssize_t sendmsg(int descriptor, const struct msghdr *message, int flags) {
     static ssize_t (*next)(int, const struct msghdr *, int);
     if (!next) next = NEXT(sendmsg);
-    return draw_failure(SEND) == NOT_DONE ? fail(SEND) : next(descriptor, message, flags);
+    uint32_t mode = draw_failure(SEND);
+    return mode == NOT_DONE ? fail(SEND) : finish(SEND, mode, next(descriptor, message, flags));
 }
 
 ssize_t read(int descriptor, void *bytes, size_t length) {
@@ -271,7 +326,9 @@
 int accept4(int descriptor, struct sockaddr *address, socklen_t *length, int flags) {
     static int (*next)(int, struct sockaddr *, socklen_t *, int);
     if (!next) next = NEXT(accept4);
-    return draw_failure(ACCEPT) ? fail(ACCEPT) : next(descriptor, address, length, flags);
+    uint32_t mode = draw_failure(ACCEPT);
+    if (mode && mode != HELD_AFTER) return fail(ACCEPT);
+    return (int)finish(ACCEPT, mode, next(descriptor, address, length, flags));
 }
 
 int socket(int domain, int type, int protocol) {
@@ -295,21 +352,24 @@
 int connect(int descriptor, const struct sockaddr *address, socklen_t length) {
     static int (*next)(int, const struct sockaddr *, socklen_t);
     if (!next) next = NEXT(connect);
-    return draw_failure(CONNECT) ? fail(CONNECT) : next(descriptor, address, length);
+    uint32_t mode = draw_failure(CONNECT);
+    if (mode && mode != HELD_AFTER) return fail(CONNECT);
+    return (int)finish(CONNECT, mode, next(descriptor, address, length));
 }
 
 int epoll_wait(int descriptor, struct epoll_event *events, int count, int timeout) {
     static int (*next)(int, struct epoll_event *, int, int);
     if (!next) next = NEXT(epoll_wait);
-    return draw_failure(EPOLL_WAIT) ? fail(EPOLL_WAIT) : next(descriptor, events, count, timeout);
+    uint32_t mode = draw_failure(EPOLL_WAIT);
+    if (mode && mode != HELD_AFTER) return fail(EPOLL_WAIT);
+    return (int)finish(EPOLL_WAIT, mode, next(descriptor, events, count, timeout));
 }
 
-/* Clocks: the wall clock is shifted, the monotonic clock is not. */
+/* Clocks: the wall clock is shifted, the monotonic clock is not. The process may be held up around a reading. */
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
-    static int (*next)(clockid_t, struct timespec *);
-    if (!next) next = NEXT(clock_gettime);
-    int result = next(clock, time);
+    uint32_t mode = draw_failure(CLOCK);
+    int result = (int)finish(CLOCK, mode, next_clock_gettime(clock, time));
     if (!result && control && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
         int64_t nanos = (int64_t)time->tv_sec * 1000000000 + time->tv_nsec + control->wall_offset_us * 1000;
         time->tv_sec = nanos / 1000000000;
--- a/crates/fault-soak/src/endpoint.rs
+++ b/crates/fault-soak/src/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
@@ -117,7 +117,10 @@
     /// Behaviour without an active fault.
     default_behaviour: Behaviour,
     network_delay: NetworkDelay,
-    service_ms: Range<u64>,
+    /// Time that it takes for a call at present, in milliseconds, unless its behaviour is slow.
+    service_ms: Mutex<Range<u64>>,
+    /// Time that it takes for a call without an active fault, in milliseconds.
+    default_service_ms: Range<u64>,
     history: Arc<History>,
 }
 
@@ -139,7 +142,8 @@
             behaviour,
             default_behaviour,
             network_delay,
-            service_ms,
+            service_ms: Mutex::new(service_ms.clone()),
+            default_service_ms: service_ms,
             history,
         });
         tokio::spawn(endpoint.clone().accept(listener));
@@ -157,6 +161,17 @@
         self.behaviour.store(behaviour.unwrap_or(self.default_behaviour) as u8, Ordering::Relaxed);
     }
 
+    /// Sets the time that a call takes from now on, in milliseconds; `None` restores the default.
+    pub fn set_service_ms(&self, service_ms: Option<Range<u64>>) {
+        let service_ms = service_ms.unwrap_or_else(|| self.default_service_ms.clone());
+        *self.service_ms.lock().unwrap_or_else(PoisonError::into_inner) = service_ms;
+    }
+
+    fn draw_service_time(&self) -> Duration {
+        let service_ms = self.service_ms.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        Duration::from_millis(fastrand::u64(service_ms))
+    }
+
     fn behaviour(&self) -> Behaviour {
         Behaviour::ALL[self.behaviour.load(Ordering::Relaxed) as usize]
     }
@@ -220,7 +235,7 @@
         }
         let service_time = match behaviour {
             Behaviour::Slow => Duration::from_millis(fastrand::u64(100..900)),
-            _ => Duration::from_millis(fastrand::u64(self.service_ms.clone())),
+            _ => self.draw_service_time(),
         };
         let response_time = service_time + self.network_delay.draw_round_trip();
         if self.wait_for_end(number, stream, response_time).await {
--- a/crates/fault-soak/src/shim.rs
+++ b/crates/fault-soak/src/shim.rs
@@ -49,10 +49,12 @@
     Send,
     /// `epoll_wait`.
     EpollWait,
+    /// `clock_gettime`, which can only be held.
+    Clock,
 }
 
 impl Syscall {
-    const ALL: [Self; 13] = [
+    const ALL: [Self; 14] = [
         Self::WriteFile,
         Self::Truncate,
         Self::Rename,
@@ -66,6 +68,7 @@
         Self::Receive,
         Self::Send,
         Self::EpollWait,
+        Self::Clock,
     ];
 }
 
@@ -83,6 +86,11 @@
     FalseSuccess = 8,
     /// The call is done late. The first error number of the rule is the delay in milliseconds.
     Delayed = 16,
+    /// The process is held up right before the call, at most once in 0.4 s. The error numbers of the rule are times
+    /// in milliseconds, one of which is drawn.
+    HeldBefore = 32,
+    /// As `HeldBefore`, but right after the call.
+    HeldAfter = 64,
 }
 
 /// How often and how a kind of system call fails.
