Count the time of a response from before the write of its request

Callers saw a message sent again, or reported as failed, after its endpoint had answered 200.

Cause: the time of a request was read after its write had returned. A sender that is held up in between measures a response time near zero, and takes the response for a copy of an earlier one.

Change: what must not come out too short (whether a response is too early) counts from before the write; what must not come out too long (the fastest response of an endpoint) still counts from after it.

--- a/crates/message-sender/src/http_connection/byte_counter.rs
+++ b/crates/message-sender/src/http_connection/byte_counter.rs
@@ -73,6 +73,22 @@
     fn has_written(&self) -> bool {
         self.exchange.borrow().as_ref().is_some_and(|exchange| exchange.bytes_written() > 0)
     }
+
+    /// Allows the first byte of a request on a used connection only if nothing has arrived since the last
+    /// response: data that is there before the request would be read as the response to it.
+    fn check_before_request(&self, stream: &TcpStream) -> io::Result<()> {
+        if self.has_written() || !self.is_reused() {
+            return Ok(());
+        }
+        match SocketState::of(stream) {
+            SocketState::Empty => Ok(()),
+            SocketState::Ended => Err(io::ErrorKind::ConnectionAborted.into()),
+            SocketState::Data => {
+                self.mark_excess_data();
+                Err(io::ErrorKind::InvalidData.into())
+            }
+        }
+    }
 }
 
 impl StreamObserver for ByteCounter {
@@ -90,19 +106,11 @@
         }
     }
 
-    /// Allows the first byte of a request on a used connection only if nothing has arrived since the last
-    /// response: data that is there before the request would be read as the response to it.
     fn before_write(&self, stream: &TcpStream) -> io::Result<()> {
-        if self.has_written() || !self.is_reused() {
-            return Ok(());
-        }
-        match SocketState::of(stream) {
-            SocketState::Empty => Ok(()),
-            SocketState::Ended => Err(io::ErrorKind::ConnectionAborted.into()),
-            SocketState::Data => {
-                self.mark_excess_data();
-                Err(io::ErrorKind::InvalidData.into())
-            }
+        self.check_before_request(stream)?;
+        if let Some(exchange) = &*self.exchange.borrow() {
+            exchange.begin_write();
         }
+        Ok(())
     }
 }
--- a/crates/message-sender/src/http_connection/exchange.rs
+++ b/crates/message-sender/src/http_connection/exchange.rs
@@ -42,7 +42,9 @@
     written_requests: Rc<Cell<u64>>,
     /// Number of bytes of the request that the kernel has accepted.
     bytes_written: Cell<u64>,
-    /// When the last byte of the request was written, if it was.
+    /// When the write of the request's last byte began, if it was written.
+    last_write_began_at: Cell<Option<Instant>>,
+    /// When the write of the request's last byte had ended, if it was written.
     request_written_at: Cell<Option<Instant>>,
     /// Whether the connection has been stopped, so that it writes no more of the request.
     is_stopped: Cell<bool>,
@@ -112,15 +114,23 @@
     }
 
     /// Time from the last byte of the request to the end of the response's status line; zero if that arrived
-    /// before the request was written in full, and `None` if it has not arrived.
+    /// before the request was written in full, and `None` if it has not arrived. Counted from after the write, so
+    /// that an endpoint never counts as slower because this process was held up.
     pub fn response_time(&self) -> Option<Duration> {
         let received_at = self.status_received_at.get()?;
-        Some(self.time_since_request(received_at))
+        let written_at = self.request_written_at.get();
+        Some(
+            written_at.map_or(Duration::ZERO, |written_at| received_at.saturating_duration_since(written_at)),
+        )
     }
 
-    fn time_since_request(&self, at: Instant) -> Duration {
-        let written_at = self.request_written_at.get();
-        written_at.map_or(Duration::ZERO, |written_at| at.saturating_duration_since(written_at))
+    /// Longest time that the peer can have had the whole request; zero if it was not written in full. Counted from
+    /// before the write, so that it never comes out too short because this process was held up.
+    fn max_time_since_request(&self) -> Duration {
+        self.last_write_began_at
+            .get()
+            .filter(|_| self.is_request_written())
+            .map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Whether data has arrived that belongs to no response to this request.
@@ -180,7 +190,7 @@
     /// Whether data belongs to an earlier request: it is no response, or one that is too early.
     fn is_premature(&self, bytes: &[u8]) -> bool {
         let Some(earliest) = self.earliest_response else { return false };
-        let response_time = self.time_since_request(Instant::now());
+        let response_time = self.max_time_since_request();
         if self.status_line.borrow().has_started() || response_time >= earliest.response_time {
             return false;
         }
@@ -192,6 +202,13 @@
         status_line.status().is_none_or(|status| status == earliest.status)
     }
 
+    /// Records that a part of the request is about to be written.
+    pub(super) fn begin_write(&self) {
+        if !self.is_request_written() {
+            self.last_write_began_at.set(Some(Instant::now()));
+        }
+    }
+
     /// Records that the kernel has accepted `bytes` more bytes of the request.
     pub(super) fn record_written(&self, bytes: usize) {
         let was_written = self.is_request_written();
--- a/crates/message-sender/src/http_connection/exchange/tests.rs
+++ b/crates/message-sender/src/http_connection/exchange/tests.rs
@@ -14,6 +14,7 @@
 
 fn written_exchange(earliest_response: Option<EarliestResponse>) -> Rc<Exchange> {
     let exchange = Exchange::new(REQUEST_LENGTH, &Rc::default(), earliest_response);
+    exchange.begin_write();
     exchange.record_written(REQUEST_LENGTH as usize);
     exchange
 }
@@ -58,8 +59,22 @@
     exchange.record_read(COPY);
     assert_eq!((exchange.has_premature_data(), exchange.response_status()), (false, Some(200)));
     let exchange = Exchange::new(REQUEST_LENGTH, &Rc::default(), Some(EARLIEST));
+    exchange.begin_write();
     exchange.record_written(1);
     advance(2 * EARLIEST.response_time).await;
     exchange.record_read(COPY);
     assert!(exchange.has_premature_data());
 }
+
+/// Guards against a response that is discarded, and against an endpoint that counts as slow, because the process was
+/// held up between the write of a request and the reading of its clock.
+#[tokio::test(start_paused = true)]
+async fn a_hold_after_the_write_makes_no_response_early_and_no_endpoint_slow() {
+    let exchange = Exchange::new(REQUEST_LENGTH, &Rc::default(), Some(EARLIEST));
+    exchange.begin_write();
+    advance(EARLIEST.response_time).await;
+    exchange.record_written(REQUEST_LENGTH as usize);
+    exchange.record_read(COPY);
+    assert_eq!((exchange.has_premature_data(), exchange.response_status()), (false, Some(200)));
+    assert_eq!(exchange.response_time(), Some(Duration::ZERO));
+}
