Count an early 200 unless another response proves that it was not the request's

Callers saw a message sent again, or a payment reported as failed, after a sound endpoint had answered 200.

Cause: evidence that cannot prove was treated as proof. On a used connection, a 200 in less than a quarter of the endpoint's fastest time was discarded as a copy of an earlier response. Endpoints become that much faster whenever a queue drains or a slow spell ends, and each sender lost responses then.

Change: each connection rests 10 ms after each response, so what follows a response is seen before the next request is written, and a 200 counts. Noise is skipped as before.

Evidence: endpoints of 60 ms that become 2 or 3 ms fast.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Instant};
 
-use self::responses::{failure_of_send, is_premature};
+use self::responses::failure_of_send;
 use super::attempt::{AttemptPhase, AttemptResult, Call, Target};
 use super::failure_log::FailureLog;
 use super::idle_lifetime::ReuseOutcome;
@@ -158,8 +158,8 @@
             }
         }
         let unreplaced = progress.exchange().and_then(|exchange| exchange.unreplaced_response_time());
-        if let (AttemptFailure::TimedOut, Some(response_time)) = (failure, unreplaced) {
-            // Otherwise each response of an endpoint that has become faster would be discarded.
+        if let Some(response_time) = unreplaced {
+            tracing::debug!(endpoint, ?response_time, ?failure, "doubted response counts, no other followed");
             self.pool.record_response_time(endpoint, response_time);
         }
         progress.outcome(failure)
@@ -204,15 +204,15 @@
             if !self.may_start(call) || !(call.on_phase)(AttemptPhase::Starting) {
                 return Err(AttemptFailure::NotStarted);
             }
-            let min_response_time = idle_for.and_then(|_| self.pool.min_response_time(call.endpoint));
-            let exchange = progress.begin_exchange(&self.attempts_written, min_response_time);
+            let early_data = idle_for.and_then(|_| self.pool.early_data(call.endpoint));
+            let exchange = progress.begin_exchange(&self.attempts_written, early_data);
             let request = progress.request().to_request();
             let Some(connection) = &mut progress.connection else { return Err(AttemptFailure::Broken) };
             let sent = connection.send(request, &exchange).await;
             match sent {
                 Ok(response) => {
                     self.record_reuse(idle_for, ReuseOutcome::Alive);
-                    if is_premature(&response, &exchange) {
+                    if exchange.has_doubted_response() {
                         return Err(AttemptFailure::DelayedResponse);
                     }
                     return Ok(response);
--- a/crates/message-sender/src/delivery/client/responses.rs
+++ b/crates/message-sender/src/delivery/client/responses.rs
@@ -5,11 +5,12 @@
 use delivery_control::AttemptOutcome;
 use hyper::body::Incoming;
 use hyper::Response;
+use tokio::time::timeout;
 
 use super::DeliveryClient;
 use crate::delivery::attempt::{AttemptResult, Call, Target};
 use crate::delivery::progress::{AttemptFailure, AttemptProgress};
-use crate::delivery::response::{interpret, is_delivered};
+use crate::delivery::response::interpret;
 use crate::http_connection::{Connection, Exchange, ResponseRemainder};
 
 /// Maximum length of a response body that is read, in bytes. The body is not used, but must be read before
@@ -17,21 +18,31 @@
 pub(super) const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
 
 impl DeliveryClient {
-    /// Waits for the head of the response to a request, after data that belongs to an earlier request on the
-    /// connection. The connection is not used again. Unless the message was delivered, it may have been
-    /// processed: only a response that was received in full proves that it was not.
+    /// Waits for the head of the response to a request, after early data that is no response or a doubted one. A
+    /// doubted response counts if no other one follows in the time that the endpoint usually takes. The connection
+    /// is not used again. Unless the message was delivered, it may have been processed: only a response that was
+    /// received in full proves that it was not.
     pub(super) async fn receive_delayed_response(
         &self,
         call: &Call,
         progress: &mut AttemptProgress,
     ) -> Result<AttemptResult, AttemptFailure> {
-        tracing::info!(call_id = ?call.call_id, endpoint = call.endpoint, "discarded an earlier response");
-        self.pool.record_excess_data(call.target());
         let exchange = progress.exchange().ok_or(AttemptFailure::DelayedResponse)?;
         let connection = progress.connection.as_mut().ok_or(AttemptFailure::DelayedResponse)?;
         connection.stop().await;
+        let is_doubted = exchange.has_doubted_response();
+        tracing::debug!(call_id = ?call.call_id, endpoint = call.endpoint, is_doubted, "awaiting another response");
+        if !is_doubted {
+            self.record_early_data(call);
+        }
         if exchange.is_request_written() {
-            connection.wait_for_delayed_head(&exchange).await;
+            let max_wait = if is_doubted { self.pool.max_response_time(call.endpoint) } else { call.timeout };
+            let delayed_head = timeout(max_wait, connection.wait_for_delayed_head(&exchange));
+            // Without another response, the outcome follows from what has arrived.
+            let _ = delayed_head.await;
+        }
+        if is_doubted && exchange.unreplaced_response_time().is_none() {
+            self.record_early_data(call);
         }
         let head = exchange.delayed_head().ok_or(AttemptFailure::DelayedResponse)?;
         progress.connection = None;
@@ -43,6 +54,12 @@
         Ok(without_proof(result))
     }
 
+    /// Records that early data belonged to an earlier request.
+    fn record_early_data(&self, call: &Call) {
+        tracing::info!(call_id = ?call.call_id, endpoint = call.endpoint, "discarded early data");
+        self.pool.record_excess_data(call.target());
+    }
+
     /// Reads the response to an undelivered message to its end. A response that says that the message was
     /// not processed counts only if it arrives in full: a corrupt one proves nothing.
     pub(super) async fn finish_undelivered(
@@ -106,13 +123,6 @@
     }
 }
 
-/// Whether a response says that the message was delivered, but belongs to an earlier request.
-pub(super) fn is_premature(response: &Response<Incoming>, exchange: &Exchange) -> bool {
-    exchange.has_premature_data()
-        && is_delivered(response.status().as_u16())
-        && !exchange.is_status_line_complete()
-}
-
 /// How an attempt failed whose response could not be received. The HTTP library overlooks a response that follows
 /// premature data.
 pub(super) fn failure_of_send(exchange: &Exchange) -> AttemptFailure {
--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -11,10 +11,10 @@
 use super::attempt::Target;
 use super::excess_data::ExcessDataTracker;
 use super::idle_lifetime::{IdleLifetimeEstimator, ReuseOutcome};
-use super::response::is_delivered;
+use super::response::DELIVERED;
 use super::response_times::ResponseTimes;
 use super::saturation::SaturationTracker;
-use crate::http_connection::{Connection, IdleState, REUSE_DELAY};
+use crate::http_connection::{Connection, EarlyData, IdleState, REUSE_DELAY};
 
 struct IdleConnection {
     connection: Connection,
@@ -23,14 +23,8 @@
 }
 
 impl IdleConnection {
-    /// Time for which the connection must rest before its next request. `min_response_time` is the time before
-    /// which its endpoint cannot have delivered a message, if it is known: data that arrives sooner is then
-    /// recognized, unless it follows a response that said that a message was not delivered.
-    fn remaining_rest(&self, min_response_time: Option<Duration>) -> Duration {
-        let is_recognizable = self.connection.last_status().is_none_or(is_delivered);
-        if is_recognizable && min_response_time.is_some() {
-            return Duration::ZERO;
-        }
+    /// Time for which the connection must rest before its next request.
+    fn remaining_rest(&self) -> Duration {
         REUSE_DELAY.saturating_sub(self.idle_since.elapsed())
     }
 }
@@ -81,10 +75,9 @@
     /// the maximum idle time. Closes unusable connections to the target's endpoint that it finds before that
     /// one.
     pub fn take(&self, target: Target) -> Option<PooledConnection> {
-        let min_response_time = self.min_response_time(target.endpoint);
         loop {
-            let candidate = self.remove_latest(target.endpoint, min_response_time)?;
-            let remaining_rest = candidate.remaining_rest(min_response_time);
+            let candidate = self.remove_latest(target.endpoint)?;
+            let remaining_rest = candidate.remaining_rest();
             let idle_for = candidate.idle_since.elapsed();
             if candidate.connection.has_excess_data() {
                 self.record_excess_data(candidate.target);
@@ -97,13 +90,9 @@
 
     /// Removes the most recently used connection to an endpoint that need not rest, or the one that has rested
     /// longest.
-    fn remove_latest(
-        &self,
-        endpoint: EndpointId,
-        min_response_time: Option<Duration>,
-    ) -> Option<IdleConnection> {
+    fn remove_latest(&self, endpoint: EndpointId) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
-        let is_rested = |idle: &IdleConnection| idle.remaining_rest(min_response_time).is_zero();
+        let is_rested = |idle: &IdleConnection| idle.remaining_rest().is_zero();
         let rested = idle.iter().rposition(|idle| idle.target.endpoint == endpoint && is_rested(idle));
         let index = rested.or_else(|| idle.iter().position(|idle| idle.target.endpoint == endpoint))?;
         idle.remove(index)
@@ -120,7 +109,7 @@
     /// Closes the longest idle connections to stay within the pool's capacity.
     pub fn put(&self, target: Target, connection: Connection) {
         if self.saturation.borrow().is_saturated(target.endpoint)
-            || self.excess_data.is_known(target.endpoint)
+            || self.excess_data.avoids_reuse(target.endpoint)
         {
             return;
         }
@@ -189,9 +178,17 @@
         self.response_times.record(endpoint, response_time);
     }
 
-    /// Time before which an endpoint cannot have delivered a message, if it is known.
-    pub fn min_response_time(&self, endpoint: EndpointId) -> Option<Duration> {
-        self.response_times.min_response_time(endpoint)
+    /// What is unusual soon after a request on a used connection to an endpoint, if its response times are known. A
+    /// delivery is doubted only if the endpoint has sent excess data.
+    pub fn early_data(&self, endpoint: EndpointId) -> Option<EarlyData> {
+        let within = self.response_times.min_response_time(endpoint)?;
+        let doubted_status = self.excess_data.is_remembered(endpoint).then_some(DELIVERED);
+        Some(EarlyData { within, doubted_status })
+    }
+
+    /// Time within which an endpoint is expected to answer a request.
+    pub fn max_response_time(&self, endpoint: EndpointId) -> Duration {
+        self.response_times.max_response_time(endpoint)
     }
 
     /// Raises the idle time that saturation has reduced, according to the time `elapsed` since the last
@@ -241,6 +238,11 @@
 
 #[cfg(test)]
 impl ConnectionPool {
+    /// Records that an endpoint has sent excess data, so long ago that its connections are reused again.
+    pub fn record_past_excess_data(&self, endpoint: EndpointId) {
+        self.excess_data.record_past(endpoint);
+    }
+
     /// Forgets the response times of all endpoints.
     pub fn forget_response_times(&self) {
         self.response_times.expire(Duration::ZERO);
--- a/crates/message-sender/src/delivery/progress.rs
+++ b/crates/message-sender/src/delivery/progress.rs
@@ -2,14 +2,13 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use delivery_control::AttemptOutcome;
 
 use super::attempt::Call;
 use super::request::PreparedRequest;
-use super::response::{is_delivered, DELIVERED};
-use crate::http_connection::{Connection, EarliestResponse, Exchange, IncompleteRequest};
+use super::response::is_delivered;
+use crate::http_connection::{Connection, EarlyData, Exchange, IncompleteRequest};
 
 /// Why an attempt ended without a usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,8 +25,7 @@
     Broken,
     /// The response was not received in full.
     IncompleteResponse,
-    /// Data that belongs to an earlier request on the connection was received instead of the response, or before
-    /// it.
+    /// Early data was received that is no response or a doubted one, and no well-formed response has followed.
     DelayedResponse,
 }
 
@@ -77,16 +75,13 @@
     }
 
     /// Records that the first byte of the request may be sent from now on. Increments `written_requests` once
-    /// its last byte was written. A delivery sooner than `min_response_time` after that belongs to an earlier
-    /// request on the connection.
+    /// its last byte was written. `early_data` tells what is unusual soon after that on a used connection.
     pub fn begin_exchange(
         &mut self,
         written_requests: &Rc<Cell<u64>>,
-        min_response_time: Option<Duration>,
+        early_data: Option<EarlyData>,
     ) -> Rc<Exchange> {
-        let earliest_response =
-            min_response_time.map(|response_time| EarliestResponse { status: DELIVERED, response_time });
-        let exchange = Exchange::new(self.request.wire_length(), written_requests, earliest_response);
+        let exchange = Exchange::new(self.request.wire_length(), written_requests, early_data);
         self.exchange.insert(exchange).clone()
     }
 
--- a/crates/message-sender/src/delivery/response_times.rs
+++ b/crates/message-sender/src/delivery/response_times.rs
@@ -1,7 +1,8 @@
-//! Learns how soon endpoints can answer, to recognize responses that come too soon.
+//! Learns how soon endpoints answer, to recognize data that comes unusually soon.
 //!
 //! A second copy of a response may cross the next request on its connection. It then arrives sooner after that
-//! request than the endpoint could have received and processed it.
+//! request than the endpoint could have received and processed it. An endpoint that has become faster answers as soon,
+//! so the time alone proves nothing.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,15 +11,17 @@
 use delivery_control::EndpointId;
 use tokio::time::Instant;
 
-use crate::http_connection::REUSE_DELAY;
-
 /// Number of deliveries of an endpoint before its fastest one is meaningful.
 const MIN_DELIVERIES: u32 = 16;
-/// A delivery is too soon if it takes less than the fastest known one divided by this.
-const SPEEDUP_MARGIN: u32 = 4;
-/// Maximum time for which data can cross a request on the network. A delivery that takes longer is never too
-/// soon.
+/// A delivery is unusually soon if it takes less than the fastest known one divided by this, and late if it takes
+/// longer than that one multiplied by this.
+const SPEED_MARGIN: u32 = 4;
+/// Minimum and maximum time within which data may be unusually soon: some endpoints often answer sooner than the
+/// minimum, and data crosses a request on the network for no longer than the maximum.
+const MIN_CROSSING_TIME: Duration = Duration::from_millis(10);
 const MAX_CROSSING_TIME: Duration = Duration::from_millis(25);
+/// Longest time within which an endpoint is expected to answer.
+const MAX_RESPONSE_TIME: Duration = Duration::from_secs(1);
 
 /// The fastest delivery of an endpoint.
 struct FastestDelivery {
@@ -48,14 +51,20 @@
         entry.recorded_at = recorded_at;
     }
 
-    /// Time before which a response that says that the message was delivered cannot be the endpoint's response
-    /// to a request. `None` if too little is known, or if the endpoint may answer so soon that its responses
-    /// cannot be told from data that follows an earlier response.
+    /// Time before which a response that says that a message was delivered is unusually soon. `None` if too little
+    /// is known, or if the endpoint often answers so soon.
     pub fn min_response_time(&self, endpoint: EndpointId) -> Option<Duration> {
         let fastest = self.fastest.borrow();
         let known = fastest.get(&endpoint).filter(|known| known.deliveries >= MIN_DELIVERIES)?;
-        let min_response_time = (known.response_time / SPEEDUP_MARGIN).min(MAX_CROSSING_TIME);
-        (min_response_time >= REUSE_DELAY).then_some(min_response_time)
+        let min_response_time = (known.response_time / SPEED_MARGIN).min(MAX_CROSSING_TIME);
+        (min_response_time >= MIN_CROSSING_TIME).then_some(min_response_time)
+    }
+
+    /// Time within which an endpoint is expected to answer a request.
+    pub fn max_response_time(&self, endpoint: EndpointId) -> Duration {
+        let fastest = self.fastest.borrow();
+        let known = fastest.get(&endpoint).map(|known| known.response_time * SPEED_MARGIN);
+        known.unwrap_or(MAX_RESPONSE_TIME).min(MAX_RESPONSE_TIME)
     }
 
     /// Forgets endpoints without a delivery for `retention`.
--- a/crates/message-sender/src/http_connection/byte_counter.rs
+++ b/crates/message-sender/src/http_connection/byte_counter.rs
@@ -17,8 +17,6 @@
     requests: Cell<u64>,
     /// The exchange that has begun and not ended, if any.
     exchange: RefCell<Option<Rc<Exchange>>>,
-    /// The status of the last response that has ended, if it is known.
-    last_status: Cell<Option<u16>>,
     /// Whether data has arrived that belongs to no response.
     has_excess_data: Cell<bool>,
 }
@@ -32,14 +30,7 @@
 
     /// Records that a response has ended. What arrives before the next exchange begins belongs to no response.
     pub fn end_exchange(&self) {
-        if let Some(exchange) = self.exchange.take() {
-            self.last_status.set(exchange.response_status());
-        }
-    }
-
-    /// The status of the last response that has ended, if it is known.
-    pub fn last_status(&self) -> Option<u16> {
-        self.last_status.get()
+        self.exchange.replace(None);
     }
 
     /// Records that nothing more will be written of the current request.
--- a/crates/message-sender/src/http_connection/connection.rs
+++ b/crates/message-sender/src/http_connection/connection.rs
@@ -179,11 +179,6 @@
         self.byte_counter.has_excess_data()
     }
 
-    /// The status of the last response that has ended, if it is known.
-    pub fn last_status(&self) -> Option<u16> {
-        self.byte_counter.last_status()
-    }
-
     /// Whether the connection has carried another request before the current one.
     pub fn is_reused(&self) -> bool {
         self.byte_counter.is_reused()
--- a/crates/message-sender/src/http_connection/exchange.rs
+++ b/crates/message-sender/src/http_connection/exchange.rs
@@ -22,14 +22,31 @@
     }
 }
 
-/// The time before which a response with a certain status cannot be the response to a request. On a connection that
-/// has carried other requests, such a response and data that is none belong to an earlier request.
+/// What is unusual so soon after a request on a connection that has carried other requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EarliestResponse {
-    /// The status.
-    pub status: u16,
-    /// Time from the last byte of the request.
-    pub response_time: Duration,
+pub struct EarlyData {
+    /// Time from the last byte of the request within which data is early. Early data that is no response is skipped.
+    pub within: Duration,
+    /// The status of an early response that is doubted: it belongs to an earlier request if another response follows.
+    /// `None` if the peer gives no reason for doubt.
+    pub doubted_status: Option<u16>,
+}
+
+/// A response that may belong to an earlier request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct DoubtedResponse {
+    status: u16,
+    response_time: Duration,
+}
+
+/// How data that has arrived relates to the request.
+enum Arrival {
+    /// It belongs to the response.
+    Response,
+    /// It is early and no response.
+    Noise,
+    /// It is an early response that may belong to an earlier request.
+    Doubted(DoubtedResponse),
 }
 
 /// What was written of a request and received of its response. Each exchange has a record of its own, which its
@@ -48,12 +65,12 @@
     request_written_at: Cell<Option<Instant>>,
     /// Whether the connection has been stopped, so that it writes no more of the request.
     is_stopped: Cell<bool>,
-    /// The earliest response with a certain status, if it is known.
-    earliest_response: Option<EarliestResponse>,
-    /// Whether data has arrived that belongs to no response to this request.
+    /// What is unusual soon after the request, if it is known.
+    early_data: Option<EarlyData>,
+    /// Whether noise or a doubted response has arrived, so that the response may still follow.
     has_premature_data: Cell<bool>,
-    /// Response time of a response that was too early, if there was one.
-    premature_response_time: Cell<Option<Duration>>,
+    /// The doubted response, if there is one.
+    doubted_response: Cell<Option<DoubtedResponse>>,
     /// Whether any byte has arrived.
     has_received: Cell<bool>,
     status_line: RefCell<StatusLineParser>,
@@ -67,15 +84,15 @@
 
 impl Exchange {
     /// Creates the record for a request of `request_length` bytes. Increments `written_requests` once they were
-    /// written. `earliest_response` is `None` on a new connection, where everything belongs to this request.
+    /// written. `early_data` is `None` on a new connection, where everything belongs to this request.
     pub fn new(
         request_length: u64,
         written_requests: &Rc<Cell<u64>>,
-        earliest_response: Option<EarliestResponse>,
+        early_data: Option<EarlyData>,
     ) -> Rc<Self> {
         Rc::new(Self {
             request_length: Some(request_length),
-            earliest_response,
+            early_data,
             written_requests: written_requests.clone(),
             ..Self::default()
         })
@@ -103,9 +120,12 @@
         self.has_received.get()
     }
 
-    /// The status of the response, known once its status line has arrived, even if the rest cannot be parsed.
+    /// The status of the response, known once its status line has arrived, even if the rest cannot be parsed. That of
+    /// a doubted response counts unless another response has followed: only that proves that it belongs to an
+    /// earlier request.
     pub fn response_status(&self) -> Option<u16> {
-        self.status_line.borrow().status()
+        let status = self.status_line.borrow().status();
+        status.or_else(|| Some(self.unreplaced_response()?.status))
     }
 
     /// Whether the status line of the response has arrived, even if it is malformed.
@@ -133,15 +153,25 @@
             .map_or(Duration::ZERO, |at| at.elapsed())
     }
 
-    /// Whether data has arrived that belongs to no response to this request.
+    /// Whether early data has arrived that is no response, or a response that is doubted.
     pub fn has_premature_data(&self) -> bool {
         self.has_premature_data.get()
     }
 
-    /// Response time of a response that was too early and that no other has followed. It may have belonged to this
-    /// request after all.
+    /// Whether a response has arrived that may belong to an earlier request.
+    pub fn has_doubted_response(&self) -> bool {
+        self.doubted_response.get().is_some()
+    }
+
+    /// Response time of the doubted response, if no other response has followed, so that it counts.
     pub fn unreplaced_response_time(&self) -> Option<Duration> {
-        self.premature_response_time.get().filter(|_| !self.is_status_line_complete())
+        Some(self.unreplaced_response()?.response_time)
+    }
+
+    /// The doubted response, if no other has followed. A request that was not written in full has no response.
+    fn unreplaced_response(&self) -> Option<DoubtedResponse> {
+        let is_replaced = self.status_line.borrow().status().is_some();
+        self.doubted_response.get().filter(|_| !is_replaced && self.is_request_written())
     }
 
     /// The head of the response after premature data, if it has arrived and is well-formed.
@@ -172,9 +202,13 @@
         if !self.has_received.replace(true) {
             self.response_started.notify_one();
         }
-        if self.is_premature(bytes) {
-            self.has_premature_data.set(true);
-            return;
+        match self.classify(bytes) {
+            Arrival::Response => {}
+            Arrival::Noise => return self.has_premature_data.set(true),
+            Arrival::Doubted(response) => {
+                self.has_premature_data.set(true);
+                return self.doubted_response.set(Some(response));
+            }
         }
         if self.has_premature_data() {
             self.head.borrow_mut().read(bytes);
@@ -187,19 +221,23 @@
         }
     }
 
-    /// Whether data belongs to an earlier request: it is no response, or one that is too early.
-    fn is_premature(&self, bytes: &[u8]) -> bool {
-        let Some(earliest) = self.earliest_response else { return false };
+    /// Tells early data that is no response, or a doubted one, from the response.
+    fn classify(&self, bytes: &[u8]) -> Arrival {
         let response_time = self.max_time_since_request();
-        if self.status_line.borrow().has_started() || response_time >= earliest.response_time {
-            return false;
+        let early_data = self.early_data.filter(|early| response_time < early.within);
+        let Some(EarlyData { doubted_status, .. }) = early_data else { return Arrival::Response };
+        if self.status_line.borrow().has_started() {
+            return Arrival::Response;
         }
         let mut status_line = StatusLineParser::default();
         status_line.read(bytes);
-        if status_line.status() == Some(earliest.status) {
-            self.premature_response_time.set(Some(response_time));
+        match status_line.status() {
+            Some(status) if doubted_status == Some(status) => {
+                Arrival::Doubted(DoubtedResponse { status, response_time })
+            }
+            Some(_) => Arrival::Response,
+            None => Arrival::Noise,
         }
-        status_line.status().is_none_or(|status| status == earliest.status)
     }
 
     /// Records that a part of the request is about to be written.
--- a/crates/message-sender/src/http_connection/mod.rs
+++ b/crates/message-sender/src/http_connection/mod.rs
@@ -13,12 +13,12 @@
 mod status_line;
 
 pub use self::connection::{Connection, IdleState, ResponseRemainder, SendError};
-pub use self::exchange::{EarliestResponse, Exchange, IncompleteRequest};
+pub use self::exchange::{EarlyData, Exchange, IncompleteRequest};
 
 use std::time::Duration;
 
-/// Time that a connection rests after a response before it carries the next request, where the response to that
-/// request cannot be told from data that follows the last one.
+/// Time that a connection rests after a response before it carries the next request: data that follows the response
+/// could otherwise be read as the next one.
 pub const REUSE_DELAY: Duration = Duration::from_millis(10);
 /// Time for which no connection to a peer is reused after it has sent data on an idle connection.
 pub const EXCESS_DATA_MEMORY: Duration = Duration::from_secs(5);
