Do not skip the first bytes of an early response as noise

The HTTP library read the response as a whole, but the record of its status had lost the first bytes: a 200 in pieces from an endpoint that has become faster was malformed for an attempt that was cancelled or timed out before its end.

Change: what may become a status line is part of the response.

--- a/crates/message-sender/src/http_connection/exchange.rs
+++ b/crates/message-sender/src/http_connection/exchange.rs
@@ -236,6 +236,7 @@
                 Arrival::Doubted(DoubtedResponse { status, response_time })
             }
             Some(_) => Arrival::Response,
+            None if status_line.may_become_complete() => Arrival::Response,
             None => Arrival::Noise,
         }
     }
--- a/crates/message-sender/src/http_connection/exchange/tests.rs
+++ b/crates/message-sender/src/http_connection/exchange/tests.rs
@@ -88,6 +88,20 @@
     assert_eq!(exchange.response_status(), None);
 }
 
+/// Guards against the first bytes of a status line that are skipped as noise, so that the rest of it is malformed: the
+/// response arrives in pieces from an endpoint that has become faster.
+#[tokio::test(start_paused = true)]
+async fn the_first_bytes_of_an_early_response_are_no_noise() {
+    for split in 1..REJECTION.len() {
+        let exchange = written_exchange(Some(DOUBTED));
+        let (start, end) = REJECTION.split_at(split);
+        exchange.record_read(start);
+        exchange.record_read(end);
+        let response = (exchange.has_premature_data(), exchange.response_status());
+        assert_eq!(response, (false, Some(429)), "{split} bytes first");
+    }
+}
+
 /// Guards against a response that is discarded, and against an endpoint that counts as slow, because the process was
 /// held up between the write of a request and the reading of its clock.
 #[tokio::test(start_paused = true)]
--- a/crates/message-sender/src/http_connection/status_line.rs
+++ b/crates/message-sender/src/http_connection/status_line.rs
@@ -1,6 +1,8 @@
 //! Parses the status of a response from its bytes as they arrive. The status is valid even if the rest of
 //! the response is corrupt and the HTTP library rejects it.
 
+/// Start of each status line, as far as it does not depend on the version and the status.
+const PREFIX: &str = "HTTP/1.";
 /// Number of bytes stored of each line: no more than `HTTP/1.1 200 ` is needed. Further bytes are discarded.
 const MAX_STORED_BYTES: usize = 13;
 
@@ -37,6 +39,16 @@
         matches!(self.state, State::Done(_))
     }
 
+    /// Whether what has arrived may be the beginning of a well-formed status line.
+    pub fn may_become_complete(&self) -> bool {
+        let (line, prefix) = (&self.line[..], PREFIX.as_bytes());
+        match self.state {
+            State::StatusLine => line.starts_with(prefix) || prefix.starts_with(line),
+            State::InterimHead => true,
+            State::Empty | State::Done(_) => false,
+        }
+    }
+
     /// The status, if the status line is complete and well-formed.
     pub fn status(&self) -> Option<u16> {
         match self.state {
@@ -86,7 +98,7 @@
 /// Parses the status from the start of a line such as `HTTP/1.1 200 OK`.
 fn parse_status(line: &[u8]) -> Option<u16> {
     let text = std::str::from_utf8(line).ok()?;
-    let after_prefix = text.strip_prefix("HTTP/1.")?;
+    let after_prefix = text.strip_prefix(PREFIX)?;
     let after_version = after_prefix.get(1..)?.strip_prefix(' ')?;
     let (status, after_status) = after_version.split_at_checked(3)?;
     let is_delimited = after_status.is_empty() || after_status.starts_with([' ', '\r']);
