Soak: claim the loopback addresses of a run, so that runs at the same time share none

Cause: the addresses of a run came from its process id.

Change: a run claims its network by a listener on an address of it, and takes the next one if that is in use. Tests need no numbers of their own any more.

--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod process_group;
 mod response_bodies;
 mod resting_client;
+pub mod run_addresses;
 pub mod sender;
 pub mod settings;
 pub mod shim;
--- a/crates/fault-soak/src/main.rs
+++ b/crates/fault-soak/src/main.rs
@@ -110,13 +110,11 @@
 
 async fn run_batch(plans: &[Plan], options: &Options) -> Result<Vec<(Plan, Report)>> {
     let mut tasks = Vec::new();
-    for (run, plan) in plans.iter().cloned().enumerate() {
+    for plan in plans.iter().cloned() {
         println!("plan of seed {}:\n{plan}", plan.seed);
         let options = options.clone();
-        // The process id keeps the loopback addresses of concurrent processes apart in most cases.
-        let run_index = run as u8 + (std::process::id() % 50) as u8 * 5;
         tasks.push(tokio::spawn(async move {
-            let report = run_plan(&plan, &options, run_index).await;
+            let report = run_plan(&plan, &options).await;
             report.map(|report| (plan, report))
         }));
     }
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -30,8 +30,6 @@
 const ENOSPC: i32 = 28;
 /// Time between two checks whether a process is ready.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Port for clients.
-const CLIENT_PORT: u16 = 3_000;
 /// Management port of the first process; each later process gets the next port.
 const MANAGEMENT_PORT: u16 = 3_100;
 
@@ -102,13 +100,6 @@
         Ok(Arc::new(sender))
     }
 
-    /// Returns the address for clients of the sender with index `index` in the run `run_index`. Each sender
-    /// has a loopback address of its own.
-    #[must_use]
-    pub fn address_of(run_index: u8, index: usize) -> SocketAddr {
-        SocketAddr::from(([127, 10, run_index, index as u8 + 1], CLIENT_PORT))
-    }
-
     fn configuration_path(&self) -> PathBuf {
         self.folder.join("config.json")
     }
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -23,6 +23,7 @@
 use crate::planted::PlantedDefect;
 use crate::process_group::ProcessGroup;
 use crate::resting_client::run_resting_clients;
+use crate::run_addresses::RunAddresses;
 use crate::sender::{Sender, SenderSetup};
 use crate::settings::{configuration, DEADLINE_MS, DESTINATIONS, ENDPOINTS_PER_DESTINATION, WARM_WITHIN_MS};
 use crate::shim::{Failure, FailureRule, Syscall};
@@ -90,14 +91,15 @@
     pub longest_shutdown: Duration,
 }
 
-/// Runs a plan. `run_index` keeps the addresses of concurrent runs distinct.
+/// Runs a plan, on addresses that no other run uses at the same time.
 ///
 /// # Errors
 ///
 /// The environment of the senders cannot be set up, or logs cannot be copied.
-pub async fn run_plan(plan: &Plan, options: &Options, run_index: u8) -> Result<Report> {
+pub async fn run_plan(plan: &Plan, options: &Options) -> Result<Report> {
     let folder = tempfile::tempdir().context("cannot create a temporary folder")?;
-    let harness = Harness::set_up(plan, options, run_index, folder.path()).await?;
+    let addresses = RunAddresses::claim().context("cannot claim addresses for the senders")?;
+    let harness = Harness::set_up(plan, options, &addresses, folder.path()).await?;
     let start = Instant::now();
     let report = harness.run(plan, start).await;
     if let Some(logs) = options.logs.as_ref().filter(|_| !report.violations.is_empty()) {
@@ -116,7 +118,7 @@
 }
 
 impl Harness {
-    async fn set_up(plan: &Plan, options: &Options, run_index: u8, folder: &Path) -> Result<Self> {
+    async fn set_up(plan: &Plan, options: &Options, addresses: &RunAddresses, folder: &Path) -> Result<Self> {
         let history = Arc::new(History::default());
         history.records().accepts_may_stall = plan.faults.iter().any(|fault| fault.kind.stalls_accepts());
         history.records().is_crowded = plan.faults.iter().any(|fault| fault.kind.is_crowd());
@@ -127,7 +129,7 @@
         let process_group = Arc::new(ProcessGroup::start().context("cannot start a process group")?);
         let mut senders = Vec::new();
         for index in 0..options.senders {
-            let address = Sender::address_of(run_index, index);
+            let address = addresses.sender(index);
             let list = discovery.entries();
             let own_discovery = discovery.listen(index).await?;
             let name = format!("n{index}");
--- a/crates/fault-soak/tests/clients.rs
+++ b/crates/fault-soak/tests/clients.rs
@@ -14,7 +14,7 @@
 /// bytes, the connection is reset, and the client drops the response.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_is_not_lost_with_bytes_that_were_not_read() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     let head =
         submission("large", Class::Keyed, 1, 8_000).replace("Content-Length: 1", "Content-Length: 99999");
     let text = head + &"x".repeat(99_998);
@@ -39,7 +39,7 @@
 /// end.
 #[tokio::test(flavor = "multi_thread")]
 async fn message_submitted_again_after_its_end_is_not_sent_again() {
-    let fixture = Fixture::start(1).await;
+    let fixture = Fixture::start().await;
     fixture.submit_accepted("m1", Class::Once, 1, 8_000).await;
     fixture.await_delivery("m1", TIMEOUT).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -54,7 +54,7 @@
 /// and the message is then submitted again under the same id.
 #[tokio::test(flavor = "multi_thread")]
 async fn message_submitted_again_after_a_restart_is_not_sent_again() {
-    let fixture = Fixture::start(2).await;
+    let fixture = Fixture::start().await;
     fixture.submit_accepted("m1", Class::Once, 1, 8_000).await;
     fixture.await_delivery("m1", TIMEOUT).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
--- a/crates/fault-soak/tests/clock.rs
+++ b/crates/fault-soak/tests/clock.rs
@@ -15,7 +15,7 @@
 /// would take the time left for an hour longer.
 #[tokio::test(flavor = "multi_thread")]
 async fn wall_clock_set_back_before_a_restart_moves_no_deadline() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.submit_accepted("m1", Class::Pure, 1, 4_000).await;
     fixture.submit_accepted("m2", Class::Once, 1, 4_000).await;
@@ -34,7 +34,7 @@
 /// clock, they would have passed for the next process.
 #[tokio::test(flavor = "multi_thread")]
 async fn wall_clock_set_forward_before_a_restart_gives_no_message_up() {
-    let fixture = Fixture::start(1).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.submit_accepted("m1", Class::Ordered, 1, 8_000).await;
     fixture.await_call("m1").await;
--- a/crates/fault-soak/tests/interrupts.rs
+++ b/crates/fault-soak/tests/interrupts.rs
@@ -12,7 +12,7 @@
 /// Guards against a request that gets no response because a system call on its connection was interrupted.
 #[tokio::test(flavor = "multi_thread")]
 async fn interrupted_calls_cost_no_request_its_answer() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     fixture.fail_at_rate(Syscall::Receive, Failure::NotDone, EINTR, RATE);
     fixture.fail_at_rate(Syscall::Send, Failure::NotDone, EINTR, RATE);
     for number in 0..40 {
@@ -26,7 +26,7 @@
 /// Guards against a handover that fails, or whose relay ends, because a system call was interrupted.
 #[tokio::test(flavor = "multi_thread")]
 async fn interrupted_calls_disturb_no_handover() {
-    let fixture = Fixture::start(1).await;
+    let fixture = Fixture::start().await;
     fixture.fail_at_rate(Syscall::Receive, Failure::NotDone, EINTR, RATE);
     fixture.fail_at_rate(Syscall::Send, Failure::NotDone, EINTR, RATE);
     for number in 0..4 {
--- a/crates/fault-soak/tests/journal.rs
+++ b/crates/fault-soak/tests/journal.rs
@@ -19,7 +19,7 @@
 /// either.
 #[tokio::test(flavor = "multi_thread")]
 async fn records_behind_a_torn_write_survive_it() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.submit_accepted("m1", Class::Keyed, 1, 8_000).await;
     fixture.await_call("m1").await;
@@ -43,7 +43,7 @@
 /// refuse new messages, and deliver the messages that were accepted before once writes succeed again.
 #[tokio::test(flavor = "multi_thread")]
 async fn start_on_a_folder_that_takes_no_writes_becomes_ready() {
-    let fixture = Fixture::start(1).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.submit_accepted("m1", Class::Once, 1, 8_000).await;
     fixture.submit_accepted("m2", Class::Keyed, 1, 8_000).await;
@@ -66,7 +66,7 @@
 /// and was not retried.
 #[tokio::test(flavor = "multi_thread")]
 async fn end_that_could_not_be_recorded_at_once_is_recorded_later() {
-    let fixture = Fixture::start(2).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Slow);
     fixture.submit_accepted("m1", Class::Pure, 1, 8_000).await;
     fixture.await_call("m1").await;
@@ -86,7 +86,7 @@
 /// limit of attempts. Such attempts are not sent.
 #[tokio::test(flavor = "multi_thread")]
 async fn attempts_that_could_not_be_recorded_do_not_count() {
-    let fixture = Fixture::start(3).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Slow);
     fixture.submit_accepted("m1", Class::Ordered, 1, 8_000).await;
     fixture.submit_accepted("m2", Class::Ordered, 1, 8_000).await;
@@ -103,7 +103,7 @@
 /// moment at which it is accepted and the turn that decides on it.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_write_does_not_move_a_deadline() {
-    let fixture = Fixture::start(4).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.fail(Syscall::WriteFile, Failure::Delayed, SLOW_WRITE_MS);
     let start = tokio::time::Instant::now();
@@ -119,7 +119,7 @@
 /// its time began to count.
 #[tokio::test(flavor = "multi_thread")]
 async fn wait_behind_a_slow_write_does_not_move_a_deadline() {
-    let fixture = Fixture::start(5).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.fail(Syscall::WriteFile, Failure::Delayed, SLOW_WRITE_MS);
     // The sender reads both submissions when it is continued, and the record of one of them delays the other.
--- a/crates/fault-soak/tests/planted_mistakes.rs
+++ b/crates/fault-soak/tests/planted_mistakes.rs
@@ -10,9 +10,8 @@
 /// A seed whose plan kills both senders.
 const SEED: u64 = 5;
 
-/// Runs the seed with these defects and returns the names of the violated rules, one for each violation. The
-/// argument `run` gives each test its own loopback addresses.
-async fn violated_rules(planted_defects: &[PlantedDefect], run: u8) -> Vec<&'static str> {
+/// Runs the seed with these defects and returns the names of the violated rules, one for each violation.
+async fn violated_rules(planted_defects: &[PlantedDefect]) -> Vec<&'static str> {
     use fault_soak::plan::FaultKind::{EndpointsFlaky, Kill};
     let options = Options {
         senders: SENDERS,
@@ -23,8 +22,7 @@
     };
     let plan = Plan::draw(SEED, &[Kill, EndpointsFlaky], DEFAULT_MAX_KINDS);
     assert!(plan.kinds().contains(&Kill), "{plan}");
-    let address = (std::process::id() % 16) as u8 * 8 + run + 121;
-    let report = run_plan(&plan, &options, address).await.unwrap();
+    let report = run_plan(&plan, &options).await.unwrap();
     assert!(report.accepted > 500, "{} accepted", report.accepted);
     for violation in &report.violations {
         println!("{violation}");
@@ -35,40 +33,40 @@
 /// Guards against false alarms of the oracle.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_mistake_no_rule_is_broken() {
-    assert_eq!(violated_rules(&[], 0).await, Vec::<&str>::new());
+    assert_eq!(violated_rules(&[]).await, Vec::<&str>::new());
 }
 
 /// Guards against an oracle that misses messages lost at a restart because writes reported as successful were
 /// not done.
 #[tokio::test(flavor = "multi_thread")]
 async fn writes_that_are_not_done_lose_messages() {
-    assert!(violated_rules(&[PlantedDefect::LyingDisk], 1).await.contains(&"lost"));
+    assert!(violated_rules(&[PlantedDefect::LyingDisk]).await.contains(&"lost"));
 }
 
 /// Guards against an oracle that misses messages that end without a delivery or a notice.
 #[tokio::test(flavor = "multi_thread")]
 async fn notices_that_are_not_sent_lose_messages() {
-    assert!(violated_rules(&[PlantedDefect::SwallowedNotices], 2).await.contains(&"lost"));
+    assert!(violated_rules(&[PlantedDefect::SwallowedNotices]).await.contains(&"lost"));
 }
 
 /// Guards against an oracle that misses duplicate calls, or two calls of a message in flight at the same
 /// time.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_made_twice_are_duplicates() {
-    let rules = violated_rules(&[PlantedDefect::RepeatedCalls], 3).await;
+    let rules = violated_rules(&[PlantedDefect::RepeatedCalls]).await;
     assert!(rules.contains(&"duplicate") && rules.contains(&"overlapping attempts"), "{rules:?}");
 }
 
 /// Guards against an oracle that misses calls to an endpoint that was listed as draining.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_to_a_drained_endpoint_are_noticed() {
-    assert!(violated_rules(&[PlantedDefect::UnheededDrain], 4).await.contains(&"drain"));
+    assert!(violated_rules(&[PlantedDefect::UnheededDrain]).await.contains(&"drain"));
 }
 
 /// Guards against an oracle that misses connections that were closed without a response.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_without_an_answer_are_noticed() {
-    assert!(violated_rules(&[PlantedDefect::BrokenClients], 5).await.contains(&"closed without response"));
+    assert!(violated_rules(&[PlantedDefect::BrokenClients]).await.contains(&"closed without response"));
 }
 
 /// Guards against an oracle that misses one of several rules that are violated in the same run.
@@ -81,7 +79,7 @@
         PlantedDefect::SentRefused,
     ];
     let others = [PlantedDefect::OtherDestination, PlantedDefect::ExcessiveMemory];
-    let rules = violated_rules(&[&planted_defects[..], &others].concat(), 6).await;
+    let rules = violated_rules(&[&planted_defects[..], &others].concat()).await;
     for rule in [
         "order",
         "repeated after idempotency window",
@@ -104,7 +102,7 @@
         PlantedDefect::SentAfterDelivery,
         PlantedDefect::SentAfterTime,
     ];
-    let rules = violated_rules(&planted_defects, 7).await;
+    let rules = violated_rules(&planted_defects).await;
     for rule in ["closed without response", "sent after notice", "sent after delivery", "sent after deadline"]
     {
         assert!(rules.contains(&rule), "{rule} in {rules:?}");
--- a/crates/fault-soak/tests/reload.rs
+++ b/crates/fault-soak/tests/reload.rs
@@ -12,7 +12,7 @@
 /// Guards against a reload that is lost because the file was only half written when the signal came.
 #[tokio::test(flavor = "multi_thread")]
 async fn file_that_is_half_written_at_the_signal_is_read_again() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     let address = fixture.discovery.listen(7).await.unwrap();
     fixture.sender.reload_torn(address).await;
     // Status updates from the new listener are recorded under the sender index 7.
--- a/crates/fault-soak/tests/response_times.rs
+++ b/crates/fault-soak/tests/response_times.rs
@@ -61,8 +61,8 @@
 }
 
 /// Starts a fixture whose sender knows all endpoints as slow.
-async fn start_with_slow_endpoints(number: u8) -> Fixture {
-    let fixture = Fixture::start(number).await;
+async fn start_with_slow_endpoints() -> Fixture {
+    let fixture = Fixture::start().await;
     set_service_ms(&fixture, SLOW_MS);
     let ids = submit_messages(&fixture, "slow", MESSAGES_TO_LEARN).await;
     let is_over = fixture.wait_until(TIMEOUT, |fixture| ids.iter().all(|id| fixture.is_delivered(id))).await;
@@ -74,7 +74,7 @@
 /// reported as failed although it was delivered.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_response_of_an_endpoint_that_has_become_faster_counts() {
-    let fixture = start_with_slow_endpoints(0).await;
+    let fixture = start_with_slow_endpoints().await;
     set_service_ms(&fixture, FAST_MS);
     let ids = submit_messages(&fixture, "fast", CHECKED_MESSAGES).await;
     assert_delivered_by_first_call(&fixture, &ids).await;
@@ -84,7 +84,7 @@
 /// before it read its clock: the response seemed to follow at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_counts_although_the_sender_is_held_up_after_a_write() {
-    let fixture = start_with_slow_endpoints(1).await;
+    let fixture = start_with_slow_endpoints().await;
     let errnos = vec![SLOW_MS.end as i32 + 30, MAX_HOLD_MS];
     let rule = FailureRule { rate: 2_500, modes: vec![Failure::HeldAfter], errnos };
     fixture.sender.control.set(Syscall::Send, &rule).unwrap();
--- a/crates/fault-soak/tests/signals.rs
+++ b/crates/fault-soak/tests/signals.rs
@@ -17,7 +17,7 @@
 /// interrupted.
 #[tokio::test(flavor = "multi_thread")]
 async fn signals_are_heard_while_calls_are_interrupted() {
-    let fixture = Fixture::start(0).await;
+    let fixture = Fixture::start().await;
     fixture.fail_at_rate(Syscall::Receive, Failure::NotDone, EINTR, RATE);
     fixture.fail_at_rate(Syscall::Send, Failure::NotDone, EINTR, RATE);
     for _ in 0..RELOADS {
--- a/crates/fault-soak/tests/soak.rs
+++ b/crates/fault-soak/tests/soak.rs
@@ -18,9 +18,8 @@
 /// Time from SIGTERM to SIGKILL.
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
 
-/// Runs a seed of these kinds of faults and checks that no rule is broken. The argument `run` gives each test its
-/// own loopback addresses.
-async fn assert_no_rule_broken(seed: u64, kinds: &[FaultKind], run: u8) {
+/// Runs a seed of these kinds of faults and checks that no rule is broken.
+async fn assert_no_rule_broken(seed: u64, kinds: &[FaultKind]) {
     let plan = Plan::draw(seed, kinds, kinds.len());
     println!("{plan}");
     let options = Options {
@@ -30,7 +29,7 @@
         logs: None,
         planted_defects: Vec::new(),
     };
-    let report = run_plan(&plan, &options, (std::process::id() % 25) as u8 * 5 + 120 + run).await.unwrap();
+    let report = run_plan(&plan, &options).await.unwrap();
     let broken: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
     assert_eq!(broken, Vec::<String>::new());
     assert!(report.accepted > 1_000, "{} accepted", report.accepted);
@@ -57,7 +56,7 @@
         WallClockBack,
         WallClockForward,
     ];
-    assert_no_rule_broken(SEED, &kinds, 0).await;
+    assert_no_rule_broken(SEED, &kinds).await;
 }
 
 /// Guards against requests that are lost when a process ends: clients use their connections until SIGKILL, in
@@ -79,7 +78,7 @@
         Terminate,
         TerminateHanging,
     ];
-    assert_no_rule_broken(SHUTDOWN_SEED, &kinds, 1).await;
+    assert_no_rule_broken(SHUTDOWN_SEED, &kinds).await;
 }
 
 /// Guards against requests that are lost because crowds of connections occupy a sender, also in a shutdown.
@@ -87,7 +86,7 @@
 async fn seed_of_crowds_loses_no_request() {
     use FaultKind::{ClientsPieces, CrowdChurns, CrowdHolds, Interrupts, PeersStall, Terminate};
     let kinds = [ClientsPieces, CrowdChurns, CrowdHolds, Interrupts, PeersStall, Terminate];
-    assert_no_rule_broken(CROWD_SEED, &kinds, 2).await;
+    assert_no_rule_broken(CROWD_SEED, &kinds).await;
 }
 
 /// The first seed whose plan has all of these kinds of faults, and a network delay to the endpoints.
@@ -104,7 +103,7 @@
 async fn seed_of_odd_responses_breaks_no_rule() {
     use FaultKind::{ClientsMove, DiscoveryExcess, EndpointsBodies, EndpointsExcess, PeersStallInBodies};
     let kinds = [ClientsMove, DiscoveryExcess, EndpointsBodies, EndpointsExcess, PeersStallInBodies];
-    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds, 4).await;
+    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds).await;
 }
 
 /// Guards against state that a handover passes on wrongly: upgrades, also with successors that die, while endpoints
@@ -114,5 +113,5 @@
 async fn seed_of_handovers_breaks_no_rule() {
     use FaultKind::{EndpointsExcess, EndpointsRefuse, NoticesRefused, OperatorsDrain, Upgrade, UpgradeDies};
     let kinds = [EndpointsExcess, EndpointsRefuse, NoticesRefused, OperatorsDrain, Upgrade, UpgradeDies];
-    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds, 3).await;
+    assert_no_rule_broken(first_seed_with_all(&kinds), &kinds).await;
 }
--- a/crates/fault-soak/tests/startup.rs
+++ b/crates/fault-soak/tests/startup.rs
@@ -12,10 +12,10 @@
 /// Time for which the system calls fail.
 const FAILURE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Starts a fixture with this number, kills its sender while a message is open, and restarts the sender while
+/// Starts a fixture, kills its sender while a message is open, and restarts the sender while
 /// these system calls fail with `errno`, until [`FAILURE_TIME`] after the restart.
-async fn start_with_failing_calls(number: u8, calls: &[Syscall], errno: i32) -> Fixture {
-    let fixture = Fixture::start(number).await;
+async fn start_with_failing_calls(calls: &[Syscall], errno: i32) -> Fixture {
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     fixture.submit_accepted("m1", Class::Keyed, 1, 8_000).await;
     fixture.await_call("m1").await;
@@ -35,7 +35,7 @@
 /// Guards against a process that exits at its start because sockets cannot be created for a moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn sockets_that_are_denied_for_a_moment_end_no_start() {
-    let fixture = start_with_failing_calls(0, &[Syscall::Socket], EMFILE).await;
+    let fixture = start_with_failing_calls(&[Syscall::Socket], EMFILE).await;
     assert!(fixture.incidents().is_empty(), "{:?}", fixture.incidents());
     fixture.await_delivery("m1", TIMEOUT).await;
 }
@@ -45,7 +45,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn files_that_are_denied_for_a_moment_end_no_start() {
     let calls = [Syscall::OpenFile, Syscall::Lock, Syscall::ReadFile, Syscall::Unlink];
-    let fixture = start_with_failing_calls(1, &calls, EIO).await;
+    let fixture = start_with_failing_calls(&calls, EIO).await;
     assert!(fixture.incidents().is_empty(), "{:?}", fixture.incidents());
     fixture.await_delivery("m1", TIMEOUT).await;
 }
@@ -54,7 +54,7 @@
 /// successor because creating the socket failed at that moment.
 #[tokio::test(flavor = "multi_thread")]
 async fn process_that_took_its_work_back_hands_over_again() {
-    let fixture = Fixture::start(2).await;
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     // The predecessor keeps running for the open attempt of this message.
     fixture.submit_accepted("m1", Class::Pure, 1, 8_000).await;
@@ -78,7 +78,7 @@
 /// on its own machine, counts that as a failure of the endpoint.
 #[tokio::test(flavor = "multi_thread")]
 async fn sockets_that_are_denied_in_service_eject_no_endpoint() {
-    let fixture = Fixture::start(3).await;
+    let fixture = Fixture::start().await;
     fixture.fail(Syscall::Socket, Failure::NotDone, EMFILE);
     fixture.submit_accepted("m1", Class::Once, 2, 8_000).await;
     tokio::time::sleep(FAILURE_TIME).await;
--- a/crates/fault-soak/tests/support/mod.rs
+++ b/crates/fault-soak/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use fault_soak::http::read_message;
 use fault_soak::network::NetworkDelay;
 use fault_soak::process_group::ProcessGroup;
+use fault_soak::run_addresses::RunAddresses;
 use fault_soak::sender::{find_executable, Sender, SenderSetup};
 use fault_soak::settings::{configuration, Class};
 use fault_soak::shim::{Failure, FailureRule, Syscall};
@@ -34,12 +35,13 @@
     pub endpoints: Vec<Arc<Endpoint>>,
     pub discovery: Arc<Discovery>,
     pub history: Arc<History>,
+    _addresses: RunAddresses,
     _folder: tempfile::TempDir,
 }
 
 impl Fixture {
-    /// Starts the sender. `number` gives each test of a binary its own address.
-    pub async fn start(number: u8) -> Self {
+    /// Starts the sender.
+    pub async fn start() -> Self {
         let history = Arc::new(History::default());
         let mut endpoints = Vec::new();
         for destination in 1..=3 {
@@ -50,8 +52,8 @@
         }
         let discovery = Discovery::new(endpoints.clone(), history.clone(), NetworkDelay::default(), false);
         let folder = tempfile::tempdir().unwrap();
-        let run = (std::process::id() % 120) as u8;
-        let address = Sender::address_of(run, usize::from(number));
+        let addresses = RunAddresses::claim().unwrap();
+        let address = addresses.sender(0);
         let list = discovery.entries();
         let setup = SenderSetup {
             index: 0,
@@ -66,7 +68,7 @@
         };
         let sender = Sender::create(setup).unwrap();
         sender.start().await;
-        Self { sender, endpoints, discovery, history, _folder: folder }
+        Self { sender, endpoints, discovery, history, _addresses: addresses, _folder: folder }
     }
 
     /// Sets the behaviour of the endpoint of a destination.
--- a/crates/fault-soak/tests/unrecorded_ends.rs
+++ b/crates/fault-soak/tests/unrecorded_ends.rs
@@ -16,8 +16,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 
 /// Fills the buffer with messages that wait for an endpoint that does not respond.
-async fn start_with_full_buffer(number: u8) -> Fixture {
-    let fixture = Fixture::start(number).await;
+async fn start_with_full_buffer() -> Fixture {
+    let fixture = Fixture::start().await;
     fixture.set_behaviour(1, Behaviour::Hanging);
     for message in 0..FULL_BUFFER {
         fixture.submit_accepted(&format!("m{message}"), Class::Pure, 1, 8_000).await;
@@ -38,7 +38,7 @@
 /// recorded before the client got the refusal.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_message_whose_end_was_not_recorded_is_not_sent() {
-    let fixture = start_with_full_buffer(0).await;
+    let fixture = start_with_full_buffer().await;
     // The message is recorded, its end is not. It is worth least, as it has the least time left.
     fixture.fail_after(1, Syscall::WriteFile, Failure::NotDone, ENOSPC);
     let status = fixture.submit("last", Class::Keyed, 1, 5_000).await;
@@ -52,7 +52,7 @@
 /// recorded before the notice was acknowledged.
 #[tokio::test(flavor = "multi_thread")]
 async fn message_is_not_sent_after_its_notice_although_its_end_was_not_recorded() {
-    let fixture = start_with_full_buffer(1).await;
+    let fixture = start_with_full_buffer().await;
     fixture.fail_after(1, Syscall::WriteFile, Failure::NotDone, ENOSPC);
     // It replaces an older message, which is worth less.
     fixture.submit_accepted("last", Class::Pure, 1, 8_000).await;
