--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -26,6 +26,8 @@
 /// Pause between two peers with large requests, in milliseconds: those that wait use less than a third of the
 /// descriptors of a sender.
 const LARGE_REQUEST_PAUSE_MS: std::ops::Range<u64> = 35..60;
+/// Number of fields in a head of very many short fields.
+const SHORT_FIELDS: usize = 2_000;
 /// Size of large invalid requests, in bytes.
 const GARBAGE_BYTES: usize = 200_000;
 /// Time after which an accepted message has most likely ended, so that it can be submitted again under the
@@ -329,8 +331,12 @@
     whole.as_bytes()[..random.usize(0..whole.len())].to_vec()
 }
 
-/// Returns a request with the longest body that the protocol permits, without its last bytes.
+/// Returns a request with the longest body that the protocol permits, without its last bytes, or a head of very many
+/// short fields without its end.
 fn large_request_without_end(random: &mut fastrand::Rng) -> Vec<u8> {
+    if random.bool() {
+        return format!("POST /keyed HTTP/1.1\r\n{}", "a:\r\n".repeat(SHORT_FIELDS)).into_bytes();
+    }
     let head = format!(
         "POST /keyed HTTP/1.1\r\nHost: x\r\nX-Call-Id: never\r\nX-Call-Class: keyed\r\nX-Budget-Ms: 5000\r\n\
          Idempotency-Key: k\r\nX-Consignee: dest=1\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n"
