Doubt early 200s also on connections that were idle for less than data can cross

An early 200 was doubted only at an endpoint that had sent excess data; one that sends its first copy 10 to 25 ms after a response was told by its time before, if it was known to be slow.

Change: an early 200 is doubted, too, if its connection had been idle for less than 25 ms when the request was written. It counts as soon as other deliveries show that the endpoint has become as fast, so that a faster endpoint holds few permits for that time. The pool reads the clock once for all candidates.

--- a/crates/message-sender/src/delivery/client.rs
+++ b/crates/message-sender/src/delivery/client.rs
@@ -204,7 +204,7 @@
             if !self.may_start(call) || !(call.on_phase)(AttemptPhase::Starting) {
                 return Err(AttemptFailure::NotStarted);
             }
-            let early_data = idle_for.and_then(|_| self.pool.early_data(call.endpoint));
+            let early_data = idle_for.and_then(|idle_for| self.pool.early_data(call.endpoint, idle_for));
             let exchange = progress.begin_exchange(&self.attempts_written, early_data);
             let request = progress.request().to_request();
             let Some(connection) = &mut progress.connection else { return Err(AttemptFailure::Broken) };
@@ -247,7 +247,7 @@
         if !pooled.remaining_rest.is_zero() {
             sleep(pooled.remaining_rest).await;
         }
-        Ok(Some(pooled.idle_for))
+        Ok(Some(pooled.idle_for + pooled.remaining_rest))
     }
 
     /// Closes the connection on which nothing of an attempt was written. It stays with the attempt until it
--- a/crates/message-sender/src/delivery/client/responses.rs
+++ b/crates/message-sender/src/delivery/client/responses.rs
@@ -5,7 +5,6 @@
 use delivery_control::AttemptOutcome;
 use hyper::body::Incoming;
 use hyper::Response;
-use tokio::time::timeout;
 
 use super::DeliveryClient;
 use crate::delivery::attempt::{AttemptResult, Call, Target};
@@ -19,9 +18,9 @@
 
 impl DeliveryClient {
     /// Waits for the head of the response to a request, after early data that is no response or a doubted one. A
-    /// doubted response counts if no other one follows in the time that the endpoint usually takes. The connection
-    /// is not used again. Unless the message was delivered, it may have been processed: only a response that was
-    /// received in full proves that it was not.
+    /// doubted response counts if no other one follows until it is plausible. The connection is not used again.
+    /// Unless the message was delivered, it may have been processed: only a response that was received in full
+    /// proves that it was not.
     pub(super) async fn receive_delayed_response(
         &self,
         call: &Call,
@@ -30,18 +29,21 @@
         let exchange = progress.exchange().ok_or(AttemptFailure::DelayedResponse)?;
         let connection = progress.connection.as_mut().ok_or(AttemptFailure::DelayedResponse)?;
         connection.stop().await;
-        let is_doubted = exchange.has_doubted_response();
-        tracing::debug!(call_id = ?call.call_id, endpoint = call.endpoint, is_doubted, "awaiting another response");
-        if !is_doubted {
+        let doubted = exchange.unreplaced_response_time();
+        tracing::debug!(call_id = ?call.call_id, endpoint = call.endpoint, ?doubted, "awaiting another response");
+        if doubted.is_none() {
             self.record_early_data(call);
         }
-        if exchange.is_request_written() {
-            let max_wait = if is_doubted { self.pool.max_response_time(call.endpoint) } else { call.timeout };
-            let delayed_head = timeout(max_wait, connection.wait_for_delayed_head(&exchange));
-            // Without another response, the outcome follows from what has arrived.
-            let _ = delayed_head.await;
+        match doubted {
+            Some(response_time) => tokio::select! {
+                biased;
+                () = connection.wait_for_delayed_head(&exchange) => {}
+                () = self.pool.wait_until_plausible(call.endpoint, response_time) => {}
+            },
+            None if exchange.is_request_written() => connection.wait_for_delayed_head(&exchange).await,
+            None => {}
         }
-        if is_doubted && exchange.unreplaced_response_time().is_none() {
+        if doubted.is_some() && exchange.unreplaced_response_time().is_none() {
             self.record_early_data(call);
         }
         let head = exchange.delayed_head().ok_or(AttemptFailure::DelayedResponse)?;
--- a/crates/message-sender/src/delivery/client/tests/delayed_responses.rs
+++ b/crates/message-sender/src/delivery/client/tests/delayed_responses.rs
@@ -15,6 +15,7 @@
 };
 use crate::delivery::attempt::{Call, Target};
 use crate::delivery::client::DeliveryClient;
+use crate::delivery::response_times::MAX_CROSSING_TIME;
 use crate::http_connection::{Connection, IdleState, REUSE_DELAY};
 use crate::metrics::DeliveryCounters;
 
@@ -68,7 +69,8 @@
     start_endpoint_with_crossing_data(OK_RESPONSE, response, response_time).await
 }
 
-/// A client with an idle connection to an endpoint that is known to be slow, and for no excess data.
+/// A client with a connection to an endpoint that is known to be slow, and for no excess data. The connection has just
+/// become idle.
 async fn client_of_sound_endpoint(address: SocketAddr) -> Rc<DeliveryClient> {
     let client = client();
     assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered);
@@ -81,10 +83,12 @@
     client
 }
 
-/// A client with an idle connection to an endpoint that is known to be slow and to have sent excess data.
+/// A client with a connection to an endpoint that is known to be slow and to have sent excess data. The connection has
+/// been idle for longer than data can cross a request.
 async fn client_of_slow_endpoint(address: SocketAddr) -> Rc<DeliveryClient> {
     let client = client_of_sound_endpoint(address).await;
     client.pool.record_past_excess_data(ENDPOINT);
+    sleep(2 * MAX_CROSSING_TIME).await;
     client
 }
 
@@ -104,13 +108,18 @@
     ];
     let test = async {
         for (response, expected) in rows {
-            let address = start_endpoint_with_crossing_copy(response, SLOW_RESPONSE_TIME).await;
-            let client = client_of_slow_endpoint(address).await;
-            let timeout = 3 * SLOW_RESPONSE_TIME;
-            let (_cancel_sender, cancelled) = oneshot::channel();
-            let result = client.clone().call(Call { timeout, ..call_to(address) }, cancelled).await;
-            assert_eq!(result.outcome, expected, "{response:?}");
-            assert!(client.pool.is_empty(), "the connection is kept although its responses are delayed");
+            for has_sent_excess_data in [false, true] {
+                let address = start_endpoint_with_crossing_copy(response, SLOW_RESPONSE_TIME).await;
+                let client = if has_sent_excess_data {
+                    client_of_slow_endpoint(address).await
+                } else {
+                    client_of_sound_endpoint(address).await
+                };
+                let call = Call { timeout: 3 * SLOW_RESPONSE_TIME, ..call_to(address) };
+                let outcome = outcome_of(&client, call).await;
+                assert_eq!(outcome, expected, "{response:?}, excess data before: {has_sent_excess_data}");
+                assert!(client.pool.is_empty(), "the connection is kept although its responses are delayed");
+            }
         }
     };
     run_local_before_idle_timeout(Box::pin(test)).await;
@@ -189,26 +198,54 @@
     run_local_before_idle_timeout(Box::pin(test)).await;
 }
 
-/// Guards against a sound endpoint that loses a response, its connection or time because it has become faster, and
-/// against one that was doubted once and waits for each response after that.
+/// Guards against an endpoint that loses a response because it has become faster, or whose further responses are waited
+/// for after the first one has counted.
 #[tokio::test]
 async fn an_endpoint_that_becomes_faster_loses_no_response() {
+    let test = async {
+        let address = start_endpoint_with_crossing_copy(Response::Missing, SLOW_RESPONSE_TIME).await;
+        let client = client_of_slow_endpoint(address).await;
+        assert!(client.pool.early_data(ENDPOINT, Duration::ZERO).is_some());
+        let start = Instant::now();
+        assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered);
+        let waited = start.elapsed();
+        assert!((SLOW_RESPONSE_TIME..6 * SLOW_RESPONSE_TIME).contains(&waited), "{waited:?}");
+        assert!(client.pool.early_data(ENDPOINT, Duration::ZERO).is_none());
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
+
+/// Guards against a sound endpoint that pays time or a connection because it has become faster, although its connection
+/// has been idle for longer than data can cross a request.
+#[tokio::test]
+async fn an_early_response_on_a_rested_connection_of_a_sound_endpoint_counts_at_once() {
     let test = async {
         let address = start_endpoint_with_crossing_copy(Response::Missing, SLOW_RESPONSE_TIME).await;
         let client = client_of_sound_endpoint(address).await;
+        sleep(2 * MAX_CROSSING_TIME).await;
         let start = Instant::now();
         assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered);
         assert!(start.elapsed() < SLOW_RESPONSE_TIME, "{:?}", start.elapsed());
         wait_for_idle_connection(&client).await;
+    };
+    run_local_before_idle_timeout(Box::pin(test)).await;
+}
 
+/// Guards against permits that are held by doubted responses although other deliveries have shown that the endpoint
+/// has become as fast.
+#[tokio::test]
+async fn a_doubted_response_counts_once_others_are_as_fast() {
+    let test = async {
         let address = start_endpoint_with_crossing_copy(Response::Missing, SLOW_RESPONSE_TIME).await;
         let client = client_of_slow_endpoint(address).await;
-        assert!(client.pool.early_data(ENDPOINT).is_some());
         let start = Instant::now();
-        assert_eq!(outcome(&client, address).await, AttemptOutcome::Delivered);
-        let waited = start.elapsed();
-        assert!((SLOW_RESPONSE_TIME..6 * SLOW_RESPONSE_TIME).contains(&waited), "{waited:?}");
-        assert!(client.pool.early_data(ENDPOINT).is_none());
+        let others = async {
+            sleep(SLOW_RESPONSE_TIME / 4).await;
+            client.pool.record_response_time(ENDPOINT, COPY_DELAY);
+        };
+        let (outcome, ()) = tokio::join!(outcome(&client, address), others);
+        assert_eq!(outcome, AttemptOutcome::Delivered);
+        assert!(start.elapsed() < SLOW_RESPONSE_TIME, "{:?}", start.elapsed());
     };
     run_local_before_idle_timeout(Box::pin(test)).await;
 }
--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use delivery_control::EndpointId;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::attempt::Target;
 use super::excess_data::ExcessDataTracker;
 use super::idle_lifetime::{IdleLifetimeEstimator, ReuseOutcome};
 use super::response::DELIVERED;
-use super::response_times::ResponseTimes;
+use super::response_times::{ResponseTimes, MAX_CROSSING_TIME};
 use super::saturation::SaturationTracker;
 use crate::http_connection::{Connection, EarlyData, IdleState, REUSE_DELAY};
 
@@ -23,9 +23,14 @@
 }
 
 impl IdleConnection {
-    /// Time for which the connection must rest before its next request.
-    fn remaining_rest(&self) -> Duration {
-        REUSE_DELAY.saturating_sub(self.idle_since.elapsed())
+    /// Whether the connection has rested for long enough to carry its next request.
+    fn is_rested(&self, now: Instant) -> bool {
+        self.idle_for(now) >= REUSE_DELAY
+    }
+
+    /// How long the connection has been idle.
+    fn idle_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.idle_since)
     }
 }
 
@@ -75,10 +80,12 @@
     /// the maximum idle time. Closes unusable connections to the target's endpoint that it finds before that
     /// one.
     pub fn take(&self, target: Target) -> Option<PooledConnection> {
+        // One reading for all candidates: it may only make them seem to have rested for too short a time.
+        let now = Instant::now();
         loop {
-            let candidate = self.remove_latest(target.endpoint)?;
-            let remaining_rest = candidate.remaining_rest();
-            let idle_for = candidate.idle_since.elapsed();
+            let candidate = self.remove_latest(target.endpoint, now)?;
+            let idle_for = candidate.idle_for(now);
+            let remaining_rest = REUSE_DELAY.saturating_sub(idle_for);
             if candidate.connection.has_excess_data() {
                 self.record_excess_data(candidate.target);
             }
@@ -90,10 +97,9 @@
 
     /// Removes the most recently used connection to an endpoint that need not rest, or the one that has rested
     /// longest.
-    fn remove_latest(&self, endpoint: EndpointId) -> Option<IdleConnection> {
+    fn remove_latest(&self, endpoint: EndpointId, now: Instant) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
-        let is_rested = |idle: &IdleConnection| idle.remaining_rest().is_zero();
-        let rested = idle.iter().rposition(|idle| idle.target.endpoint == endpoint && is_rested(idle));
+        let rested = idle.iter().rposition(|idle| idle.target.endpoint == endpoint && idle.is_rested(now));
         let index = rested.or_else(|| idle.iter().position(|idle| idle.target.endpoint == endpoint))?;
         idle.remove(index)
     }
@@ -178,17 +184,22 @@
         self.response_times.record(endpoint, response_time);
     }
 
-    /// What is unusual soon after a request on a used connection to an endpoint, if its response times are known. A
-    /// delivery is doubted only if the endpoint has sent excess data.
-    pub fn early_data(&self, endpoint: EndpointId) -> Option<EarlyData> {
+    /// What is unusual soon after a request on a connection to an endpoint that was idle for `idle_for`, if the
+    /// endpoint's response times are known. A delivery is doubted if data may still have been on its way when the
+    /// request was written, or if the endpoint has sent excess data.
+    pub fn early_data(&self, endpoint: EndpointId, idle_for: Duration) -> Option<EarlyData> {
         let within = self.response_times.min_response_time(endpoint)?;
-        let doubted_status = self.excess_data.is_remembered(endpoint).then_some(DELIVERED);
-        Some(EarlyData { within, doubted_status })
+        let is_doubted = idle_for < MAX_CROSSING_TIME || self.excess_data.is_remembered(endpoint);
+        Some(EarlyData { within, doubted_status: is_doubted.then_some(DELIVERED) })
     }
 
-    /// Time within which an endpoint is expected to answer a request.
-    pub fn max_response_time(&self, endpoint: EndpointId) -> Duration {
-        self.response_times.max_response_time(endpoint)
+    /// Waits until nothing suggests any more that a response belongs to an earlier request, because none has followed
+    /// it in the time that the endpoint usually takes, or because the endpoint has become as fast.
+    pub async fn wait_until_plausible(&self, endpoint: EndpointId, response_time: Duration) {
+        let max_response_time = self.response_times.max_response_time(endpoint);
+        let usual = self.response_times.wait_until_usual(endpoint, response_time);
+        // After either, the response counts.
+        let _ = timeout(max_response_time, usual).await;
     }
 
     /// Raises the idle time that saturation has reduced, according to the time `elapsed` since the last
--- a/crates/message-sender/src/delivery/response_times.rs
+++ b/crates/message-sender/src/delivery/response_times.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use delivery_control::EndpointId;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Number of deliveries of an endpoint before its fastest one is meaningful.
@@ -19,7 +20,7 @@
 /// Minimum and maximum time within which data may be unusually soon: some endpoints often answer sooner than the
 /// minimum, and data crosses a request on the network for no longer than the maximum.
 const MIN_CROSSING_TIME: Duration = Duration::from_millis(10);
-const MAX_CROSSING_TIME: Duration = Duration::from_millis(25);
+pub(super) const MAX_CROSSING_TIME: Duration = Duration::from_millis(25);
 /// Longest time within which an endpoint is expected to answer.
 const MAX_RESPONSE_TIME: Duration = Duration::from_secs(1);
 
@@ -36,6 +37,8 @@
 #[derive(Default)]
 pub struct ResponseTimes {
     fastest: RefCell<HashMap<EndpointId, FastestDelivery>>,
+    /// Notified when an endpoint has delivered faster than before.
+    became_faster: Notify,
 }
 
 impl ResponseTimes {
@@ -46,7 +49,10 @@
         let mut fastest = self.fastest.borrow_mut();
         let entry =
             fastest.entry(endpoint).or_insert(FastestDelivery { response_time, deliveries: 0, recorded_at });
-        entry.response_time = entry.response_time.min(response_time);
+        if response_time < entry.response_time {
+            entry.response_time = response_time;
+            self.became_faster.notify_waiters();
+        }
         entry.deliveries = (entry.deliveries + 1).min(MIN_DELIVERIES);
         entry.recorded_at = recorded_at;
     }
@@ -67,6 +73,17 @@
         known.unwrap_or(MAX_RESPONSE_TIME).min(MAX_RESPONSE_TIME)
     }
 
+    /// Waits until other deliveries have shown that an endpoint answers within `response_time`.
+    pub async fn wait_until_usual(&self, endpoint: EndpointId, response_time: Duration) {
+        loop {
+            let became_faster = self.became_faster.notified();
+            if self.min_response_time(endpoint).is_none_or(|minimum| minimum <= response_time) {
+                return;
+            }
+            became_faster.await;
+        }
+    }
+
     /// Forgets endpoints without a delivery for `retention`.
     pub fn expire(&self, retention: Duration) {
         self.fastest.borrow_mut().retain(|_, known| known.recorded_at.elapsed() < retention);
