Log why a connection to an endpoint is closed instead of being used again

Change: one debug line for each, with the endpoint and the reason: address changed, idle timeout, lifetime not trusted, ended, excess data, saturated, pool full, endpoint closed. The decisions are as before.

--- a/crates/message-sender/src/delivery/pool.rs
+++ b/crates/message-sender/src/delivery/pool.rs
@@ -22,6 +22,42 @@
     idle_since: Instant,
 }
 
+/// Why a connection is closed instead of being used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DiscardReason {
+    /// Its endpoint has another address now.
+    AddressChanged,
+    /// It has been idle for the maximum time.
+    IdleTimeout,
+    /// Connections that were idle for as long have not survived.
+    LifetimeNotTrusted,
+    /// Its endpoint has closed it.
+    Ended,
+    /// Its endpoint sends data that belongs to no response.
+    ExcessData,
+    /// Its endpoint has no capacity for more connections.
+    Saturated,
+    /// Others have been idle for less time.
+    PoolFull,
+    /// Its endpoint is draining, has departed, or rejects connections.
+    EndpointClosed,
+}
+
+impl DiscardReason {
+    /// The reason for which the state of a connection forbids its use, if any.
+    fn of_state(state: IdleState) -> Option<Self> {
+        match state {
+            IdleState::Reusable => None,
+            IdleState::Ended => Some(Self::Ended),
+            IdleState::ExcessData => Some(Self::ExcessData),
+        }
+    }
+
+    fn log(self, target: Target) {
+        tracing::debug!(endpoint = target.endpoint, address = %target.address, reason = ?self, "connection closed");
+    }
+}
+
 impl IdleConnection {
     /// Whether the connection has rested for long enough to carry its next request.
     fn is_rested(&self, now: Instant) -> bool {
@@ -89,8 +125,15 @@
             if candidate.connection.has_excess_data() {
                 self.record_excess_data(candidate.target);
             }
-            if self.is_usable(&candidate, idle_for, target) {
-                return Some(PooledConnection { connection: candidate.connection, idle_for, remaining_rest });
+            match self.discard_reason(&candidate, idle_for, target) {
+                Some(reason) => reason.log(candidate.target),
+                None => {
+                    return Some(PooledConnection {
+                        connection: candidate.connection,
+                        idle_for,
+                        remaining_rest,
+                    })
+                }
             }
         }
     }
@@ -104,25 +147,39 @@
         idle.remove(index)
     }
 
-    fn is_usable(&self, candidate: &IdleConnection, idle_for: Duration, target: Target) -> bool {
-        candidate.target.address == target.address
-            && idle_for < self.max_idle_time
-            && self.lifetime_estimator.borrow().trusts(idle_for)
-            && candidate.connection.idle_state() == IdleState::Reusable
+    /// The reason for which a connection cannot carry a request to `target`, if any.
+    fn discard_reason(
+        &self,
+        candidate: &IdleConnection,
+        idle_for: Duration,
+        target: Target,
+    ) -> Option<DiscardReason> {
+        if candidate.target.address != target.address {
+            Some(DiscardReason::AddressChanged)
+        } else if idle_for >= self.max_idle_time {
+            Some(DiscardReason::IdleTimeout)
+        } else if !self.lifetime_estimator.borrow().trusts(idle_for) {
+            Some(DiscardReason::LifetimeNotTrusted)
+        } else {
+            DiscardReason::of_state(candidate.connection.idle_state())
+        }
     }
 
     /// Keeps a connection for the next attempt, unless its endpoint is saturated or has sent excess data.
     /// Closes the longest idle connections to stay within the pool's capacity.
     pub fn put(&self, target: Target, connection: Connection) {
-        if self.saturation.borrow().is_saturated(target.endpoint)
-            || self.excess_data.avoids_reuse(target.endpoint)
-        {
-            return;
+        if self.saturation.borrow().is_saturated(target.endpoint) {
+            return DiscardReason::Saturated.log(target);
+        }
+        if self.excess_data.avoids_reuse(target.endpoint) {
+            return DiscardReason::ExcessData.log(target);
         }
         let mut idle = self.idle.borrow_mut();
         idle.push_back(IdleConnection { connection, target, idle_since: Instant::now() });
         while idle.len() > self.capacity {
-            idle.pop_front();
+            if let Some(longest_idle) = idle.pop_front() {
+                DiscardReason::PoolFull.log(longest_idle.target);
+            }
         }
     }
 
@@ -133,7 +190,13 @@
 
     /// Closes the idle connections to an endpoint.
     pub fn close_endpoint(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().retain(|idle| idle.target.endpoint != endpoint);
+        self.idle.borrow_mut().retain(|idle| {
+            let is_kept = idle.target.endpoint != endpoint;
+            if !is_kept {
+                DiscardReason::EndpointClosed.log(idle.target);
+            }
+            is_kept
+        });
     }
 
     /// Whether one more response may be read after its attempt has ended. Its descriptor counts against the
@@ -213,13 +276,17 @@
     pub fn close_expired(&self) {
         let max_idle_time = self.max_idle_time.mul_f64(self.saturation.borrow().idle_time_scale());
         let mut with_excess_data = Vec::new();
-        self.idle.borrow_mut().retain(|idle| match idle.connection.inspect() {
-            IdleState::Reusable => idle.idle_since.elapsed() < max_idle_time,
-            IdleState::Ended => false,
-            IdleState::ExcessData => {
+        self.idle.borrow_mut().retain(|idle| {
+            let is_expired = idle.idle_since.elapsed() >= max_idle_time;
+            let expired = is_expired.then_some(DiscardReason::IdleTimeout);
+            let reason = DiscardReason::of_state(idle.connection.inspect()).or(expired);
+            if let Some(reason) = reason {
+                reason.log(idle.target);
+            }
+            if reason == Some(DiscardReason::ExcessData) {
                 with_excess_data.push(idle.target);
-                false
             }
+            reason.is_none()
         });
         for target in with_excess_data {
             self.record_excess_data(target);
