Soak: read the memory of a process only once it has started its program

Change: the memory counts once the process has the name of the sender's program. The limit is as before.

--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod http;
 mod lost_requests;
 mod maintenance;
-mod memory;
+pub mod memory;
 pub mod network;
 mod observation;
 pub mod oracle;
--- a/crates/fault-soak/src/memory.rs
+++ b/crates/fault-soak/src/memory.rs
@@ -25,7 +25,7 @@
             for pid in sender.process_ids().await {
                 let peak = std::fs::read_to_string(format!("/proc/{pid}/status"))
                     .ok()
-                    .and_then(|status| peak_memory_kib(&status));
+                    .and_then(|status| peak_memory_kib(&status, sender.process_name()));
                 if let Some(peak) = peak {
                     let mut records = history.records();
                     let highest = records.peak_memory_kib.entry(sender.index).or_default();
@@ -37,10 +37,15 @@
     }
 }
 
-/// Returns the peak of the resident memory from the status file of a process, in KiB.
-fn peak_memory_kib(status: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-    line.split_whitespace().next()?.parse().ok()
+/// Returns the peak of the resident memory from the status file of a process, in KiB. `None` if the process does not
+/// have this name: until it has started its program, it has the memory and the name of the soak.
+#[must_use]
+pub fn peak_memory_kib(status: &str, name: &str) -> Option<u64> {
+    let field = |field: &str| status.lines().find_map(|line| line.strip_prefix(field)).map(str::trim);
+    if field("Name:")? != name {
+        return None;
+    }
+    field("VmHWM:")?.split_whitespace().next()?.parse().ok()
 }
 
 impl Oracle<'_> {
--- a/crates/fault-soak/src/sender.rs
+++ b/crates/fault-soak/src/sender.rs
@@ -26,6 +26,8 @@
 pub(crate) const TERMINATION_TIMEOUT: Duration = Duration::from_millis(3_700);
 /// Time between the end of a process and the start of the next one.
 pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Maximum length of the name that the kernel gives a process, in bytes.
+const MAX_PROCESS_NAME: usize = 15;
 /// Error number of Linux for a full disk.
 const ENOSPC: i32 = 28;
 /// Time between two checks whether a process is ready.
@@ -100,6 +102,12 @@
         Ok(Arc::new(sender))
     }
 
+    /// Returns the name of its processes, which the kernel cuts off.
+    pub(crate) fn process_name(&self) -> &str {
+        let name = self.executable.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        &name[..name.len().min(MAX_PROCESS_NAME)]
+    }
+
     fn configuration_path(&self) -> PathBuf {
         self.folder.join("config.json")
     }
