--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -51,6 +51,16 @@
 const SLOW_SHARE: f64 = 0.75;
 /// Time that they take for a call then, in milliseconds.
 const SPED_UP_MS: Range<u64> = 0..4;
+/// Kinds of system calls at which processes are held up. Requests are most sensitive to holds where they are sent.
+const HELD_CALLS: [Syscall; 7] = [
+    Syscall::Send,
+    Syscall::Send,
+    Syscall::Receive,
+    Syscall::Accept,
+    Syscall::Connect,
+    Syscall::EpollWait,
+    Syscall::Clock,
+];
 /// Times for which a process is held up, in milliseconds.
 const HOLD_MS: [i32; 4] = [20, 60, 110, 150];
 /// Highest rate at which a process is held up at readings of the clock, of ten thousand: there are many more of them
@@ -318,7 +328,7 @@
         FaultKind::Connects => {
             vec![(Syscall::Connect, fail(), vec![EINTR, ETIMEDOUT, EHOSTUNREACH], limited)]
         }
-        FaultKind::Holds => hold_rules(fault.rate),
+        FaultKind::Holds => vec![hold_rule(fault)],
         FaultKind::Interrupts => vec![
             (Syscall::Receive, vec![Failure::NotDone, Failure::Partial], vec![EINTR], fault.rate),
             (Syscall::Send, vec![Failure::NotDone, Failure::Partial], vec![EINTR], fault.rate),
@@ -328,15 +338,10 @@
     }
 }
 
-/// Returns the system calls at which processes are held up. Holds are limited to one in 0.4 s by the library.
-fn hold_rules(rate: u32) -> Vec<SyscallRule> {
-    let rule = |call, rate| (call, vec![Failure::HeldBefore, Failure::HeldAfter], HOLD_MS.to_vec(), rate);
-    vec![
-        rule(Syscall::Send, rate),
-        rule(Syscall::Receive, rate),
-        rule(Syscall::Accept, rate),
-        rule(Syscall::Connect, rate),
-        rule(Syscall::EpollWait, rate),
-        rule(Syscall::Clock, rate.min(MAX_CLOCK_HOLD_RATE)),
-    ]
+/// Returns the kind of system call at which processes are held up. The library limits holds to one in 0.4 s, so that
+/// several kinds at once would leave few holds for each.
+fn hold_rule(fault: &Fault) -> SyscallRule {
+    let call = HELD_CALLS[fault.targets[0] % HELD_CALLS.len()];
+    let rate = if call == Syscall::Clock { fault.rate.min(MAX_CLOCK_HOLD_RATE) } else { fault.rate };
+    (call, vec![Failure::HeldBefore, Failure::HeldAfter], HOLD_MS.to_vec(), rate)
 }
