--- a/crates/delivery-control/tests/controller/rate_limit.rs
+++ b/crates/delivery-control/tests/controller/rate_limit.rs
@@ -1,6 +1,6 @@
 //! Rate limiting of a route: decrease on rejection, recovery, Retry-After, and listed rates.
 
-use delivery_control::{AttemptOutcome, EndpointEntry, Settings};
+use delivery_control::{AttemptOutcome, EndpointEntry, Event, Micros, Settings};
 
 use crate::support::{
     attempt_ended, endpoint_entry, message_submitted, messages_submitted, rejected_with_retry_after, sends,
@@ -151,3 +151,42 @@
     };
     assert!(calls(12) < calls(2), "{} calls by one of 12 senders, {} by one of 2", calls(12), calls(2));
 }
+
+/// Guards against a destination that is not called for longer than its endpoints need to warm up and 5 s: a rejection
+/// after the first call set a low rate, further calls were let through early because of the demand, and their failures
+/// ejected all endpoints, so that the demand no longer counted.
+#[test]
+fn a_route_that_was_rejected_and_then_ejected_is_probed_in_time() {
+    /// Number of seeds of the controller's random numbers.
+    const SEEDS: u64 = 20;
+    /// Time that a call takes, and number of such steps that are played.
+    const STEP: Micros = 50 * MILLISECOND;
+    const STEPS: u32 = 1_200;
+    /// Number of steps from one message to the next.
+    const STEPS_PER_MESSAGE: u32 = 3;
+    let settings = Settings { sender_count: 10, ..settings() };
+    let longest_pause = settings.rules.warm_up_time + 5 * SECOND;
+    let entries = vec![endpoint_entry(1, 10, SHARED_LIMIT), endpoint_entry(3, 10, SHARED_LIMIT)];
+    for seed in 0..SEEDS {
+        let mut harness = ControllerHarness::with_seed(settings.clone(), entries.clone(), seed);
+        let mut outcomes =
+            [AttemptOutcome::Rejected, AttemptOutcome::Error, AttemptOutcome::Error].into_iter();
+        let (mut next_id, mut called_at) = (1, harness.now);
+        for step in 0..STEPS {
+            harness.advance_to(harness.now + STEP);
+            let mut events: Vec<Event> = Vec::new();
+            for (id, (sent_at, endpoint)) in harness.in_flight.clone() {
+                called_at = called_at.max(sent_at);
+                let outcome = outcomes.next().unwrap_or(AttemptOutcome::Delivered);
+                events.push(attempt_ended(id, harness.latest_attempts[&id], endpoint, outcome));
+            }
+            if step % STEPS_PER_MESSAGE == 0 {
+                events.push(message_submitted(next_id, IDEMPOTENT, 10));
+                next_id += 1;
+            }
+            harness.turn(&events);
+            let pause = harness.now - called_at;
+            assert!(pause <= longest_pause, "seed {seed}: no call for {} s", pause / SECOND);
+        }
+    }
+}
